--- /dev/null
+++ b/internal/queue/queue.go
@@ -0,0 +1,217 @@
+// Package queue holds the requests that wait at one entry instance, per service,
+// customer and kind, bounded in number and in bytes.
+package queue
+
+import (
+	"container/list"
+	"fmt"
+	"time"
+
+	"github.com/greengagestep/greengagestep/internal/share"
+	"github.com/greengagestep/greengagestep/pkg/fleet"
+)
+
+// Request is what the queue knows about a waiting request.
+type Request struct {
+	ID  string
+	Key share.Key
+	// Bytes is the memory that the request holds while it waits.
+	Bytes int64
+	// Deadline is when the caller gives up; zero means never.
+	Deadline time.Time
+	// Head is a hash of the beginning of the prompt, for cache affinity; zero
+	// means none.
+	Head uint64
+	// Avoid names an endpoint that must not run the request, because an
+	// earlier attempt failed there.
+	Avoid   string
+	Arrived time.Time
+}
+
+// Refusal is the error for a request that was not taken or was dropped.
+type Refusal struct {
+	Reason fleet.Reason
+	// Limit is the bound that was reached, in requests or bytes.
+	Limit int64
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("queue: request refused: %s (limit %d)", r.Reason, r.Limit)
+}
+
+// Limits bounds the queue. The default (zero) value of a field means no bound.
+type Limits struct {
+	// Each bounds the requests that wait per service, customer and kind.
+	Each int
+	// Customer bounds the bytes that wait per customer.
+	Customer int64
+	// Bytes bounds the bytes that wait in total.
+	Bytes int64
+}
+
+// Waiting is the queue. It is not safe for concurrent use.
+type Waiting struct {
+	// Limits returns the bounds for a kind of work.
+	Limits func(kind string) Limits
+
+	lines    map[share.Key]*list.List
+	byID     map[string]*list.Element
+	bytes    int64
+	customer map[string]int64
+}
+
+// New returns an empty queue.
+func New() *Waiting {
+	return &Waiting{
+		lines:    map[share.Key]*list.List{},
+		byID:     map[string]*list.Element{},
+		customer: map[string]int64{},
+	}
+}
+
+// Push adds a request to the end of its line. It returns a *Refusal if a bound
+// is reached.
+func (w *Waiting) Push(r Request) error {
+	if err := w.admit(r); err != nil {
+		return err
+	}
+	line := w.lines[r.Key]
+	if line == nil {
+		line = list.New()
+		w.lines[r.Key] = line
+	}
+	w.byID[r.ID] = line.PushBack(r)
+	w.bytes += r.Bytes
+	w.customer[r.Key.Customer] += r.Bytes
+	return nil
+}
+
+func (w *Waiting) admit(r Request) error {
+	if w.Limits == nil {
+		return nil
+	}
+	l := w.Limits(r.Key.Kind)
+	if l.Each > 0 && w.Len(r.Key) >= l.Each {
+		return &Refusal{Reason: fleet.ReasonQueueFull, Limit: int64(l.Each)}
+	}
+	if l.Customer > 0 && w.customer[r.Key.Customer]+r.Bytes > l.Customer {
+		return &Refusal{Reason: fleet.ReasonQueueFull, Limit: l.Customer}
+	}
+	if l.Bytes > 0 && w.bytes+r.Bytes > l.Bytes {
+		return &Refusal{Reason: fleet.ReasonQueueFull, Limit: l.Bytes}
+	}
+	return nil
+}
+
+// lookahead is how far behind the head of a line Pop searches for a request
+// that suits the endpoint. It bounds how often a request can be overtaken per
+// slot that comes free.
+const lookahead = 4
+
+// Pop removes the next request of a line that may run at an endpoint. Among the
+// first few it prefers one whose prompt head prefer accepts; prefer may be nil.
+func (w *Waiting) Pop(k share.Key, endpoint string, prefer func(head uint64) bool) (Request, bool) {
+	line := w.lines[k]
+	if line == nil {
+		return Request{}, false
+	}
+	var first *list.Element
+	seen := 0
+	for e := line.Front(); e != nil && seen < lookahead; e = e.Next() {
+		r := e.Value.(Request)
+		if r.Avoid != "" && r.Avoid == endpoint {
+			continue
+		}
+		seen++
+		if first == nil {
+			first = e
+		}
+		if prefer != nil && r.Head != 0 && prefer(r.Head) {
+			first = e
+			break
+		}
+	}
+	if first == nil {
+		return Request{}, false
+	}
+	r := first.Value.(Request)
+	w.remove(first, r)
+	return r, true
+}
+
+func (w *Waiting) remove(e *list.Element, r Request) {
+	line := w.lines[r.Key]
+	line.Remove(e)
+	if line.Len() == 0 {
+		delete(w.lines, r.Key)
+	}
+	delete(w.byID, r.ID)
+	w.bytes -= r.Bytes
+	w.customer[r.Key.Customer] -= r.Bytes
+	if w.customer[r.Key.Customer] == 0 {
+		delete(w.customer, r.Key.Customer)
+	}
+}
+
+// Remove takes a request out, because its caller left. It returns false if the
+// request does not wait.
+func (w *Waiting) Remove(id string) (Request, bool) {
+	e := w.byID[id]
+	if e == nil {
+		return Request{}, false
+	}
+	r := e.Value.(Request)
+	w.remove(e, r)
+	return r, true
+}
+
+// Expire removes and returns the requests whose deadline has passed.
+func (w *Waiting) Expire(now time.Time) []Request {
+	var expired []Request
+	for _, e := range w.byID {
+		r := e.Value.(Request)
+		if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
+			expired = append(expired, r)
+		}
+	}
+	for _, r := range expired {
+		w.remove(w.byID[r.ID], r)
+	}
+	return expired
+}
+
+// Len returns how many requests wait in a line.
+func (w *Waiting) Len(k share.Key) int {
+	line := w.lines[k]
+	if line == nil {
+		return 0
+	}
+	return line.Len()
+}
+
+// Total returns how many requests wait in all lines.
+func (w *Waiting) Total() int { return len(w.byID) }
+
+// Bytes returns the memory that waiting requests hold.
+func (w *Waiting) Bytes() int64 { return w.bytes }
+
+// Keys returns the lines of a service that hold requests, in no order.
+func (w *Waiting) Keys(service string) []share.Key {
+	var keys []share.Key
+	for k := range w.lines {
+		if k.Service == service {
+			keys = append(keys, k)
+		}
+	}
+	return keys
+}
+
+// Oldest returns when the request at the head of a line arrived.
+func (w *Waiting) Oldest(k share.Key) (time.Time, bool) {
+	line := w.lines[k]
+	if line == nil {
+		return time.Time{}, false
+	}
+	return line.Front().Value.(Request).Arrived, true
+}
--- /dev/null
+++ b/internal/scheduler/duty.go
@@ -0,0 +1,92 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/greengagestep/greengagestep/internal/member"
+)
+
+// SetEndpoints replaces the known endpoints and reassigns their homes.
+func (s *Scheduler) SetEndpoints(list []Endpoint, now time.Time) {
+	known := map[string]Endpoint{}
+	for _, e := range list {
+		known[e.Name] = e
+	}
+	s.endpoints = known
+	s.assign(now)
+	s.decide(now)
+}
+
+// assign works out the home of every endpoint from the live members, takes up
+// new duties and drops those that moved away.
+func (s *Scheduler) assign(now time.Time) {
+	for name := range s.owners {
+		if _, ok := s.endpoints[name]; !ok {
+			delete(s.owners, name)
+			s.drop(name)
+		}
+	}
+	for name, e := range s.endpoints {
+		owner := s.Table.Owner("endpoint/"+name, e.Domain)
+		s.owners[name] = owner
+		if owner != s.self() {
+			s.drop(name)
+			continue
+		}
+		if _, ok := s.adopted[name]; !ok {
+			s.adopted[name] = now
+		}
+		s.home.Adopt(name, e.Service, e.Slots, s.settled(name, now))
+		s.home.Close(name, e.Closed)
+	}
+}
+
+func (s *Scheduler) drop(name string) {
+	if _, ok := s.adopted[name]; !ok {
+		return
+	}
+	delete(s.adopted, name)
+	s.home.Drop(name)
+}
+
+// settled returns from when an endpoint's slots may be granted: as soon as every
+// member that might hold one under the earlier home has reported since the duty
+// began, at the latest after settleTerm.
+func (s *Scheduler) settled(name string, now time.Time) time.Time {
+	begun := s.adopted[name]
+	latest := begun.Add(settleTerm)
+	for _, m := range s.Table.Peers() {
+		if m.State == member.StateGone {
+			continue
+		}
+		l := s.links[m.Name]
+		if l == nil || !l.synced.After(begun) {
+			return latest
+		}
+	}
+	return begun
+}
+
+// Home returns the name of the instance that grants an endpoint's slots, or an
+// empty string if there is none.
+func (s *Scheduler) Home(endpoint string) string { return s.owners[endpoint] }
+
+// owns tells whether the home of an endpoint is the named instance.
+func (s *Scheduler) owns(home string) func(endpoint string) bool {
+	return func(endpoint string) bool { return s.owners[endpoint] == home }
+}
+
+// homes returns the peers that are home of an endpoint of a service, with
+// whether they are in the own failure domain.
+func (s *Scheduler) homes(service string) map[string]bool {
+	homes := map[string]bool{}
+	for name, e := range s.endpoints {
+		if e.Service != service || e.Closed {
+			continue
+		}
+		if owner := s.owners[name]; owner != "" && owner != s.self() {
+			homes[owner] = e.Domain == s.Table.Self.Domain
+		}
+	}
+	return homes
+}
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,360 @@
+// Package scheduler combines the decisions of one entry instance: what waits
+// here, who is served next across the fleet, which slots are granted and which
+// are held. It does no I/O and reads no clock: callers pass the time, messages
+// and events, and a Port carries out what it decides.
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/greengagestep/greengagestep/internal/member"
+	"github.com/greengagestep/greengagestep/internal/queue"
+	"github.com/greengagestep/greengagestep/internal/share"
+	"github.com/greengagestep/greengagestep/internal/slot"
+	"github.com/greengagestep/greengagestep/pkg/fleet"
+)
+
+// TickInterval is how often Tick must be called. Each tick sends a heartbeat
+// with the changed counters to every peer.
+const TickInterval = 500 * time.Millisecond
+
+// settleTerm is how long a new home waits for the reports of what is held under
+// the earlier home, at the most.
+const settleTerm = 3 * time.Second
+
+// Run is a request with the slot that it may use.
+type Run struct {
+	Request  queue.Request
+	Endpoint string
+}
+
+// Port carries out decisions. Its methods are called with the scheduler's lock
+// held by the caller, so they must not call back.
+type Port interface {
+	// Start begins to run a request at an endpoint. Finish must be called
+	// once it has ended.
+	Start(run Run)
+	// Refuse answers a request that was dropped from the queue.
+	Refuse(r queue.Request, reason fleet.Reason)
+	// Wake asks for Compose to be called for a peer soon.
+	Wake(peer string)
+}
+
+// Endpoint is what the scheduler must know about an endpoint.
+type Endpoint struct {
+	Name    string
+	Service string
+	Domain  string
+	Slots   int
+	// Closed endpoints get no new work.
+	Closed bool
+}
+
+// Policy is the part of the configuration that scheduling depends on.
+type Policy struct {
+	// Unit returns how a service's cost is counted; nil means tokens.
+	Unit func(service string) fleet.Unit
+	// Slack returns by how many units a customer may stand above the lowest
+	// one in the fleet and still be served next from a slot that came free
+	// here; nil means none. It saves the way to the home and back.
+	Slack func(service string) float64
+}
+
+// Scheduler is the decision state of one entry instance. It is not safe for
+// concurrent use. Exported fields are set before the first call.
+type Scheduler struct {
+	Port   Port
+	Policy Policy
+	Table  *member.Table
+	Book   *share.Book
+	Queue  *queue.Waiting
+	// OnLapse is called for each entry instance whose leases lapsed here; nil
+	// is allowed.
+	OnLapse func(name string)
+
+	home      *slot.Home
+	held      *slot.Held
+	runs      map[string]*run
+	running   map[share.Key]int
+	endpoints map[string]Endpoint
+	owners    map[string]string // home of each endpoint
+	adopted   map[string]time.Time
+	links     map[string]*link
+	dirty     map[string]bool // own home has to decide for these services
+	started   time.Time
+	stopping  bool
+}
+
+type run struct {
+	request queue.Request
+	lease   *slot.Lease
+	charged time.Time
+}
+
+// New returns a scheduler for an instance that starts now.
+func New(self member.Member, now time.Time) *Scheduler {
+	return &Scheduler{
+		Table:     member.New(self),
+		Book:      share.New(),
+		Queue:     queue.New(),
+		home:      slot.NewHome(self.Domain),
+		held:      slot.NewHeld(),
+		runs:      map[string]*run{},
+		running:   map[share.Key]int{},
+		endpoints: map[string]Endpoint{},
+		owners:    map[string]string{},
+		adopted:   map[string]time.Time{},
+		links:     map[string]*link{},
+		dirty:     map[string]bool{},
+		started:   now,
+	}
+}
+
+func (s *Scheduler) self() string { return s.Table.Self.Name }
+
+func (s *Scheduler) unit(service string) fleet.Unit {
+	if s.Policy.Unit == nil {
+		return fleet.UnitTokens
+	}
+	return s.Policy.Unit(service)
+}
+
+func (s *Scheduler) slack(service string) float64 {
+	if s.Policy.Slack == nil {
+		return 0
+	}
+	return s.Policy.Slack(service)
+}
+
+// Arrive queues a request. It returns a *queue.Refusal if it cannot be taken.
+func (s *Scheduler) Arrive(r queue.Request, now time.Time) error {
+	if s.stopping {
+		return &queue.Refusal{Reason: fleet.ReasonStopping}
+	}
+	return s.enqueue(r, now)
+}
+
+// Again queues a request for a further attempt. Unlike Arrive it also takes
+// requests while the instance is stopping, because they were accepted before.
+func (s *Scheduler) Again(r queue.Request, now time.Time) error {
+	return s.enqueue(r, now)
+}
+
+func (s *Scheduler) enqueue(r queue.Request, now time.Time) error {
+	if err := s.Queue.Push(r); err != nil {
+		return err
+	}
+	s.count(r.Key)
+	s.decide(now)
+	s.seek(r.Key)
+	return nil
+}
+
+// Cancel drops a waiting request. It returns false if the request does not wait
+// any more.
+func (s *Scheduler) Cancel(id string) bool {
+	r, ok := s.Queue.Remove(id)
+	if ok {
+		s.count(r.Key)
+	}
+	return ok
+}
+
+// count tells the book and the own home what waits and runs for an account here.
+func (s *Scheduler) count(k share.Key) {
+	waiting := s.Queue.Len(k)
+	s.Book.SetOwn(k, waiting, s.running[k])
+	s.home.Demand(s.self(), s.Table.Self.Domain, k, waiting)
+}
+
+// Charge adds delivered service to the account of a running request, in units.
+// It does nothing for services that are charged by time or for runs that ended.
+func (s *Scheduler) Charge(id string, units float64) {
+	r := s.runs[id]
+	if r == nil || s.unit(r.request.Key.Service) == fleet.UnitTime {
+		return
+	}
+	s.Book.Charge(r.request.Key, units)
+}
+
+func (s *Scheduler) chargeTime(r *run, now time.Time) {
+	if s.unit(r.request.Key.Service) != fleet.UnitTime {
+		return
+	}
+	s.Book.Charge(r.request.Key, now.Sub(r.charged).Seconds()*1000)
+	r.charged = now
+}
+
+// Finish ends a run and uses its slot for the next request or gives it back.
+func (s *Scheduler) Finish(id string, now time.Time) {
+	r := s.runs[id]
+	if r == nil {
+		return
+	}
+	s.chargeTime(r, now)
+	delete(s.runs, id)
+	k := r.request.Key
+	s.running[k]--
+	if s.running[k] == 0 {
+		delete(s.running, k)
+	}
+	s.count(k)
+	s.reuse(r.lease, now)
+	s.decide(now)
+}
+
+// use starts a request in a slot that was granted for its account. If none waits
+// any more the slot goes to another account or back.
+func (s *Scheduler) use(l *slot.Lease, now time.Time) {
+	if !s.start(l, l.Key, now) {
+		s.reuse(l, now)
+	}
+}
+
+// reuse starts the next request in a slot held here if no other instance has
+// work waiting that goes before it, and gives the slot back otherwise.
+func (s *Scheduler) reuse(l *slot.Lease, now time.Time) {
+	if s.mayReuse(l, now) {
+		k, ok := s.best(l.Service)
+		if ok && s.start(l, k, now) {
+			return
+		}
+	}
+	s.held.Return(l)
+	if l.Home == s.self() {
+		s.home.Release(s.self(), l.Number)
+		return
+	}
+	s.wake(l.Home)
+}
+
+func (s *Scheduler) mayReuse(l *slot.Lease, now time.Time) bool {
+	e, known := s.endpoints[l.Endpoint]
+	if !known || e.Closed || s.owners[l.Endpoint] != l.Home {
+		return false
+	}
+	return s.held.Valid(l, s.self(), now)
+}
+
+// best returns the account that goes first among those waiting here, and false
+// if another instance has work that goes before it by more than the slack.
+func (s *Scheduler) best(service string) (share.Key, bool) {
+	var best share.Key
+	var bestFirst, bestSecond float64
+	found := false
+	for _, k := range s.Queue.Keys(service) {
+		first, second := s.Book.Order(k, 0, 0)
+		if !found || first < bestFirst || (first == bestFirst && (second < bestSecond || (second == bestSecond && less(k, best)))) {
+			best, bestFirst, bestSecond, found = k, first, second, true
+		}
+	}
+	if !found {
+		return best, false
+	}
+	lowest, ok := s.Book.Lowest(service)
+	return best, !ok || bestFirst <= lowest+s.slack(service)
+}
+
+func less(a, b share.Key) bool {
+	if a.Customer != b.Customer {
+		return a.Customer < b.Customer
+	}
+	return a.Kind < b.Kind
+}
+
+func (s *Scheduler) start(l *slot.Lease, k share.Key, now time.Time) bool {
+	r, ok := s.Queue.Pop(k, l.Endpoint, nil)
+	if !ok {
+		return false
+	}
+	l.Key = k
+	s.runs[r.ID] = &run{request: r, lease: l, charged: now}
+	s.running[k]++
+	s.count(k)
+	s.Port.Start(Run{Request: r, Endpoint: l.Endpoint})
+	return true
+}
+
+// decide lets the own home grant what is free, and wakes the peers that got
+// something.
+func (s *Scheduler) decide(now time.Time) {
+	for {
+		touched := s.home.Decide(s.Book.Order, now)
+		for _, name := range touched {
+			if name != s.self() {
+				s.wake(name)
+			}
+		}
+		if !slices.Contains(touched, s.self()) {
+			return
+		}
+		s.takeOwn(now)
+	}
+}
+
+func (s *Scheduler) takeOwn(now time.Time) {
+	grants := slices.Clone(s.home.Outbox(s.self()))
+	for _, g := range grants {
+		l := s.held.Take(s.self(), g)
+		s.home.Renew(s.self(), g.Number, 0, now)
+		if l != nil {
+			s.use(l, now)
+		}
+	}
+}
+
+// Stop begins the planned stop: no new requests are taken and all duties move to
+// the peers. What waits and runs here is still served.
+func (s *Scheduler) Stop(now time.Time) {
+	s.stopping = true
+	s.Table.Self.Leaving = true
+	s.assign(now)
+	for _, m := range s.Table.Peers() {
+		s.wake(m.Name)
+	}
+}
+
+// Status counts what the instance holds.
+type Status struct {
+	Waiting int `json:"waiting"`
+	Running int `json:"running"`
+	Held    int `json:"held"`
+	// Homed lists the endpoints that the instance grants slots of.
+	Homed []string `json:"homed"`
+}
+
+// Status returns what the instance holds now.
+func (s *Scheduler) Status() Status {
+	return Status{
+		Waiting: s.Queue.Total(),
+		Running: len(s.runs),
+		Held:    s.held.Count(),
+		Homed:   s.home.Endpoints(),
+	}
+}
+
+// Tick advances everything that depends on time alone. It must be called every
+// TickInterval.
+func (s *Scheduler) Tick(now time.Time) {
+	for _, r := range s.runs {
+		s.chargeTime(r, now)
+	}
+	for _, r := range s.Queue.Expire(now) {
+		s.count(r.Key)
+		s.Port.Refuse(r, fleet.ReasonDeadline)
+	}
+	s.Table.Tick(now)
+	s.Book.Limit()
+	for _, name := range s.home.Tick(now, s.self()) {
+		if s.OnLapse != nil {
+			s.OnLapse(name)
+		}
+	}
+	s.assign(now)
+	s.decide(now)
+	for _, m := range s.Table.Peers() {
+		s.link(m.Name).beat = true
+		s.wake(m.Name)
+	}
+}
--- /dev/null
+++ b/internal/slot/exchange.go
@@ -0,0 +1,154 @@
+package slot
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/greengagestep/greengagestep/internal/share"
+)
+
+// wireHolder is what an entry instance tells a home.
+type wireHolder struct {
+	Released []uint64          `json:"x,omitempty"`
+	Seen     uint64            `json:"s,omitempty"`
+	Held     int               `json:"h,omitempty"`
+	All      map[uint64]string `json:"a,omitempty"`
+	Listed   bool              `json:"l,omitempty"`
+	Foreign  map[string]int    `json:"o,omitempty"`
+}
+
+// wireHome is what a home tells an entry instance.
+type wireHome struct {
+	Grants []wireGrant    `json:"g,omitempty"`
+	Ask    bool           `json:"q,omitempty"`
+	Free   map[string]int `json:"f,omitempty"`
+}
+
+type wireGrant struct {
+	Number   uint64 `json:"n"`
+	Endpoint string `json:"e"`
+	Service  string `json:"s"`
+	Customer string `json:"c"`
+	Kind     string `json:"k,omitempty"`
+}
+
+// MessageError reports a message that cannot be read.
+type MessageError struct {
+	Cause error
+}
+
+// Error implements error.
+func (e *MessageError) Error() string { return fmt.Sprintf("slot: unreadable message: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *MessageError) Unwrap() error { return e.Cause }
+
+// Message encodes what a home must know from this entry instance. Owns tells
+// whether an endpoint's home is the addressed one. Released leases stay in the
+// message until Acknowledged is called.
+func (h *Held) Message(home string, owns func(endpoint string) bool) json.RawMessage {
+	s := h.source(home)
+	w := wireHolder{Released: s.released, Seen: s.seen, Held: len(s.leases), Foreign: h.foreign(home, owns)}
+	if s.list {
+		w.Listed = true
+		w.All = map[uint64]string{}
+		for _, number := range s.numbers() {
+			w.All[number] = s.leases[number].Endpoint
+		}
+	}
+	return encode(w)
+}
+
+// Acknowledged drops what the last message to a home said, given how many
+// releases it held.
+func (h *Held) Acknowledged(home string, releases int) {
+	s := h.source(home)
+	s.released = s.released[min(releases, len(s.released)):]
+	s.list = false
+}
+
+// Unsent returns how many releases a home has not been told yet.
+func (h *Held) Unsent(home string) int { return len(h.source(home).released) }
+
+// Receive takes in the message of an entry instance.
+func (h *Home) Receive(from string, data json.RawMessage, now time.Time) error {
+	w := wireHolder{}
+	if len(data) > 0 {
+		if err := json.Unmarshal(data, &w); err != nil {
+			return &MessageError{Cause: err}
+		}
+	}
+	for _, number := range w.Released {
+		h.Release(from, number)
+	}
+	h.Renew(from, w.Seen, w.Held, now)
+	if w.Listed {
+		h.Listed(from, w.All)
+	}
+	h.Foreign(from, w.Foreign)
+	return nil
+}
+
+// Message encodes the grants and questions for an entry instance. Grants stay in
+// the message until the entry instance has seen them.
+func (h *Home) Message(to string, now time.Time) json.RawMessage {
+	w := wireHome{}
+	if e := h.entries[to]; e != nil {
+		w.Ask = e.ask
+		for _, g := range e.outbox {
+			w.Grants = append(w.Grants, wireGrant{g.Number, g.Endpoint, g.Key.Service, g.Key.Customer, g.Key.Kind})
+		}
+	}
+	for _, service := range h.services() {
+		if w.Free == nil {
+			w.Free = map[string]int{}
+		}
+		w.Free[service] = h.Free(service, now)
+	}
+	if len(w.Grants) == 0 && !w.Ask && w.Free == nil {
+		return nil
+	}
+	return encode(w)
+}
+
+// Outbox returns the grants for an entry instance that it has not seen.
+func (h *Home) Outbox(to string) []Grant {
+	if e := h.entries[to]; e != nil {
+		return e.outbox
+	}
+	return nil
+}
+
+// Receive takes in the message of a home. It returns the new leases and the free
+// slots per service that the home reports.
+func (h *Held) Receive(home string, incarnation uint32, data json.RawMessage, now time.Time) ([]*Lease, map[string]int, error) {
+	h.Heard(home, incarnation, now)
+	if len(data) == 0 {
+		return nil, nil, nil
+	}
+	w := wireHome{}
+	if err := json.Unmarshal(data, &w); err != nil {
+		return nil, nil, &MessageError{Cause: err}
+	}
+	var leases []*Lease
+	for _, g := range w.Grants {
+		grant := Grant{Number: g.Number, Endpoint: g.Endpoint, Key: share.Key{Service: g.Service, Customer: g.Customer, Kind: g.Kind}}
+		if l := h.Take(home, grant); l != nil {
+			leases = append(leases, l)
+		}
+	}
+	if w.Ask {
+		h.source(home).list = true
+	}
+	return leases, w.Free, nil
+}
+
+func encode(v any) json.RawMessage {
+	data, err := json.Marshal(v)
+	if err != nil {
+		// Only numbers and strings are in it.
+		panic(fmt.Sprintf("slot: message does not encode: %v", err))
+	}
+	return data
+}
--- /dev/null
+++ b/internal/slot/home.go
@@ -0,0 +1,418 @@
+// Package slot hands out the slots of endpoints. Each endpoint has one home among
+// the entry instances of its failure domain, and only the home grants its slots.
+// An entry instance holds a granted slot under a lease and may use it for several
+// requests in turn before it gives the slot back.
+package slot
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/greengagestep/greengagestep/internal/share"
+)
+
+// leaseTerm is how long a home keeps a slot reserved for an entry instance that
+// has fallen silent.
+const leaseTerm = 3 * time.Second
+
+// leaseMargin is how much earlier than the home the holder regards a lease as
+// lapsed. It covers the way of the message that renewed it.
+const leaseMargin = 500 * time.Millisecond
+
+// Order decides who is served next: it returns the position of an account given
+// the grants that no report shows yet. Lower is earlier.
+type Order func(k share.Key, pendingCustomer, pendingKind int) (float64, float64)
+
+// Grant is a slot that a home gives to an entry instance for one request.
+type Grant struct {
+	// Number is unique for each incarnation of the home and grows.
+	Number   uint64
+	Entry    string
+	Endpoint string
+	Key      share.Key
+}
+
+// Home holds the slots of the endpoints that this instance is home of. It is not
+// safe for concurrent use.
+type Home struct {
+	// Domain is the failure domain of the instance; its own entry instances
+	// are preferred among equals.
+	Domain string
+
+	endpoints map[string]*endpoint
+	entries   map[string]*entry
+	next      uint64
+}
+
+type endpoint struct {
+	name    string
+	service string
+	slots   int
+	// closed endpoints get no grants: they leave, are ejected or not ready.
+	closed bool
+	// settled is when slots that no entry instance has claimed count as free.
+	settled time.Time
+	leases  map[uint64]*lease
+	// foreign counts slots that entry instances hold under an earlier home.
+	foreign map[string]int
+}
+
+type lease struct {
+	number   uint64
+	entry    string
+	endpoint string
+	key      share.Key
+}
+
+// entry is what the home knows about one entry instance.
+type entry struct {
+	name   string
+	domain string
+	heard  time.Time
+	// seen is the highest grant that the entry instance has received.
+	seen    uint64
+	demand  map[share.Key]int
+	leases  map[uint64]*lease
+	pending map[share.Key]int // grants above seen
+	outbox  []Grant
+	ask     bool
+}
+
+// NewHome returns a home without endpoints.
+func NewHome(domain string) *Home {
+	return &Home{Domain: domain, endpoints: map[string]*endpoint{}, entries: map[string]*entry{}}
+}
+
+// Adopt makes the instance the home of an endpoint. Slots are granted from
+// settled on; until then entry instances tell what they hold under the earlier
+// home. Adopting an endpoint again only changes its slots.
+func (h *Home) Adopt(name, service string, slots int, settled time.Time) {
+	e := h.endpoints[name]
+	if e == nil {
+		e = &endpoint{name: name, settled: settled, leases: map[uint64]*lease{}, foreign: map[string]int{}}
+		h.endpoints[name] = e
+	}
+	e.service = service
+	e.slots = slots
+}
+
+// Drop ends the duty for an endpoint. Leases stay with their holders, who report
+// them to the next home.
+func (h *Home) Drop(name string) {
+	e := h.endpoints[name]
+	if e == nil {
+		return
+	}
+	for number, l := range e.leases {
+		delete(h.entry(l.entry).leases, number)
+	}
+	delete(h.endpoints, name)
+}
+
+// Close stops or resumes the granting of an endpoint's slots.
+func (h *Home) Close(name string, closed bool) {
+	if e := h.endpoints[name]; e != nil {
+		e.closed = closed
+	}
+}
+
+// Endpoints returns the names of the endpoints that the instance is home of.
+func (h *Home) Endpoints() []string {
+	names := make([]string, 0, len(h.endpoints))
+	for name := range h.endpoints {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (h *Home) entry(name string) *entry {
+	e := h.entries[name]
+	if e == nil {
+		e = &entry{
+			name:    name,
+			demand:  map[share.Key]int{},
+			leases:  map[uint64]*lease{},
+			pending: map[share.Key]int{},
+		}
+		h.entries[name] = e
+	}
+	return e
+}
+
+// Demand records how many requests of an account wait at an entry instance.
+func (h *Home) Demand(name, domain string, k share.Key, waiting int) {
+	e := h.entry(name)
+	e.domain = domain
+	if waiting <= 0 {
+		delete(e.demand, k)
+		return
+	}
+	e.demand[k] = waiting
+}
+
+// Release gives a slot back.
+func (h *Home) Release(name string, number uint64) {
+	e := h.entry(name)
+	l := e.leases[number]
+	if l == nil {
+		return
+	}
+	h.free(e, l)
+}
+
+func (h *Home) free(e *entry, l *lease) {
+	delete(e.leases, l.number)
+	if at := h.endpoints[l.endpoint]; at != nil {
+		delete(at.leases, l.number)
+	}
+}
+
+// Renew records that an entry instance was heard and which grants it had
+// received by then. Held is how many of those it still holds; if the number
+// differs from the home's, the home asks for a full list.
+func (h *Home) Renew(name string, seen uint64, held int, now time.Time) {
+	e := h.entry(name)
+	e.heard = now
+	h.advance(e, seen)
+	known := 0
+	for number := range e.leases {
+		if number <= e.seen {
+			known++
+		}
+	}
+	e.ask = known != held
+}
+
+func (h *Home) advance(e *entry, seen uint64) {
+	if seen <= e.seen {
+		return
+	}
+	e.seen = seen
+	e.outbox = slices.DeleteFunc(e.outbox, func(g Grant) bool { return g.Number <= seen })
+	clear(e.pending)
+	for _, g := range e.outbox {
+		e.pending[g.Key]++
+	}
+}
+
+// Listed replaces what the home knows of an entry instance's leases up to the
+// grants that it has seen by its full list.
+func (h *Home) Listed(name string, all map[uint64]string) {
+	e := h.entry(name)
+	for number, l := range e.leases {
+		if _, ok := all[number]; !ok && number <= e.seen {
+			h.free(e, l)
+		}
+	}
+	for number, endpoint := range all {
+		at := h.endpoints[endpoint]
+		if at == nil || e.leases[number] != nil {
+			continue
+		}
+		l := &lease{number: number, entry: name, endpoint: endpoint}
+		e.leases[number] = l
+		at.leases[number] = l
+	}
+	e.ask = false
+}
+
+// Foreign records how many slots per endpoint an entry instance holds under
+// earlier homes.
+func (h *Home) Foreign(name string, counts map[string]int) {
+	for _, at := range h.endpoints {
+		n := counts[at.name]
+		if n == 0 {
+			delete(at.foreign, name)
+			continue
+		}
+		at.foreign[name] = n
+	}
+}
+
+// Forget frees all slots of an entry instance that restarted or lapsed.
+func (h *Home) Forget(name string) {
+	e := h.entries[name]
+	if e == nil {
+		return
+	}
+	for _, l := range e.leases {
+		h.free(e, l)
+	}
+	for _, at := range h.endpoints {
+		delete(at.foreign, name)
+	}
+	delete(h.entries, name)
+}
+
+// Tick forgets the entry instances whose leases lapsed and returns their names.
+func (h *Home) Tick(now time.Time, self string) []string {
+	var lapsed []string
+	for name, e := range h.entries {
+		if name != self && now.Sub(e.heard) > leaseTerm && (len(e.leases) > 0 || len(e.demand) > 0) {
+			lapsed = append(lapsed, name)
+		}
+	}
+	slices.Sort(lapsed)
+	for _, name := range lapsed {
+		h.Forget(name)
+	}
+	return lapsed
+}
+
+func (e *endpoint) free(now time.Time) int {
+	if e.closed || now.Before(e.settled) {
+		return 0
+	}
+	used := len(e.leases)
+	for _, n := range e.foreign {
+		used += n
+	}
+	return max(0, e.slots-used)
+}
+
+// Free returns the slots of a service that could be granted now.
+func (h *Home) Free(service string, now time.Time) int {
+	free := 0
+	for _, e := range h.endpoints {
+		if e.service == service {
+			free += e.free(now)
+		}
+	}
+	return free
+}
+
+// Used returns the slots in use and all slots of an endpoint.
+func (h *Home) Used(name string) (used, slots int) {
+	e := h.endpoints[name]
+	if e == nil {
+		return 0, 0
+	}
+	used = len(e.leases)
+	for _, n := range e.foreign {
+		used += n
+	}
+	return used, e.slots
+}
+
+// Decide grants free slots to waiting work, lowest order first, until no slot is
+// free or nothing waits. It returns the entry instances that have new grants.
+func (h *Home) Decide(order Order, now time.Time) []string {
+	touched := map[string]bool{}
+	for _, service := range h.services() {
+		for free := h.Free(service, now); free > 0; free-- {
+			e, k, ok := h.pick(service, order, now)
+			if !ok {
+				break
+			}
+			h.grant(e, k, h.emptiest(service, now))
+			touched[e.name] = true
+		}
+	}
+	names := make([]string, 0, len(touched))
+	for name := range touched {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (h *Home) services() []string {
+	var names []string
+	for _, e := range h.endpoints {
+		if !slices.Contains(names, e.service) {
+			names = append(names, e.service)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// emptiest returns the endpoint with the largest share of free slots.
+func (h *Home) emptiest(service string, now time.Time) *endpoint {
+	var best *endpoint
+	bestFree := 0.0
+	for _, e := range h.endpoints {
+		free := e.free(now)
+		if e.service != service || free == 0 {
+			continue
+		}
+		part := float64(free) / float64(e.slots)
+		if best == nil || part > bestFree || (part == bestFree && e.name < best.name) {
+			best, bestFree = e, part
+		}
+	}
+	return best
+}
+
+// pick returns the entry instance and account to serve next. Among entry
+// instances with work of the same account it prefers the own failure domain,
+// then the one with the most of it waiting.
+func (h *Home) pick(service string, order Order, now time.Time) (*entry, share.Key, bool) {
+	pendingCustomer := map[string]int{}
+	pendingKind := map[share.Key]int{}
+	for _, e := range h.entries {
+		for k, n := range e.pending {
+			if k.Service == service {
+				pendingCustomer[k.Customer] += n
+				pendingKind[k] += n
+			}
+		}
+	}
+	var best candidate
+	for _, e := range h.entries {
+		for k, waiting := range e.demand {
+			left := waiting - e.pending[k]
+			if k.Service != service || left <= 0 {
+				continue
+			}
+			first, second := order(k, pendingCustomer[k.Customer], pendingKind[k])
+			c := candidate{entry: e, key: k, first: first, second: second, near: e.domain == h.Domain, left: left}
+			if best.entry == nil || c.before(best) {
+				best = c
+			}
+		}
+	}
+	return best.entry, best.key, best.entry != nil
+}
+
+type candidate struct {
+	entry  *entry
+	key    share.Key
+	first  float64
+	second float64
+	near   bool
+	left   int
+}
+
+func (c candidate) before(other candidate) bool {
+	if c.first != other.first {
+		return c.first < other.first
+	}
+	if c.key.Customer != other.key.Customer {
+		return c.key.Customer < other.key.Customer
+	}
+	if c.second != other.second {
+		return c.second < other.second
+	}
+	if c.key.Kind != other.key.Kind {
+		return c.key.Kind < other.key.Kind
+	}
+	if c.near != other.near {
+		return c.near
+	}
+	if c.left != other.left {
+		return c.left > other.left
+	}
+	return cmp.Less(c.entry.name, other.entry.name)
+}
+
+func (h *Home) grant(e *entry, k share.Key, at *endpoint) {
+	h.next++
+	l := &lease{number: h.next, entry: e.name, endpoint: at.name, key: k}
+	e.leases[l.number] = l
+	at.leases[l.number] = l
+	e.pending[k]++
+	e.outbox = append(e.outbox, Grant{Number: l.number, Entry: e.name, Endpoint: at.name, Key: k})
+}
