internal/share: charge running requests ahead and estimate what peers deliver

Cause: charging only what was delivered makes the shares swing: a customer with the lowest counter gets every slot that comes free until its streams have raised its counter, seconds later. And every instance sees its own deliveries at once but those of its peers up to 0.5 s late, so homes favoured the customers of others.

Change: each running request is charged a constant lead (5 s of a slot, at most the mean cost); what peers deliver between reports is estimated from what runs there; reports number accounts per link and leave idle customers to every tenth report; slots that come free while nothing waits are kept for a second; requests beyond the known slots in three load reports in a row hold slots back.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -62,6 +62,8 @@
 	members map[string]*Member
 	// gone holds replaced incarnations, whose late messages are ignored.
 	gone map[uint32]bool
+	// live is the answer of Live until a state changes.
+	live []Member
 }
 
 // New returns a view that holds only the instance itself.
@@ -116,6 +118,9 @@
 	before := m.State
 	m.Domain, m.Address = from.Domain, from.Address
 	m.Incarnation = from.Incarnation
+	if before != StateLive || restarted || m.Leaving != from.Leaving {
+		t.live = nil
+	}
 	m.Leaving = from.Leaving
 	m.Heard = now
 	m.State = StateLive
@@ -130,6 +135,7 @@
 	for _, m := range t.members {
 		if m.State == StateLive && now.Sub(m.Heard) > suspectAfter {
 			m.State = StateGone
+			t.live = nil
 			t.changed(*m, StateLive, false)
 		}
 	}
@@ -163,8 +169,12 @@
 	return all
 }
 
-// Live returns the live members with this instance itself, ordered by name.
+// Live returns the live members with this instance itself, ordered by name. The
+// result must not be changed; the times in it may be old.
 func (t *Table) Live() []Member {
+	if t.live != nil {
+		return t.live
+	}
 	live := []Member{t.Self}
 	for _, m := range t.members {
 		if m.State == StateLive {
@@ -172,6 +182,7 @@
 		}
 	}
 	slices.SortFunc(live, byName)
+	t.live = live
 	return live
 }
 
@@ -185,6 +196,12 @@
 	return 0
 }
 
+// Leave marks this instance itself as leaving.
+func (t *Table) Leave() {
+	t.Self.Leaving = true
+	t.live = nil
+}
+
 // Owner assigns a duty by rendezvous hashing over the live members of a failure
 // domain that are not leaving; an empty domain means the whole fleet. If no such
 // member exists, leaving members are taken, and then the empty name is returned.
@@ -212,3 +229,29 @@
 	}
 	return best
 }
+
+// Rank returns how many live members of a failure domain go before this instance
+// for a duty that several carry out.
+func (t *Table) Rank(duty, domain string) int {
+	own := xxhash.Sum64String(duty + "\x00" + t.Self.Name)
+	rank := 0
+	for _, m := range t.Live() {
+		if m.Domain == domain && xxhash.Sum64String(duty+"\x00"+m.Name) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Expected returns this instance and the members that are live or have not been
+// heard yet since the start, ordered by name.
+func (t *Table) Expected() []Member {
+	expected := []Member{t.Self}
+	for _, m := range t.members {
+		if m.State != StateGone {
+			expected = append(expected, *m)
+		}
+	}
+	slices.SortFunc(expected, byName)
+	return expected
+}
--- a/internal/scheduler/duty.go
+++ b/internal/scheduler/duty.go
@@ -36,7 +36,13 @@
 		if _, ok := s.adopted[name]; !ok {
 			s.adopted[name] = now
 		}
-		s.home.Adopt(name, e.Service, e.Slots, s.settled(name, now))
+		settled := s.settled(name, now)
+		if now.Before(settled) {
+			s.unsettled[name] = true
+		} else {
+			delete(s.unsettled, name)
+		}
+		s.home.Adopt(name, e.Service, e.Slots, settled)
 		s.home.Close(name, e.Closed)
 	}
 }
@@ -46,6 +52,7 @@
 		return
 	}
 	delete(s.adopted, name)
+	delete(s.unsettled, name)
 	s.home.Drop(name)
 }
 
@@ -67,6 +74,9 @@
 	return begun
 }
 
+// Observe takes in how many requests an endpoint reports to run.
+func (s *Scheduler) Observe(endpoint string, running int) { s.home.Observe(endpoint, running) }
+
 // Home returns the name of the instance that grants an endpoint's slots, or an
 // empty string if there is none.
 func (s *Scheduler) Home(endpoint string) string { return s.owners[endpoint] }
@@ -90,3 +100,14 @@
 	}
 	return homes
 }
+
+// Owned returns the endpoints of a service that have a live home.
+func (s *Scheduler) Owned(service string) []string {
+	var names []string
+	for name, e := range s.endpoints {
+		if e.Service == service && s.owners[name] != "" {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/greengagestep/greengagestep/internal/member"
@@ -14,8 +15,8 @@
 // part.
 type wireEnvelope struct {
 	Name        string `json:"n"`
-	Domain      string `json:"d"`
-	Address     string `json:"a"`
+	Domain      string `json:"d,omitempty"`
+	Address     string `json:"a,omitempty"`
 	Incarnation uint32 `json:"i"`
 	// To is the incarnation of the addressee that the sender knows.
 	To      uint32          `json:"t,omitempty"`
@@ -73,15 +74,17 @@
 // Compose encodes what a peer has to be told now. Extra parts of other duties may
 // be nil. After sending, Sent must be called.
 func (s *Scheduler) Compose(peer string, extra map[string]json.RawMessage, now time.Time) []byte {
+	s.Book.Advance(now)
 	l := s.link(peer)
 	self := s.Table.Self
 	w := wireEnvelope{
-		Name: self.Name, Domain: self.Domain, Address: self.Address,
-		Incarnation: self.Incarnation, To: l.incarnation, Leaving: self.Leaving,
-		Extra: extra,
+		Name: self.Name, Incarnation: self.Incarnation, To: l.incarnation, Leaving: self.Leaving, Extra: extra,
+	}
+	if l.synced.IsZero() {
+		w.Domain, w.Address = self.Domain, self.Address
 	}
 	reference := l.beat && s.Table.Owner("reference", "") == s.self()
-	w.Report = s.Book.Report(&l.sent, reference)
+	w.Report = s.Book.Report(&l.sent, l.beat, reference)
 	l.releases = s.held.Unsent(peer)
 	w.Holder = s.held.Message(peer, s.owns(peer))
 	w.Home = s.home.Message(peer, now)
@@ -123,6 +126,9 @@
 		return from, nil, &MessageError{Cause: fmt.Errorf("sender %q with incarnation %d", from.Name, from.Incarnation)}
 	}
 	before, known := s.Table.Get(from.Name)
+	if known && from.Domain == "" {
+		from.Domain, from.Address = before.Domain, before.Address
+	}
 	if !s.Table.Heard(from, now) {
 		return from, nil, &MessageError{Cause: fmt.Errorf("incarnation %d of %q was replaced", from.Incarnation, from.Name)}
 	}
@@ -149,14 +155,16 @@
 	}
 	l.incarnation = from.Incarnation
 	l.sent.Forget()
+	l.synced = time.Time{}
 	l.free = nil
 }
 
 func (s *Scheduler) take(from member.Member, w wireEnvelope, now time.Time) error {
-	if err := s.Book.Merge(from.Name, from.Incarnation, w.Report, now); err != nil {
+	rows, err := s.Book.Merge(from.Name, from.Incarnation, w.Report, now)
+	if err != nil {
 		return err
 	}
-	for _, row := range s.Book.PeerRows(from.Name) {
+	for _, row := range rows {
 		s.home.Demand(from.Name, from.Domain, row.Key, row.Waiting)
 	}
 	if err := s.home.Receive(from.Name, w.Holder, now); err != nil {
@@ -170,7 +178,10 @@
 	for _, l := range leases {
 		s.use(l, now)
 	}
-	s.assign(now)
+	if len(s.unsettled) > 0 {
+		s.assign(now)
+	}
+	s.shedSpares(now)
 	s.decide(now)
 	s.disappoint(from.Name, now)
 	s.seekAll()
@@ -188,40 +199,91 @@
 	}
 }
 
+// urgentHomes is how many homes without free slots are told at once about work that
+// begins to wait; the others learn of it with the next heartbeat. It bounds the
+// messages that a request costs in a large fleet.
+const urgentHomes = 2
+
+// candidateHome is a home that could serve what waits here.
+type candidateHome struct {
+	name string
+	near bool
+	free int
+	told bool
+}
+
 // seek tells homes about work that waits here: first one that reported free
-// slots, the nearest with the most; if none did, all homes of the service.
+// slots, the nearest with the most; if none did, a few of them.
 func (s *Scheduler) seek(k share.Key) {
-	if s.Queue.Len(k) == 0 {
+	if s.Queue.Len(k) == 0 || s.soon(k.Service) {
 		return
 	}
-	best, bestNear, bestFree := "", false, 0
-	var untold []string
-	for name, near := range s.homes(k.Service) {
-		l := s.link(name)
-		free := l.free[k.Service]
-		told := l.sent.Waiting(k) > 0
-		if told && free > 0 {
+	homes := s.candidates(k)
+	told := 0
+	for _, h := range homes {
+		if h.told && h.free > 0 {
 			return
 		}
-		if told {
-			continue
+		if h.told {
+			told++
 		}
-		untold = append(untold, name)
-		if free == 0 {
+	}
+	for _, h := range homes {
+		if h.told {
 			continue
 		}
-		if best == "" || (near && !bestNear) || (near == bestNear && (free > bestFree || (free == bestFree && name < best))) {
-			best, bestNear, bestFree = name, near, free
+		if h.free > 0 {
+			s.wake(h.name)
+			return
+		}
+		if told < urgentHomes {
+			told++
+			s.wake(h.name)
 		}
 	}
-	if best != "" {
-		s.wake(best)
-		return
+}
+
+// seekTime is how long a request may wait for a slot held here, in seconds, before
+// other instances are told at once. Short calls would otherwise cost more messages
+// than service.
+const seekTime = 0.005
+
+// soon tells whether a slot held here is expected to come free within seekTime.
+func (s *Scheduler) soon(service string) bool {
+	held := s.inUse[service]
+	return held > 0 && s.Book.Duration(service) <= seekTime*float64(held)
+}
+
+// candidates returns the peers that are home of an endpoint of an account's
+// service, the best first: with free slots, near, with the most free slots.
+func (s *Scheduler) candidates(k share.Key) []candidateHome {
+	var homes []candidateHome
+	for name, near := range s.homes(k.Service) {
+		l := s.link(name)
+		homes = append(homes, candidateHome{name, near, l.free[k.Service], l.sent.Waiting(k) > 0})
+	}
+	slices.SortFunc(homes, func(a, b candidateHome) int {
+		switch {
+		case (a.free > 0) != (b.free > 0):
+			return compareBool(b.free > 0, a.free > 0)
+		case a.near != b.near:
+			return compareBool(b.near, a.near)
+		case a.free != b.free:
+			return b.free - a.free
+		}
+		return strings.Compare(a.name, b.name)
+	})
+	return homes
+}
+
+func compareBool(a, b bool) int {
+	if a == b {
+		return 0
 	}
-	slices.Sort(untold)
-	for _, name := range untold {
-		s.wake(name)
+	if a {
+		return 1
 	}
+	return -1
 }
 
 func (s *Scheduler) seekAll() {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -69,6 +69,9 @@
 	Table  *member.Table
 	Book   *share.Book
 	Queue  *queue.Waiting
+	// Order decides who is served next; nil means the book's order. It exists
+	// so that other orders can be measured against.
+	Order slot.Order
 	// OnLapse is called for each entry instance whose leases lapsed here; nil
 	// is allowed.
 	OnLapse func(name string)
@@ -77,11 +80,13 @@
 	held      *slot.Held
 	runs      map[string]*run
 	running   map[share.Key]int
+	inUse     map[string]int // slots in use here by service
 	endpoints map[string]Endpoint
 	owners    map[string]string // home of each endpoint
 	adopted   map[string]time.Time
 	links     map[string]*link
-	dirty     map[string]bool // own home has to decide for these services
+	unsettled map[string]bool // endpoints whose slots are not granted yet
+	spares    []spare
 	started   time.Time
 	stopping  bool
 }
@@ -90,6 +95,7 @@
 	request queue.Request
 	lease   *slot.Lease
 	charged time.Time
+	cost    float64 // charged so far, in units
 }
 
 // New returns a scheduler for an instance that starts now.
@@ -102,11 +108,12 @@
 		held:      slot.NewHeld(),
 		runs:      map[string]*run{},
 		running:   map[share.Key]int{},
+		inUse:     map[string]int{},
 		endpoints: map[string]Endpoint{},
 		owners:    map[string]string{},
 		adopted:   map[string]time.Time{},
 		links:     map[string]*link{},
-		dirty:     map[string]bool{},
+		unsettled: map[string]bool{},
 		started:   now,
 	}
 }
@@ -127,6 +134,13 @@
 	return s.Policy.Slack(service)
 }
 
+func (s *Scheduler) order(k share.Key, pendingCustomer, pendingKind int) (float64, float64) {
+	if s.Order != nil {
+		return s.Order(k, pendingCustomer, pendingKind)
+	}
+	return s.Book.Order(k, pendingCustomer, pendingKind)
+}
+
 // Arrive queues a request. It returns a *queue.Refusal if it cannot be taken.
 func (s *Scheduler) Arrive(r queue.Request, now time.Time) error {
 	if s.stopping {
@@ -142,10 +156,12 @@
 }
 
 func (s *Scheduler) enqueue(r queue.Request, now time.Time) error {
+	s.Book.Advance(now)
 	if err := s.Queue.Push(r); err != nil {
 		return err
 	}
 	s.count(r.Key)
+	s.useSpare(r.Key.Service, now)
 	s.decide(now)
 	s.seek(r.Key)
 	return nil
@@ -175,6 +191,11 @@
 	if r == nil || s.unit(r.request.Key.Service) == fleet.UnitTime {
 		return
 	}
+	s.charge(r, units)
+}
+
+func (s *Scheduler) charge(r *run, units float64) {
+	r.cost += max(0, units)
 	s.Book.Charge(r.request.Key, units)
 }
 
@@ -182,7 +203,7 @@
 	if s.unit(r.request.Key.Service) != fleet.UnitTime {
 		return
 	}
-	s.Book.Charge(r.request.Key, now.Sub(r.charged).Seconds()*1000)
+	s.charge(r, now.Sub(r.charged).Seconds()*1000)
 	r.charged = now
 }
 
@@ -192,9 +213,12 @@
 	if r == nil {
 		return
 	}
+	s.Book.Advance(now)
 	s.chargeTime(r, now)
+	s.Book.Ended(r.request.Key.Service, r.cost)
 	delete(s.runs, id)
 	k := r.request.Key
+	s.inUse[k.Service]--
 	s.running[k]--
 	if s.running[k] == 0 {
 		delete(s.running, k)
@@ -220,7 +244,15 @@
 		if ok && s.start(l, k, now) {
 			return
 		}
+		if s.keepSpare(l, now) {
+			return
+		}
 	}
+	s.giveBack(l)
+}
+
+// giveBack returns a slot to its home.
+func (s *Scheduler) giveBack(l *slot.Lease) {
 	s.held.Return(l)
 	if l.Home == s.self() {
 		s.home.Release(s.self(), l.Number)
@@ -244,7 +276,7 @@
 	var bestFirst, bestSecond float64
 	found := false
 	for _, k := range s.Queue.Keys(service) {
-		first, second := s.Book.Order(k, 0, 0)
+		first, second := s.order(k, 0, 0)
 		if !found || first < bestFirst || (first == bestFirst && (second < bestSecond || (second == bestSecond && less(k, best)))) {
 			best, bestFirst, bestSecond, found = k, first, second, true
 		}
@@ -271,6 +303,7 @@
 	l.Key = k
 	s.runs[r.ID] = &run{request: r, lease: l, charged: now}
 	s.running[k]++
+	s.inUse[k.Service]++
 	s.count(k)
 	s.Port.Start(Run{Request: r, Endpoint: l.Endpoint})
 	return true
@@ -280,7 +313,7 @@
 // something.
 func (s *Scheduler) decide(now time.Time) {
 	for {
-		touched := s.home.Decide(s.Book.Order, now)
+		touched := s.home.Decide(s.order, now)
 		for _, name := range touched {
 			if name != s.self() {
 				s.wake(name)
@@ -304,17 +337,19 @@
 	}
 }
 
-// Stop begins the planned stop: no new requests are taken and all duties move to
-// the peers. What waits and runs here is still served.
-func (s *Scheduler) Stop(now time.Time) {
-	s.stopping = true
-	s.Table.Self.Leaving = true
+// Leave begins the planned stop: all duties move to the peers. Requests are still
+// taken until Close.
+func (s *Scheduler) Leave(now time.Time) {
+	s.Table.Leave()
 	s.assign(now)
 	for _, m := range s.Table.Peers() {
 		s.wake(m.Name)
 	}
 }
 
+// Close refuses further requests. What waits and runs here is still served.
+func (s *Scheduler) Close() { s.stopping = true }
+
 // Status counts what the instance holds.
 type Status struct {
 	Waiting int `json:"waiting"`
@@ -337,6 +372,7 @@
 // Tick advances everything that depends on time alone. It must be called every
 // TickInterval.
 func (s *Scheduler) Tick(now time.Time) {
+	s.Book.Advance(now)
 	for _, r := range s.runs {
 		s.chargeTime(r, now)
 	}
@@ -345,7 +381,13 @@
 		s.Port.Refuse(r, fleet.ReasonDeadline)
 	}
 	s.Table.Tick(now)
+	for _, m := range s.Table.Peers() {
+		if m.State == member.StateGone {
+			s.Book.Silence(m.Name)
+		}
+	}
 	s.Book.Limit()
+	s.expireSpares(now)
 	for _, name := range s.home.Tick(now, s.self()) {
 		if s.OnLapse != nil {
 			s.OnLapse(name)
@@ -358,3 +400,35 @@
 		s.wake(m.Name)
 	}
 }
+
+// Account is a customer's standing at a service, for metrics and explanations.
+type Account struct {
+	Service  string
+	Customer string
+	// Lag is the weighted service by which the customer is ahead of the
+	// lowest waiting one, in units.
+	Lag     float64
+	Waiting int
+	Running int
+}
+
+// Accounts returns the customers that have work waiting or running in the fleet,
+// ordered by service and name.
+func (s *Scheduler) Accounts() []Account {
+	var all []Account
+	for _, st := range s.Book.Standings() {
+		all = append(all, Account(st))
+	}
+	return all
+}
+
+// IdleSlots returns the slots per service that are free at the endpoints that this
+// instance is home of.
+func (s *Scheduler) IdleSlots() map[string]int {
+	free := map[string]int{}
+	for _, name := range s.home.Endpoints() {
+		used, slots := s.home.Used(name)
+		free[s.endpoints[name].Service] += max(0, slots-used)
+	}
+	return free
+}
--- a/internal/share/book.go
+++ b/internal/share/book.go
@@ -9,6 +9,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -39,9 +40,13 @@
 
 // Terms are the rules of one service, taken from the configuration.
 type Terms struct {
-	// Ahead is charged in advance for each running request, in units. It
-	// spreads slots that come free together over the customers.
+	// Ahead is charged in advance for each running request, in units, but not
+	// more than the mean cost of a request. It spreads slots that come free
+	// together over the customers and keeps the shares from swinging.
 	Ahead float64
+	// Rate is the usual service of a slot, in units a second, until it has
+	// been measured.
+	Rate float64
 	// Debt is the largest lag behind the furthest waiting customer that is
 	// ever paid back, in units. Zero means no limit.
 	Debt float64
@@ -54,20 +59,25 @@
 	Weight func(customer string) float64
 	// Terms returns the rules of a service; nil means no terms.
 	Terms func(service string) Terms
-	// Bonus returns the head start of a kind within its customer, in units;
+	// Bonus returns the head start of a kind of work at a service within its
+	// customer, in units;
 	// nil means none.
-	Bonus func(kind string) float64
+	Bonus func(service, kind string) float64
 	// PayBack charges deliveries from behind a partition in full after the
 	// rejoin instead of forgiving them. It exists to be measured against.
 	PayBack bool
 
 	services map[string]*service
 	peers    map[string]*peer
+	epoch    time.Time
+	now      float64 // seconds since epoch
 }
 
 type service struct {
 	name      string
 	floor     float64 // virtual time of the service, monotone
+	pace      float64 // estimated service of a slot, in units a second
+	mean      float64 // mean cost of the requests that ended here, 0 if none did
 	customers map[string]*customer
 }
 
@@ -78,6 +88,11 @@
 	kinds   map[string]*kind
 	waiting int
 	running int
+	// flow is the weighted service a second that peers deliver by their last
+	// reports, and base the sum over the reports of flow times their time, so
+	// that flow*now-base estimates what was delivered since.
+	flow float64
+	base float64
 }
 
 type kind struct {
@@ -96,6 +111,8 @@
 	incarnation uint32
 	heard       time.Time
 	rows        map[Key]Row
+	names       map[int]Key // as numbered by the peer
+	flows       map[Key]flow
 }
 
 // New returns an empty book.
@@ -103,6 +120,22 @@
 	return &Book{services: map[string]*service{}, peers: map[string]*peer{}}
 }
 
+// Advance sets the time for the calls that follow.
+func (b *Book) Advance(now time.Time) {
+	if b.epoch.IsZero() {
+		b.epoch = now
+	}
+	b.now = now.Sub(b.epoch).Seconds()
+}
+
+// at returns a customer's virtual time now. Peers report only now and then, so
+// what they delivered since their last report is estimated from their rate.
+// Without that every instance would favour the customers of others, whose service
+// it sees late.
+func (b *Book) at(c *customer) float64 {
+	return c.virtual + math.Max(0, c.flow*b.now-c.base)
+}
+
 func (b *Book) weight(name string) float64 {
 	if b.Weight == nil {
 		return 1
@@ -120,17 +153,17 @@
 	return b.Terms(service)
 }
 
-func (b *Book) bonus(kind string) float64 {
+func (b *Book) bonus(service, kind string) float64 {
 	if b.Bonus == nil {
 		return 0
 	}
-	return b.Bonus(kind)
+	return b.Bonus(service, kind)
 }
 
 func (b *Book) service(name string) *service {
 	s := b.services[name]
 	if s == nil {
-		s = &service{name: name, customers: map[string]*customer{}}
+		s = &service{name: name, pace: b.terms(name).Rate, customers: map[string]*customer{}}
 		b.services[name] = s
 	}
 	return s
@@ -176,6 +209,39 @@
 	a.virtual += units
 }
 
+// meanBlend is the weight of one request in the mean cost.
+const meanBlend = 0.02
+
+// Ended records the cost of a request that ended at this instance, in units.
+func (b *Book) Ended(service string, cost float64) {
+	s := b.service(service)
+	if s.mean == 0 {
+		s.mean = cost
+		return
+	}
+	s.mean += meanBlend * (cost - s.mean)
+}
+
+// Duration returns how long a request of a service usually runs, in seconds, or
+// infinity if none has ended here.
+func (b *Book) Duration(service string) float64 {
+	s := b.service(service)
+	rate := b.terms(service).Rate
+	if s.mean == 0 || rate == 0 {
+		return math.Inf(1)
+	}
+	return s.mean / rate
+}
+
+// ahead returns what each running request is charged in advance, in units.
+func (b *Book) ahead(s *service) float64 {
+	ahead := b.terms(s.name).Ahead
+	if s.mean == 0 {
+		return ahead
+	}
+	return math.Min(ahead, s.mean)
+}
+
 // SetOwn records how many requests wait and run at this instance.
 func (b *Book) SetOwn(k Key, waiting, running int) {
 	s, c, a := b.account(k)
@@ -190,7 +256,7 @@
 func (b *Book) shift(s *service, c *customer, a *kind, waiting, running int) {
 	if waiting > 0 && c.waiting == 0 {
 		b.raiseFloor(s)
-		c.virtual = math.Max(c.virtual, s.floor)
+		c.virtual += math.Max(0, s.floor-b.at(c))
 	}
 	if waiting > 0 && a.allWaiting == 0 {
 		raiseKindFloor(c)
@@ -206,7 +272,7 @@
 	lowest := math.Inf(1)
 	for _, c := range s.customers {
 		if c.waiting > 0 {
-			lowest = math.Min(lowest, c.virtual)
+			lowest = math.Min(lowest, b.at(c))
 		}
 	}
 	if !math.IsInf(lowest, 1) {
@@ -231,10 +297,10 @@
 // Lower is served earlier. Pending counts grants of the caller that no report
 // shows yet.
 func (b *Book) Order(k Key, pendingCustomer, pendingKind int) (float64, float64) {
-	_, c, a := b.account(k)
-	ahead := b.terms(k.Service).Ahead
-	first := c.virtual + ahead*float64(c.running+pendingCustomer)/b.weight(c.name)
-	second := a.virtual + ahead*float64(a.allRunning+pendingKind) - b.bonus(k.Kind)
+	s, c, a := b.account(k)
+	ahead := b.ahead(s)
+	first := b.at(c) + ahead*float64(c.running+pendingCustomer)/b.weight(c.name)
+	second := a.virtual + ahead*float64(a.allRunning+pendingKind) - b.bonus(k.Service, k.Kind)
 	return first, second
 }
 
@@ -246,10 +312,10 @@
 		return 0, false
 	}
 	lowest := math.Inf(1)
-	ahead := b.terms(service).Ahead
+	ahead := b.ahead(s)
 	for _, c := range s.customers {
 		if c.waiting > 0 {
-			lowest = math.Min(lowest, c.virtual+ahead*float64(c.running)/b.weight(c.name))
+			lowest = math.Min(lowest, b.at(c)+ahead*float64(c.running)/b.weight(c.name))
 		}
 	}
 	return lowest, !math.IsInf(lowest, 1)
@@ -265,13 +331,47 @@
 		highest := math.Inf(-1)
 		for _, c := range s.customers {
 			if c.waiting > 0 {
-				highest = math.Max(highest, c.virtual)
+				highest = math.Max(highest, b.at(c))
 			}
 		}
 		for _, c := range s.customers {
 			if c.waiting > 0 {
-				c.virtual = math.Max(c.virtual, highest-debt)
+				c.virtual += math.Max(0, highest-debt-b.at(c))
+			}
+		}
+	}
+}
+
+// Standing is a customer's position at a service.
+type Standing struct {
+	Service  string
+	Customer string
+	// Lag is the weighted service by which the customer is ahead of the
+	// lowest waiting one, in units; 0 if none waits.
+	Lag     float64
+	Waiting int
+	Running int
+}
+
+// Standings returns the customers with work waiting or running in the fleet,
+// ordered by service and name.
+func (b *Book) Standings() []Standing {
+	var all []Standing
+	for _, s := range b.services {
+		lowest := b.lowestWaiting(s)
+		for _, c := range s.customers {
+			if c.waiting == 0 && c.running == 0 {
+				continue
+			}
+			lag := b.at(c) - lowest
+			if math.IsInf(lowest, 1) {
+				lag = 0
 			}
+			all = append(all, Standing{s.name, c.name, lag, c.waiting, c.running})
 		}
 	}
+	slices.SortFunc(all, func(x, y Standing) int {
+		return compareKeys(Key{Service: x.Service, Customer: x.Customer}, Key{Service: y.Service, Customer: y.Customer})
+	})
+	return all
 }
--- a/internal/share/exchange.go
+++ b/internal/share/exchange.go
@@ -9,15 +9,17 @@
 	"time"
 )
 
-// wireReport is what instances send each other about accounts. Rows are grouped
-// by service and customer to keep names from repeating.
+// wireReport is what instances send each other about accounts. Accounts are named
+// once for each link and numbered from then on.
 type wireReport struct {
-	// Rows holds service, customer and kind, with delivered units, waiting
-	// and running requests.
-	Rows map[string]map[string]map[string][3]float64 `json:"r,omitempty"`
-	// Lags holds the virtual times of waiting customers over the lowest of
-	// them. Only the reference instance sends them.
-	Lags map[string]map[string]float64 `json:"l,omitempty"`
+	// Names holds service, customer and kind of the numbers used for the
+	// first time.
+	Names map[int][3]string `json:"k,omitempty"`
+	// Rows holds number, delivered units, waiting and running requests.
+	Rows [][4]float64 `json:"r,omitempty"`
+	// Lags holds, by number, the virtual times of waiting customers over the
+	// lowest of them. Only the reference instance sends them.
+	Lags map[int]float64 `json:"l,omitempty"`
 }
 
 // MessageError reports a message that cannot be read.
@@ -34,55 +36,66 @@
 // Sent remembers what a peer was told, so that a report holds only changes. The
 // zero value is ready for use and makes the first report complete.
 type Sent struct {
-	rows map[Key]Row
+	rows    map[Key]Row
+	numbers map[Key]int
+	reports int
 }
 
 // Forget makes the next report complete.
-func (s *Sent) Forget() { s.rows = nil }
+func (s *Sent) Forget() { *s = Sent{} }
 
-// Rows returns this instance's own rows, ordered by key.
-func (b *Book) Rows() []Row {
-	var rows []Row
-	for _, s := range b.services {
-		for _, c := range s.customers {
-			for _, a := range c.kinds {
-				if a.delivered == 0 && a.waiting == 0 && a.running == 0 {
-					continue
-				}
-				rows = append(rows, Row{Key: a.key, Delivered: math.Round(a.delivered), Waiting: a.waiting, Running: a.running})
-			}
-		}
-	}
-	slices.SortFunc(rows, func(x, y Row) int { return compareKeys(x.Key, y.Key) })
-	return rows
-}
+// Waiting returns the number of waiting requests that the peer was last told
+// about an account.
+func (s *Sent) Waiting(k Key) int { return s.rows[k].Waiting }
 
-func compareKeys(x, y Key) int {
-	if c := strings.Compare(x.Service, y.Service); c != 0 {
-		return c
+// number returns the number of an account and names it in the report if the peer
+// does not know it.
+func (s *Sent) number(k Key, report *wireReport) int {
+	n, known := s.numbers[k]
+	if known {
+		return n
 	}
-	if c := strings.Compare(x.Customer, y.Customer); c != 0 {
-		return c
+	if s.numbers == nil {
+		s.numbers = map[Key]int{}
 	}
-	return strings.Compare(x.Kind, y.Kind)
+	n = len(s.numbers)
+	s.numbers[k] = n
+	if report.Names == nil {
+		report.Names = map[int][3]string{}
+	}
+	report.Names[n] = [3]string{k.Service, k.Customer, k.Kind}
+	return n
 }
 
-// Report encodes the rows that changed since the last report to the same peer.
-// With reference set it adds the lags. It returns nil if there is nothing to say.
-func (b *Book) Report(sent *Sent, reference bool) json.RawMessage {
+// idleReports is how many regular reports pass between two that hold the accounts
+// of customers without waiting work. Their order does not matter, so what they were
+// delivered may be known later.
+const idleReports = 10
+
+// Report encodes what changed since the last report to the same peer. Regular
+// reports hold everything, with reference set also the lags; the others hold only
+// what began or ceased to wait and what began or ceased to run for customers that
+// wait: a home counts its grants until they show here as running. It returns nil if
+// there is nothing to say.
+func (b *Book) Report(sent *Sent, regular, reference bool) json.RawMessage {
 	report := wireReport{}
 	if sent.rows == nil {
 		sent.rows = map[Key]Row{}
+		regular = true
+	}
+	all := regular && sent.reports%idleReports == 0
+	if regular {
+		sent.reports++
 	}
 	for _, row := range b.Rows() {
-		if sent.rows[row.Key] == row {
-			continue
+		if b.due(sent.rows[row.Key], row, regular, all) {
+			sent.rows[row.Key] = row
+			n := sent.number(row.Key, &report)
+			report.Rows = append(report.Rows, [4]float64{float64(n), row.Delivered, float64(row.Waiting), float64(row.Running)})
 		}
-		sent.rows[row.Key] = row
-		report.add(row)
 	}
 	if reference {
-		report.Lags = b.lags()
+		b.addLags(sent, &report)
 	}
 	if report.Rows == nil && report.Lags == nil {
 		return nil
@@ -95,48 +108,66 @@
 	return data
 }
 
-func (r *wireReport) add(row Row) {
-	if r.Rows == nil {
-		r.Rows = map[string]map[string]map[string][3]float64{}
+// due tells whether a row belongs in a report.
+func (b *Book) due(last, row Row, regular, all bool) bool {
+	if (last.Waiting == 0) != (row.Waiting == 0) {
+		return true
 	}
-	customers := r.Rows[row.Key.Service]
-	if customers == nil {
-		customers = map[string]map[string][3]float64{}
-		r.Rows[row.Key.Service] = customers
+	waits := b.services[row.Key.Service].customers[row.Key.Customer].waiting > 0
+	if waits && last.Running != row.Running {
+		return true
 	}
-	kinds := customers[row.Key.Customer]
-	if kinds == nil {
-		kinds = map[string][3]float64{}
-		customers[row.Key.Customer] = kinds
-	}
-	kinds[row.Key.Kind] = [3]float64{row.Delivered, float64(row.Waiting), float64(row.Running)}
+	return regular && last != row && (all || waits || last.Waiting != row.Waiting)
 }
 
-func (b *Book) lags() map[string]map[string]float64 {
-	var all map[string]map[string]float64
+func (b *Book) addLags(sent *Sent, report *wireReport) {
 	for _, s := range b.services {
-		lowest := s.lowestWaiting()
+		lowest := b.lowestWaiting(s)
 		for _, c := range s.customers {
 			if c.waiting == 0 {
 				continue
 			}
-			if all == nil {
-				all = map[string]map[string]float64{}
+			if report.Lags == nil {
+				report.Lags = map[int]float64{}
 			}
-			if all[s.name] == nil {
-				all[s.name] = map[string]float64{}
+			n := sent.number(Key{Service: s.name, Customer: c.name}, report)
+			report.Lags[n] = math.Round(b.at(c) - lowest)
+		}
+	}
+}
+
+// Rows returns this instance's own rows, ordered by key.
+func (b *Book) Rows() []Row {
+	var rows []Row
+	for _, s := range b.services {
+		for _, c := range s.customers {
+			for _, a := range c.kinds {
+				if a.delivered == 0 && a.waiting == 0 && a.running == 0 {
+					continue
+				}
+				rows = append(rows, Row{Key: a.key, Delivered: math.Round(a.delivered), Waiting: a.waiting, Running: a.running})
 			}
-			all[s.name][c.name] = math.Round(c.virtual - lowest)
 		}
 	}
-	return all
+	slices.SortFunc(rows, func(x, y Row) int { return compareKeys(x.Key, y.Key) })
+	return rows
+}
+
+func compareKeys(x, y Key) int {
+	if c := strings.Compare(x.Service, y.Service); c != 0 {
+		return c
+	}
+	if c := strings.Compare(x.Customer, y.Customer); c != 0 {
+		return c
+	}
+	return strings.Compare(x.Kind, y.Kind)
 }
 
-func (s *service) lowestWaiting() float64 {
+func (b *Book) lowestWaiting(s *service) float64 {
 	lowest := math.Inf(1)
 	for _, c := range s.customers {
 		if c.waiting > 0 {
-			lowest = math.Min(lowest, c.virtual)
+			lowest = math.Min(lowest, b.at(c))
 		}
 	}
 	return lowest
@@ -144,26 +175,33 @@
 
 // Merge takes in a peer's report. Rows merge by maximum of what was delivered,
 // so repeated and reordered reports change nothing. A new incarnation starts
-// its counters at zero.
-func (b *Book) Merge(from string, incarnation uint32, data json.RawMessage, now time.Time) error {
+// its counters at zero. It returns the rows of the report.
+func (b *Book) Merge(from string, incarnation uint32, data json.RawMessage, now time.Time) ([]Row, error) {
+	b.Advance(now)
 	p, charge := b.peer(from, incarnation, now)
 	if len(data) == 0 {
-		return nil
+		return nil, nil
 	}
 	report := wireReport{}
 	if err := json.Unmarshal(data, &report); err != nil {
-		return &MessageError{Cause: err}
+		return nil, &MessageError{Cause: err}
 	}
-	for service, customers := range report.Rows {
-		for customer, kinds := range customers {
-			for kind, v := range kinds {
-				row := Row{Key: Key{service, customer, kind}, Delivered: v[0], Waiting: count(v[1]), Running: count(v[2])}
-				b.mergeRow(p, row, charge)
-			}
+	for n, name := range report.Names {
+		p.names[n] = Key{Service: name[0], Customer: name[1], Kind: name[2]}
+	}
+	var rows []Row
+	for _, v := range report.Rows {
+		key, known := p.names[int(v[0])]
+		if !known {
+			// Numbered for an earlier incarnation of this instance.
+			continue
 		}
+		row := Row{Key: key, Delivered: v[1], Waiting: count(v[2]), Running: count(v[3])}
+		b.mergeRow(p, row, charge)
+		rows = append(rows, row)
 	}
-	b.follow(report.Lags)
-	return nil
+	b.follow(p, report.Lags)
+	return rows, nil
 }
 
 func count(v float64) int {
@@ -187,7 +225,7 @@
 		b.Silence(name)
 	}
 	restarted := p != nil
-	p = &peer{incarnation: incarnation, heard: now, rows: map[Key]Row{}}
+	p = &peer{incarnation: incarnation, heard: now, rows: map[Key]Row{}, names: map[int]Key{}, flows: map[Key]flow{}}
 	b.peers[name] = p
 	return p, restarted
 }
@@ -196,16 +234,54 @@
 	s, c, a := b.account(row.Key)
 	last := p.rows[row.Key]
 	b.shift(s, c, a, row.Waiting-last.Waiting, row.Running-last.Running)
-	if row.Delivered > last.Delivered {
-		if charge {
-			b.advance(c, a, row.Delivered-last.Delivered)
-		}
-	} else {
-		row.Delivered = last.Delivered
+	grown := math.Max(0, row.Delivered-last.Delivered)
+	row.Delivered = last.Delivered + grown
+	if charge {
+		b.advance(c, a, grown)
 	}
+	b.observe(p, s, c, last, row, charge)
 	p.rows[row.Key] = row
 }
 
+// flow is the rate at which a peer delivers service to an account.
+type flow struct {
+	rate float64 // weighted units a second
+	at   float64 // time of the report, in seconds since the book's epoch
+}
+
+const (
+	// minFlowTime is the shortest time, in seconds, over which the service of a
+	// slot is measured.
+	minFlowTime = 0.2
+	// paceBlend is the weight of one measurement of the service of a slot.
+	paceBlend = 0.02
+)
+
+// observe updates the estimated rate of an account from what runs there, and the
+// service of a slot from what the account grew by.
+func (b *Book) observe(p *peer, s *service, c *customer, last, row Row, charge bool) {
+	before, known := p.flows[row.Key]
+	dt := b.now - before.at
+	if known && charge && dt >= minFlowTime && last.Running > 0 && last.Running == row.Running {
+		pace := (row.Delivered - last.Delivered) / dt / float64(row.Running)
+		s.pace += paceBlend * (pace - s.pace)
+	}
+	next := flow{rate: float64(row.Running) * s.pace / b.weight(c.name), at: b.now}
+	c.flow += next.rate - before.rate
+	c.base += next.rate*next.at - before.rate*before.at
+	p.flows[row.Key] = next
+}
+
+// still ends the estimated rates of a peer that is gone.
+func (b *Book) still(p *peer) {
+	for k, f := range p.flows {
+		_, c, _ := b.account(k)
+		c.flow -= f.rate
+		c.base -= f.rate * f.at
+	}
+	clear(p.flows)
+}
+
 // Silence drops what a peer reported as waiting and running, because it is gone
 // or restarted. What it delivered stays charged.
 func (b *Book) Silence(name string) {
@@ -213,6 +289,7 @@
 	if p == nil {
 		return
 	}
+	b.still(p)
 	for key, last := range p.rows {
 		s, c, a := b.account(key)
 		b.shift(s, c, a, -last.Waiting, -last.Running)
@@ -224,37 +301,21 @@
 // follow moves the lags of waiting customers towards those of the reference
 // instance. Instances that lifted a customer at different moments, or that were
 // on different sides of a partition, come to agree by it.
-func (b *Book) follow(all map[string]map[string]float64) {
-	for name, lags := range all {
-		s := b.service(name)
-		lowest := s.lowestWaiting()
-		if math.IsInf(lowest, 1) {
+func (b *Book) follow(p *peer, lags map[int]float64) {
+	for n, lag := range lags {
+		key := p.names[n]
+		s := b.services[key.Service]
+		if s == nil || lag < 0 {
 			continue
 		}
-		for customer, lag := range lags {
-			c := s.customers[customer]
-			if c == nil || c.waiting == 0 || lag < 0 {
-				continue
-			}
-			c.virtual += lagBlend * (lowest + lag - c.virtual)
+		c := s.customers[key.Customer]
+		if c == nil || c.waiting == 0 {
+			continue
 		}
+		c.virtual += lagBlend * (b.lowestWaiting(s) + lag - b.at(c))
 	}
 }
 
-// PeerRows returns what a peer last reported, in no order.
-func (b *Book) PeerRows(name string) []Row {
-	p := b.peers[name]
-	if p == nil {
-		return nil
-	}
-	rows := make([]Row, 0, len(p.rows))
-	for key, row := range p.rows {
-		row.Key = key
-		rows = append(rows, row)
-	}
-	return rows
-}
-
 // PeerWaits reports whether a peer has work waiting for a service.
 func (b *Book) PeerWaits(name, service string) bool {
 	p := b.peers[name]
@@ -268,7 +329,3 @@
 	}
 	return false
 }
-
-// Waiting returns the number of waiting requests that the peer was last told
-// about an account.
-func (s *Sent) Waiting(k Key) int { return s.rows[k].Waiting }
--- a/internal/slot/home.go
+++ b/internal/slot/home.go
@@ -56,6 +56,9 @@
 	leases  map[uint64]*lease
 	// foreign counts slots that entry instances hold under an earlier home.
 	foreign map[string]int
+	// excess holds how many requests beyond the known slots the last load
+	// reports showed.
+	excess []int
 }
 
 type lease struct {
@@ -86,7 +89,7 @@
 
 // Adopt makes the instance the home of an endpoint. Slots are granted from
 // settled on; until then entry instances tell what they hold under the earlier
-// home. Adopting an endpoint again only changes its slots.
+// home. Adopting an endpoint again keeps its leases.
 func (h *Home) Adopt(name, service string, slots int, settled time.Time) {
 	e := h.endpoints[name]
 	if e == nil {
@@ -95,6 +98,7 @@
 	}
 	e.service = service
 	e.slots = slots
+	e.settled = settled
 }
 
 // Drop ends the duty for an endpoint. Leases stay with their holders, who report
@@ -261,15 +265,41 @@
 	return lapsed
 }
 
-func (e *endpoint) free(now time.Time) int {
-	if e.closed || now.Before(e.settled) {
-		return 0
+// excessReports is how many load reports in a row must show requests beyond the
+// known slots before fewer slots are granted. Reports lag, so a single one proves
+// nothing.
+const excessReports = 3
+
+// Observe takes in how many requests an endpoint reports to run. Requests of
+// instances whose leases lapsed may still run there.
+func (h *Home) Observe(name string, running int) {
+	e := h.endpoints[name]
+	if e == nil {
+		return
+	}
+	e.excess = append(e.excess, max(0, running-e.used()))
+	if len(e.excess) > excessReports {
+		e.excess = e.excess[1:]
 	}
+}
+
+func (e *endpoint) used() int {
 	used := len(e.leases)
 	for _, n := range e.foreign {
 		used += n
 	}
-	return max(0, e.slots-used)
+	return used
+}
+
+func (e *endpoint) free(now time.Time) int {
+	if e.closed || now.Before(e.settled) {
+		return 0
+	}
+	excess := 0
+	if len(e.excess) == excessReports {
+		excess = slices.Min(e.excess)
+	}
+	return max(0, e.slots-e.used()-excess)
 }
 
 // Free returns the slots of a service that could be granted now.
@@ -289,11 +319,7 @@
 	if e == nil {
 		return 0, 0
 	}
-	used = len(e.leases)
-	for _, n := range e.foreign {
-		used += n
-	}
-	return used, e.slots
+	return e.used(), e.slots
 }
 
 // Decide grants free slots to waiting work, lowest order first, until no slot is
