--- /dev/null
+++ b/internal/caller/retry.go
@@ -0,0 +1,141 @@
+package caller
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/greengagestep/greengagestep/internal/endpoint"
+	"github.com/greengagestep/greengagestep/pkg/fleet"
+)
+
+const (
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 4
+	// firstBackoff is the longest pause before the second attempt; each
+	// further one may be twice as long.
+	firstBackoff = 50 * time.Millisecond
+)
+
+// Budget bounds the retries of the fleet to a part of its requests: every instance
+// may retry as much as its own requests earn, so no message is needed. It is safe
+// for concurrent use. The zero value allows only the initial reserve.
+type Budget struct {
+	// Part is the number of retries that one request earns; zero means 0.1.
+	Part float64
+	// Reserve is the number of retries that may be saved; zero means 10.
+	Reserve float64
+
+	mu     sync.Mutex
+	filled bool
+	saved  float64
+}
+
+func (b *Budget) limits() (part, reserve float64) {
+	part, reserve = b.Part, b.Reserve
+	if part == 0 {
+		part = 0.1
+	}
+	if reserve == 0 {
+		reserve = 10
+	}
+	return part, reserve
+}
+
+func (b *Budget) fill(reserve float64) {
+	if !b.filled {
+		b.filled = true
+		b.saved = reserve
+	}
+}
+
+// Deposit records a new request.
+func (b *Budget) Deposit() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	part, reserve := b.limits()
+	b.fill(reserve)
+	b.saved = min(b.saved+part, reserve)
+}
+
+// Withdraw takes a retry out of the budget. It returns false if it is spent.
+func (b *Budget) Withdraw() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, reserve := b.limits()
+	b.fill(reserve)
+	if b.saved < 1 {
+		return false
+	}
+	b.saved--
+	return true
+}
+
+// again decides whether another attempt follows a failed one. If not, it answers
+// the caller.
+func (c *call) again(ctx context.Context, f *endpoint.Failure, attempt int) bool {
+	if ctx.Err() != nil || f.Reason == fleet.ReasonCancelled {
+		c.cancelled(f)
+		return false
+	}
+	if !c.mayRepeat(f) {
+		c.giveUp(f, f.Reason)
+		return false
+	}
+	if attempt == maxAttempts || !c.h.Budget.Withdraw() {
+		c.giveUp(f, fleet.ReasonBudget)
+		return false
+	}
+	if c.h.Quarantine != nil && c.h.Quarantine.Held(c.print) {
+		c.giveUp(f, fleet.ReasonQuarantine)
+		return false
+	}
+	c.step("retry", "after "+string(f.Reason)+" at "+f.Endpoint+", attempt "+strconv.Itoa(attempt+1))
+	pause := rand.N(firstBackoff << (attempt - 1))
+	select {
+	case <-time.After(pause):
+		return true
+	case <-ctx.Done():
+		c.cancelled(f)
+		return false
+	}
+}
+
+// mayRepeat reports whether another attempt can neither double the effect nor
+// spoil the answer.
+func (c *call) mayRepeat(f *endpoint.Failure) bool {
+	if !c.body.replayable() {
+		return false
+	}
+	if c.written {
+		return c.service.Resume
+	}
+	return !f.Reached || c.repeat
+}
+
+func (c *call) giveUp(f *endpoint.Failure, reason fleet.Reason) {
+	if c.written {
+		c.breakOff(reason)
+		return
+	}
+	if !c.reached {
+		c.refuse(http.StatusServiceUnavailable, reason, f.Error())
+		return
+	}
+	c.fail(http.StatusBadGateway, fleet.OutcomeUnknown, reason, f.Error())
+}
+
+func (c *call) cancelled(f *endpoint.Failure) {
+	if c.written {
+		c.breakOff(fleet.ReasonCancelled)
+		return
+	}
+	if c.reached {
+		c.fail(http.StatusGatewayTimeout, fleet.OutcomeUnknown, fleet.ReasonDeadline, "the caller's time ran out while the request ran")
+		return
+	}
+	c.refuse(http.StatusGatewayTimeout, fleet.ReasonDeadline, "the caller's time ran out before the request ran")
+}
--- /dev/null
+++ b/internal/command/run.go
@@ -0,0 +1,79 @@
+package command
+
+import (
+	"context"
+	"net"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"github.com/greengagestep/greengagestep/internal/platform"
+	"github.com/greengagestep/greengagestep/internal/router"
+	"github.com/greengagestep/greengagestep/internal/setting"
+)
+
+func newRun() *cobra.Command {
+	s := &setting.Settings{}
+	cmd := &cobra.Command{
+		Use:   "run",
+		Short: "Run one router instance until SIGTERM or SIGINT, then stop gracefully",
+		Long: `Run one router instance until SIGTERM or SIGINT, then stop gracefully.
+
+Every flag is also an environment variable; a flag goes first. The secret that
+peers and operators share is read from GREENGAGESTEP_SECRET only. Durations are
+written like 90s or 10m, memory in bytes.`,
+		Args: cobra.NoArgs,
+	}
+	s.Bind(cmd.Flags())
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		if err := s.Load(cmd.Flags()); err != nil {
+			return fail(exitUsage, err)
+		}
+		ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+		defer stop()
+		return runRouter(ctx, s)
+	}
+	return cmd
+}
+
+func runRouter(ctx context.Context, s *setting.Settings) error {
+	logger, err := newLogger()
+	if err != nil {
+		return fail(exitUsage, err)
+	}
+	r := &router.Router{
+		Name: s.Name, Domain: s.Domain, Advertise: s.Advertise, Secret: s.Secret,
+		Log: &platform.Log{URL: s.Log}, List: &platform.List{URL: s.List},
+		Drain: s.Drain, Retention: s.Retention, Memory: s.Memory,
+		Logger: logger.With(zap.String("instance", s.Name)),
+	}
+	for _, l := range []struct {
+		address string
+		to      *net.Listener
+	}{{s.Callers, &r.Callers}, {s.Peers, &r.Peers}, {s.Operators, &r.Operators}} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return fail(exitUsage, err)
+		}
+		*l.to = listener
+	}
+	logger.Info("listening",
+		zap.String("callers", r.Callers.Addr().String()),
+		zap.String("peers", r.Peers.Addr().String()),
+		zap.String("operators", r.Operators.Addr().String()))
+	if err := r.Run(ctx); err != nil {
+		return fail(exitFailed, err)
+	}
+	return nil
+}
+
+func newLogger() (*zap.Logger, error) {
+	conf := zap.NewProductionConfig()
+	conf.Sampling = nil
+	conf.DisableStacktrace = true
+	conf.EncoderConfig.TimeKey = "time"
+	conf.EncoderConfig.EncodeTime = rfc3339
+	return conf.Build()
+}
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,162 @@
+// Package quarantine keeps requests that crash endpoints away from the fleet. A
+// request that was running on two endpoints when they broke off is refused from
+// then on, at every instance.
+package quarantine
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/greengagestep/greengagestep/internal/audit"
+)
+
+const (
+	// crashesToHold is how many endpoints must have crashed under a request.
+	crashesToHold = 2
+	// term is how long a crash is remembered and a request held.
+	term = 10 * time.Minute
+	// maxCrashes bounds the fingerprints that are remembered.
+	maxCrashes = 4096
+)
+
+// crash is one endpoint that broke off while it ran a request.
+type crash struct {
+	Print    string    `json:"p"`
+	Endpoint string    `json:"e"`
+	Request  string    `json:"r"`
+	At       time.Time `json:"t"`
+}
+
+// List is the quarantine of one instance. Exported fields are set before the
+// first call. It is safe for concurrent use.
+type List struct {
+	Trail *audit.Trail
+
+	mu      sync.Mutex
+	crashes map[string]map[string]crash // by fingerprint and endpoint
+	own     []crash
+	sent    map[string]int // own crashes that a peer has been told
+	told    map[string]int // own crashes in the message on its way
+}
+
+// New returns an empty quarantine.
+func New(trail *audit.Trail) *List {
+	return &List{Trail: trail, crashes: map[string]map[string]crash{}, sent: map[string]int{}, told: map[string]int{}}
+}
+
+// Held reports whether a fingerprint is quarantined.
+func (l *List) Held(print string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.count(print) >= crashesToHold
+}
+
+func (l *List) count(print string) int {
+	n := 0
+	for _, c := range l.crashes[print] {
+		if time.Since(c.At) < term {
+			n++
+		}
+	}
+	return n
+}
+
+// Crashed records that an endpoint broke off while it ran a request.
+func (l *List) Crashed(print, endpoint, request string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := crash{Print: print, Endpoint: endpoint, Request: request, At: time.Now()}
+	if l.add(c) {
+		l.own = append(l.own, c)
+	}
+}
+
+func (l *List) add(c crash) bool {
+	endpoints := l.crashes[c.Print]
+	if endpoints == nil {
+		l.tidy()
+		endpoints = map[string]crash{}
+		l.crashes[c.Print] = endpoints
+	}
+	if _, known := endpoints[c.Endpoint]; known {
+		return false
+	}
+	endpoints[c.Endpoint] = c
+	if l.count(c.Print) == crashesToHold {
+		l.Trail.Add(audit.Entry{
+			What: audit.WhatQuarantine, Subject: "request " + c.Request, Change: "quarantined",
+			Cause: fmt.Sprintf("fingerprint %s was running on %d endpoints that broke off, last on %s", c.Print, crashesToHold, c.Endpoint),
+		})
+	}
+	return true
+}
+
+// tidy drops expired crashes, and the oldest if there are still too many.
+func (l *List) tidy() {
+	if len(l.crashes) < maxCrashes {
+		return
+	}
+	oldest, oldestAt := "", time.Now()
+	for print, endpoints := range l.crashes {
+		if l.count(print) == 0 {
+			delete(l.crashes, print)
+			continue
+		}
+		for _, c := range endpoints {
+			if c.At.Before(oldestAt) {
+				oldest, oldestAt = print, c.At
+			}
+		}
+	}
+	if len(l.crashes) >= maxCrashes {
+		delete(l.crashes, oldest)
+	}
+}
+
+// Compose returns the crashes seen here that a peer has not been told, or nil.
+func (l *List) Compose(peer string) json.RawMessage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.told[peer] = len(l.own)
+	news := l.own[min(l.sent[peer], len(l.own)):]
+	if len(news) == 0 {
+		return nil
+	}
+	data, err := json.Marshal(news)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+// Sent records whether the composed message reached the peer.
+func (l *List) Sent(peer string, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if ok {
+		l.sent[peer] = l.told[peer]
+	}
+}
+
+// Restarted makes the next message to a peer complete.
+func (l *List) Restarted(peer string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.sent, peer)
+}
+
+// Receive takes in a peer's crashes.
+func (l *List) Receive(_ string, data json.RawMessage) error {
+	var news []crash
+	if err := json.Unmarshal(data, &news); err != nil {
+		return fmt.Errorf("quarantine: unreadable crashes: %w", err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range news {
+		l.add(c)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/router/explain.go
@@ -0,0 +1,68 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/greengagestep/greengagestep/internal/audit"
+	"github.com/greengagestep/greengagestep/internal/scheduler"
+)
+
+// allSteps returns the steps of a request that are known here and at the instance
+// that its ID names.
+func (r *Router) allSteps(ctx context.Context, id string) []audit.Step {
+	steps := r.trail.Steps(id)
+	owner, _, _ := strings.Cut(id, ".")
+	if owner == r.Name {
+		return steps
+	}
+	var remote []audit.Step
+	path := pathSteps + "?id=" + url.QueryEscape(id)
+	if err := r.askPeer(ctx, http.MethodGet, owner, path, nil, &remote, sendTimeout); err == nil {
+		steps = append(steps, remote...)
+	}
+	slices.SortFunc(steps, func(a, b audit.Step) int { return a.At.Compare(b.At) })
+	return steps
+}
+
+// claimNote says what the claims in the log tell about a request whose instance is
+// gone.
+func (r *Router) claimNote(ctx context.Context, id string) string {
+	c, found, err := r.claims.Find(ctx, id)
+	switch {
+	case err != nil:
+		return "no instance knows the request, and the log service cannot be read"
+	case !found:
+		return "neither an instance nor the claims in the log know the request"
+	}
+	return fmt.Sprintf("customer %s claimed key %q; instance %s, incarnation %d, held the claim and no longer knows what became of it", c.Customer, c.Key, c.Holder, c.Incarnation)
+}
+
+// gauges brings the metrics up to date that are read, not counted.
+func (r *Router) gauges() {
+	set := func(name string, v int) { metrics.GetOrRegisterGauge(name, r.metrics).Update(int64(v)) }
+	r.dispatcher.With(func(s *scheduler.Scheduler) {
+		st := s.Status()
+		set("requests.waiting", st.Waiting)
+		set("requests.running", st.Running)
+		set("slots.held", st.Held)
+		set("members.live", len(s.Table.Live()))
+		for _, a := range s.Accounts() {
+			name := "shares." + a.Service + "." + a.Customer
+			set(name+".lag", int(a.Lag))
+			set(name+".waiting", a.Waiting)
+		}
+		for service, n := range s.IdleSlots() {
+			set("slots."+service+".free", n)
+		}
+	})
+	_, version := r.follower.Text()
+	set("configuration.version", int(version))
+	set("claims.appends", r.claims.Appends())
+}
--- /dev/null
+++ b/internal/router/peers.go
@@ -0,0 +1,261 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/greengagestep/greengagestep/internal/audit"
+	"github.com/greengagestep/greengagestep/internal/endpoint"
+	"github.com/greengagestep/greengagestep/internal/member"
+	"github.com/greengagestep/greengagestep/internal/scheduler"
+)
+
+const (
+	pathMessage  = "/m"
+	pathSnapshot = "/peer/configuration"
+	pathSteps    = "/peer/steps"
+	// maxMessage bounds the bytes of a message between instances.
+	maxMessage = 4 << 20
+	// sendTimeout bounds one exchange with a peer.
+	sendTimeout = time.Second
+	// sendPause follows a failed exchange.
+	sendPause = 250 * time.Millisecond
+)
+
+// part is a duty that sends its own state along with the scheduler's messages.
+type part interface {
+	// name is the key of the part in the message.
+	name() string
+	// compose returns what a peer must be told, or nil.
+	compose(peer string) json.RawMessage
+	// sent records whether the composed message reached the peer.
+	sent(peer string, ok bool)
+	// receive takes in a peer's part.
+	receive(from member.Member, data json.RawMessage) error
+}
+
+// authenticated lets only holders of the secret through.
+func (r *Router) authenticated(next http.Handler) http.Handler {
+	want := []byte("Bearer " + r.Secret)
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		open := req.URL.Path == "/live" || req.URL.Path == "/ready"
+		got := []byte(req.Header.Get("Authorization"))
+		if !open && subtle.ConstantTimeCompare(got, want) != 1 {
+			metrics.GetOrRegisterCounter("peers.unauthenticated", r.metrics).Inc(1)
+			http.Error(w, "router: not authenticated", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, req)
+	})
+}
+
+func (r *Router) peersMux() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+pathMessage, r.serveMessage)
+	mux.HandleFunc("GET "+pathSnapshot, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, r.follower.Snapshot()) })
+	mux.HandleFunc("GET "+pathSteps, r.serveSteps)
+	r.claims.Register(mux)
+	return mux
+}
+
+func (r *Router) serveMessage(w http.ResponseWriter, req *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxMessage))
+	if err != nil {
+		r.garbage(w, req, err)
+		return
+	}
+	var from member.Member
+	var extra map[string]json.RawMessage
+	r.dispatcher.With(func(s *scheduler.Scheduler) {
+		from, extra, err = s.Receive(data, time.Now())
+	})
+	if err != nil {
+		r.garbage(w, req, err)
+		return
+	}
+	for _, p := range r.parts {
+		if extra[p.name()] == nil {
+			continue
+		}
+		if err := p.receive(from, extra[p.name()]); err != nil {
+			r.garbage(w, req, err)
+			return
+		}
+	}
+	w.Header()["Date"] = nil
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// garbage answers a message that cannot be used.
+func (r *Router) garbage(w http.ResponseWriter, req *http.Request, err error) {
+	metrics.GetOrRegisterCounter("peers.garbage", r.metrics).Inc(1)
+	r.trail.Add(audit.Entry{What: audit.WhatMessage, Subject: "message from " + req.RemoteAddr, Change: "dropped", Cause: err.Error()})
+	http.Error(w, err.Error(), http.StatusBadRequest)
+}
+
+// sender sends messages to one peer, one at a time.
+type sender struct {
+	r    *Router
+	peer string
+	wake <-chan struct{}
+}
+
+// startSender is called with the dispatcher's lock held.
+func (r *Router) startSender(peer string) {
+	go func() { r.senders.Add(&sender{r: r, peer: peer, wake: r.dispatcher.Wakes(peer)}) }()
+}
+
+// String names the sender in the supervisor's events.
+func (s *sender) String() string { return "sender to " + s.peer }
+
+// Serve implements suture.Service.
+func (s *sender) Serve(ctx context.Context) error {
+	for {
+		select {
+		case <-s.wake:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if s.send(ctx) {
+			continue
+		}
+		select {
+		case <-time.After(sendPause):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (s *sender) send(ctx context.Context) bool {
+	r := s.r
+	extra := map[string]json.RawMessage{}
+	for _, p := range r.parts {
+		if data := p.compose(s.peer); data != nil {
+			extra[p.name()] = data
+		}
+	}
+	var body []byte
+	var to member.Member
+	r.dispatcher.With(func(sch *scheduler.Scheduler) {
+		to, _ = sch.Table.Get(s.peer)
+		body = sch.Compose(s.peer, extra, time.Now())
+	})
+	err := r.post(ctx, to.Address, body)
+	for _, p := range r.parts {
+		p.sent(s.peer, err == nil)
+	}
+	r.dispatcher.With(func(sch *scheduler.Scheduler) { sch.Sent(s.peer, err == nil) })
+	return err == nil
+}
+
+// newPeerClient returns a client whose requests have as few header bytes as HTTP
+// allows.
+func newPeerClient(dial endpoint.Dial) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute,
+	}}
+}
+
+// messageOverhead is what one exchange costs beyond its body: the request line,
+// the headers and the empty answer, in bytes.
+const messageOverhead = 210
+
+func (r *Router) post(ctx context.Context, address string, body []byte) error {
+	r.bytesSent.Inc(int64(len(body) + messageOverhead))
+	metrics.GetOrRegisterCounter("peers.messages", r.metrics).Inc(1)
+	resp, err := r.peerCall(ctx, http.MethodPost, address, pathMessage, body, sendTimeout)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// peerCall calls a peer. The caller closes the body of the answer.
+func (r *Router) peerCall(ctx context.Context, method, address, path string, body []byte, timeout time.Duration) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	req.Header["User-Agent"] = nil
+	req.Header.Set("Authorization", "Bearer "+r.Secret)
+	resp, err := r.peerClient.Do(req)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		_ = resp.Body.Close()
+		cancel()
+		return nil, fmt.Errorf("router: peer at %s answered status %d to %s", address, resp.StatusCode, path)
+	}
+	resp.Body = cancelled{resp.Body, cancel}
+	return resp, nil
+}
+
+// cancelled ends the context of a call when its answer was read.
+type cancelled struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (c cancelled) Close() error {
+	defer c.cancel()
+	return c.ReadCloser.Close()
+}
+
+// askPeer calls a peer by name with JSON both ways.
+func (r *Router) askPeer(ctx context.Context, method, peer, path string, question, answer any, timeout time.Duration) error {
+	var to member.Member
+	known := false
+	r.dispatcher.With(func(s *scheduler.Scheduler) { to, known = s.Table.Get(peer) })
+	if !known {
+		return fmt.Errorf("router: instance %q is not known", peer)
+	}
+	body, err := json.Marshal(question)
+	if err != nil {
+		return err
+	}
+	resp, err := r.peerCall(ctx, method, to.Address, path, body, timeout)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(io.LimitReader(resp.Body, maxMessage)).Decode(answer)
+}
+
+// claimTimeout bounds a question about a claim; results are waited for.
+const claimTimeout = 25 * time.Second
+
+// claimPeers gives the claims desk its way to the other instances.
+type claimPeers struct {
+	r *Router
+}
+
+// Owner implements claim.Peers.
+func (c claimPeers) Owner(shard int) string {
+	owner := ""
+	c.r.dispatcher.With(func(s *scheduler.Scheduler) { owner = s.Table.Owner(fmt.Sprintf("claims/%d", shard), "") })
+	return owner
+}
+
+// Ask implements claim.Peers.
+func (c claimPeers) Ask(ctx context.Context, peer, path string, question, answer any) error {
+	return c.r.askPeer(ctx, http.MethodPost, peer, path, question, answer, claimTimeout)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,268 @@
+// Package router is one entry instance of the fleet: it wires the duties together
+// and runs them under a supervisor.
+package router
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/zap"
+
+	"github.com/greengagestep/greengagestep/internal/audit"
+	"github.com/greengagestep/greengagestep/internal/caller"
+	"github.com/greengagestep/greengagestep/internal/claim"
+	"github.com/greengagestep/greengagestep/internal/dispatch"
+	"github.com/greengagestep/greengagestep/internal/endpoint"
+	"github.com/greengagestep/greengagestep/internal/member"
+	"github.com/greengagestep/greengagestep/internal/publication"
+	"github.com/greengagestep/greengagestep/internal/quarantine"
+	"github.com/greengagestep/greengagestep/internal/scheduler"
+	"github.com/greengagestep/greengagestep/pkg/fleet"
+)
+
+// Router is one entry instance. Exported fields are set before Run.
+type Router struct {
+	Name   string
+	Domain string
+	// Callers, Peers and Operators are the listeners; Run closes them.
+	Callers   net.Listener
+	Peers     net.Listener
+	Operators net.Listener
+	// Advertise is the peers' address that other instances use; empty means
+	// the address of Peers.
+	Advertise string
+	Log       fleet.Log
+	List      fleet.InstanceList
+	// Secret authenticates peers and operators.
+	Secret string
+	// Drain bounds a planned stop; zero means ten minutes.
+	Drain time.Duration
+	// Retention is how long the log service keeps records; zero means a day.
+	Retention time.Duration
+	// Memory bounds the bytes of waiting requests; zero means 64 MiB.
+	Memory int64
+	// Dial connects to peers and endpoints; nil means net.Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Logger gets JSON lines; nil means none.
+	Logger *zap.Logger
+
+	self       member.Member
+	metrics    metrics.Registry
+	trail      *audit.Trail
+	dispatcher *dispatch.Dispatcher
+	follower   *publication.Follower
+	claims     *claim.Desk
+	quarantine *quarantine.List
+	caller     *caller.Handler
+	calls      *endpoint.Caller
+	peerClient *http.Client
+	policy     policy
+
+	mu        sync.Mutex
+	endpoints *endpoint.Table
+	versions  map[string]int64 // configuration version of each peer
+	leaders   leadership
+
+	parts     []part
+	senders   *suture.Supervisor
+	stopping  chan struct{}
+	stopOnce  sync.Once
+	listed    bool
+	told      told
+	followed  time.Time
+	started   time.Time
+	bytesSent metrics.Counter
+}
+
+const (
+	defaultDrain     = 10 * time.Minute
+	defaultRetention = 24 * time.Hour
+	defaultMemory    = 64 << 20
+	// maxHeaderBytes bounds the headers of a caller's request.
+	maxHeaderBytes = 64 << 10
+	// headerTimeout bounds how long a caller may take to send the headers.
+	headerTimeout = 10 * time.Second
+)
+
+func (r *Router) defaults() error {
+	if r.Name == "" || r.Domain == "" || r.Secret == "" {
+		return fmt.Errorf("router: name, domain and secret must be set")
+	}
+	if r.Callers == nil || r.Peers == nil || r.Operators == nil {
+		return fmt.Errorf("router: listeners for callers, peers and operators must be set")
+	}
+	if r.Log == nil || r.List == nil {
+		return fmt.Errorf("router: log service and instance list must be set")
+	}
+	if r.Drain == 0 {
+		r.Drain = defaultDrain
+	}
+	if r.Retention == 0 {
+		r.Retention = defaultRetention
+	}
+	if r.Memory == 0 {
+		r.Memory = defaultMemory
+	}
+	if r.Logger == nil {
+		r.Logger = zap.NewNop()
+	}
+	if r.Advertise == "" {
+		r.Advertise = r.Peers.Addr().String()
+	}
+	return nil
+}
+
+// wire builds the duties and connects them.
+func (r *Router) wire() {
+	r.self = member.Member{Name: r.Name, Domain: r.Domain, Address: r.Advertise, Incarnation: rand.Uint32() | 1}
+	r.metrics = metrics.NewRegistry()
+	r.bytesSent = metrics.GetOrRegisterCounter("peers.bytes", r.metrics)
+	r.trail = &audit.Trail{Instance: r.Name, Logger: r.Logger}
+	r.started = time.Now()
+	r.stopping = make(chan struct{})
+	r.versions = map[string]int64{}
+	r.peerClient = newPeerClient(r.Dial)
+	r.calls = endpoint.NewCaller(r.Dial)
+	r.quarantine = quarantine.New(r.trail)
+	r.follower = &publication.Follower{Log: r.Log, Trail: r.trail, OnAccept: r.use}
+	r.endpoints = r.newEndpoints()
+	r.wireScheduler()
+	r.claims = &claim.Desk{Self: r.Name, Incarnation: r.self.Incarnation, Log: r.Log, Peers: claimPeers{r}, Trail: r.trail}
+	r.caller = &caller.Handler{
+		Instance: r.Name, Dispatcher: r.dispatcher, Endpoints: r.calls,
+		Address: r.address, Result: r.result, Claims: r.claims, Trail: r.trail,
+		Ready: r.serviceReady, Quarantine: r.quarantine, Budget: &caller.Budget{}, Metrics: r.metrics,
+	}
+	r.parts = []part{configPart{r}, endpointsPart{r}, quarantinePart{r.quarantine}, drainPart{r}}
+}
+
+func (r *Router) wireScheduler() {
+	s := scheduler.New(r.self, time.Now())
+	r.policy.apply(s, r.Memory)
+	s.Table.OnChange = r.memberChanged
+	s.OnLapse = func(name string) {
+		r.trail.Add(audit.Entry{What: audit.WhatLease, Subject: "slots of " + name, Change: "freed", Cause: "no message within the lease"})
+	}
+	r.dispatcher = dispatch.New(s, r.startSender)
+}
+
+func (r *Router) memberChanged(c member.Change) {
+	cause := "heard"
+	switch {
+	case c.Restarted:
+		cause = "restarted: new incarnation"
+	case c.To == member.StateGone:
+		cause = "silent for 2 s"
+	}
+	r.trail.Add(audit.Entry{What: audit.WhatMember, Subject: c.Member.Name, Change: string(c.To), Cause: cause})
+}
+
+// Run serves until the context is done, then stops gracefully. It returns an
+// error if the router cannot start or the stop takes longer than Drain.
+func (r *Router) Run(ctx context.Context) error {
+	if err := r.defaults(); err != nil {
+		return err
+	}
+	hook := func(e suture.Event) { r.Logger.Warn("supervisor", zap.String("event", e.String())) }
+	tree := suture.New("router", suture.Spec{EventHook: hook})
+	r.senders = suture.New("senders", suture.Spec{EventHook: hook})
+	r.wire()
+	tree.Add(r.senders)
+	r.addServices(tree)
+	r.trail.Add(audit.Entry{What: audit.WhatStart, Subject: r.Name, Change: "started", Cause: fmt.Sprintf("incarnation %d", r.self.Incarnation)})
+	treeCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	done := tree.ServeBackground(treeCtx)
+	select {
+	case <-ctx.Done():
+	case err := <-done:
+		return fmt.Errorf("router: supervisor ended: %w", err)
+	}
+	err := r.drain()
+	r.calls.Close()
+	cancel()
+	<-done
+	return err
+}
+
+func (r *Router) addServices(tree *suture.Supervisor) {
+	operators := r.server(r.Operators, r.authenticated(r.operatorsMux()))
+	peers := r.server(r.Peers, r.authenticated(r.peersMux()))
+	callers := r.server(r.Callers, r.caller)
+	tree.Add(operators)
+	tree.Add(peers)
+	tree.Add(callers)
+	for _, l := range []*loop{
+		{name: "tick", every: scheduler.TickInterval, do: r.tick},
+		{name: "list", every: listInterval, do: r.pollList},
+		{name: "load", every: loadInterval, do: r.pollLoads},
+		{name: "configuration", every: readerInterval, do: r.follow},
+		{name: "keeper", every: keepInterval, do: r.keep},
+		{name: "audit", every: shipInterval, do: r.ship},
+		{name: "leader", every: leadInterval, do: r.lead},
+	} {
+		tree.Add(l)
+	}
+}
+
+// loop calls a function at intervals.
+type loop struct {
+	name  string
+	every time.Duration
+	do    func(ctx context.Context)
+}
+
+// String names the loop in the supervisor's events.
+func (l *loop) String() string { return l.name }
+
+// Serve implements suture.Service.
+func (l *loop) Serve(ctx context.Context) error {
+	t := time.NewTicker(l.every)
+	defer t.Stop()
+	for {
+		l.do(ctx)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// server is an HTTP server as a supervised service.
+type server struct {
+	listener net.Listener
+	http     *http.Server
+}
+
+func (r *Router) server(l net.Listener, h http.Handler) *server {
+	return &server{listener: l, http: &http.Server{
+		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
+		ErrorLog: zap.NewStdLog(r.Logger),
+	}}
+}
+
+// Serve implements suture.Service.
+func (s *server) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
+	defer stop()
+	err := s.http.Serve(s.listener)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	// A listener that failed cannot be opened again.
+	return fmt.Errorf("%w: %w", suture.ErrTerminateSupervisorTree, err)
+}
+
+func (r *Router) tick(context.Context) {
+	now := time.Now()
+	r.refresh(now)
+	r.dispatcher.With(func(s *scheduler.Scheduler) { s.Tick(now) })
+}
