--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -18,7 +18,10 @@
 	Request string        `json:"request"`
 }
 
-const retryAfter = "1" // seconds
+const (
+	retryAfter = "1"  // seconds
+	sampleSize = 1024 // request times that the histogram keeps
+)
 
 // refuse answers a request that did not run.
 func (c *call) refuse(status int, reason fleet.Reason, message string) {
@@ -64,8 +67,9 @@
 	if outcome != fleet.OutcomeRan {
 		metrics.GetOrRegisterCounter("requests."+string(outcome)+"."+string(reason), c.h.Metrics).Inc(1)
 	}
-	timer := metrics.GetOrRegisterTimer("requests.time", c.h.Metrics)
-	timer.Update(time.Since(c.arrived))
+	// A timer of the library would start a goroutine for the whole process.
+	sample := metrics.GetOrRegisterHistogram("requests.milliseconds", c.h.Metrics, metrics.NewUniformSample(sampleSize))
+	sample.Update(time.Since(c.arrived).Milliseconds())
 }
 
 // breakOff ends an answer that cannot be completed, so that the caller sees that
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -241,7 +241,7 @@
 	case d.Result.State == claim.StateReleased:
 		c.refuse(http.StatusConflict, fleet.ReasonInProgress, "the key is being released, try again")
 	case d.Result.State == claim.StateRunning:
-		c.refuse(http.StatusConflict, fleet.ReasonInProgress, "the request with this key still runs")
+		c.fail(http.StatusConflict, fleet.OutcomeUnknown, fleet.ReasonInProgress, "request "+d.Winner.Request+" with this key still runs")
 	default:
 		c.fail(http.StatusBadGateway, fleet.OutcomeUnknown, fleet.ReasonOwnerGone, "request "+d.Winner.Request+" held the key and nobody can tell what became of it")
 	}
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -14,8 +14,8 @@
 	// appendInterval is the least time between two appends of one shard. With
 	// 8 shards it bounds the fleet to 160 appends a second.
 	appendInterval = 50 * time.Millisecond
-	// appendTimeout bounds one append or read.
-	appendTimeout = 2 * time.Second
+	// appendTimeout bounds one append with the reads that settle it.
+	appendTimeout = 10 * time.Second
 	// pageSize is how many records are read at a time.
 	pageSize = 256
 	// maxBatch bounds the claims in one record.
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -52,7 +52,7 @@
 func newLoad(site *Site, o Options) *load {
 	return &load{
 		site: site, o: o, balancer: newBalancer(site), meter: gap.New(), refused: map[string]bool{},
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+		client: site.Client(),
 	}
 }
 
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -43,6 +43,8 @@
 	Retention time.Duration
 	// Drain bounds planned stops; zero means a minute.
 	Drain time.Duration
+	// Network carries all connections; nil means loopback.
+	Network Network
 
 	Log     *standin.Log
 	List    *standin.List
@@ -54,8 +56,12 @@
 	mu      sync.Mutex
 	servers []*http.Server
 	entries []fleet.Instance
-	cut     map[string]bool // failure domains that are cut off
-	homes   map[string]string
+	cut     map[string]bool    // failure domains that are cut off
+	blocked map[[2]string]bool // one-way cuts from a domain to a domain
+	homes   map[string]string  // failure domain of each address
+	logURL  string
+	listURL string
+	client  *http.Client
 }
 
 // Node is one router instance of a site.
@@ -70,9 +76,8 @@
 	cancel  context.CancelFunc
 	ended   chan error
 	router  *router.Router
-	peers   string
+	gate    *gate
 	running bool
-	restart func() error
 }
 
 const (
@@ -88,21 +93,22 @@
 // Start runs the platform, the endpoints and the instances.
 func (s *Site) Start() error {
 	s.fill()
-	logURL, err := s.serve(s.Log)
+	logAddress, err := s.serve(s.Log)
 	if err != nil {
 		return err
 	}
-	listURL, err := s.serve(s.List)
+	listAddress, err := s.serve(s.List)
 	if err != nil {
 		return err
 	}
+	s.logURL, s.listURL = "http://"+logAddress, "http://"+listAddress
 	if err := s.startEndpoints(); err != nil {
 		return err
 	}
 	for i := range s.Instances {
 		n := &Node{Name: fmt.Sprintf("e%d", i), Domain: fmt.Sprintf("d%d", i%s.Domains), site: s}
 		s.Nodes = append(s.Nodes, n)
-		if err := n.Start("http://"+logURL, "http://"+listURL); err != nil {
+		if err := n.Start(); err != nil {
 			return err
 		}
 	}
@@ -114,7 +120,12 @@
 	s.List = &standin.List{}
 	s.Weights = &standin.Weights{Limit: 50, Burst: 50}
 	s.cut = map[string]bool{}
+	s.blocked = map[[2]string]bool{}
 	s.homes = map[string]string{}
+	if s.Network == nil {
+		s.Network = &standin.Loopback{}
+	}
+	s.client = &http.Client{Transport: &http.Transport{DialContext: s.Network.Dial, MaxIdleConnsPerHost: 256}}
 	if s.EngineSlots == 0 {
 		s.EngineSlots = defaultSlots
 	}
@@ -177,7 +188,7 @@
 }
 
 func (s *Site) serve(h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := s.Network.Listen()
 	if err != nil {
 		return "", err
 	}
@@ -197,71 +208,83 @@
 	s.cut[domain] = cut
 }
 
+// Block cuts only the way from one failure domain to another, or joins it again.
+func (s *Site) Block(from, to string, blocked bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.blocked[[2]string{from, to}] = blocked
+}
+
+// Client returns a client for callers and operators, whom cuts do not affect.
+func (s *Site) Client() *http.Client { return s.client }
+
 // reachable reports whether an instance in a domain reaches an address.
 func (s *Site) reachable(from, address string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	to := s.homes[address]
-	return from == to || (!s.cut[from] && !s.cut[to])
+	if from == to {
+		return true
+	}
+	return !s.cut[from] && !s.cut[to] && !s.blocked[[2]string{from, to}]
 }
 
-// Start runs the instance. It takes part in the fleet once it is ready.
-func (n *Node) Start(logURL, listURL string) error {
-	dial := n.dialer()
-	client := &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
+// Start runs the instance with no memory. It takes part in the fleet once it is
+// ready.
+func (n *Node) Start() error {
+	s := n.site
+	n.gate = newGate()
+	client := &http.Client{Transport: &http.Transport{DialContext: n.dial, DisableKeepAlives: true}}
 	r := &router.Router{
-		Name: n.Name, Domain: n.Domain, Secret: Secret, Drain: n.site.Drain,
-		Log: &platform.Log{URL: logURL, Client: client}, List: &platform.List{URL: listURL, Client: client},
-		Retention: n.site.Retention, Dial: dial,
+		Name: n.Name, Domain: n.Domain, Secret: Secret, Drain: s.Drain,
+		Log: &platform.Log{URL: s.logURL, Client: client}, List: &platform.List{URL: s.listURL, Client: client},
+		Retention: s.Retention, Dial: n.dial,
 	}
 	for _, to := range []*net.Listener{&r.Callers, &r.Peers, &r.Operators} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := s.Network.Listen()
 		if err != nil {
 			return err
 		}
-		*to = l
+		*to = gatedListener{l, n.gate}
 	}
-	n.Callers, n.Operators, n.peers = r.Callers.Addr().String(), r.Operators.Addr().String(), r.Peers.Addr().String()
-	n.site.mu.Lock()
-	n.site.homes[n.peers] = n.Domain
-	n.site.mu.Unlock()
-	n.site.publishList(fleet.Instance{Name: n.Name, Role: fleet.RoleEntry, Domain: n.Domain, Address: n.peers})
+	n.Callers, n.Operators = r.Callers.Addr().String(), r.Operators.Addr().String()
+	peers := r.Peers.Addr().String()
+	s.mu.Lock()
+	s.homes[peers] = n.Domain
+	s.mu.Unlock()
+	s.publishList(fleet.Instance{Name: n.Name, Role: fleet.RoleEntry, Domain: n.Domain, Address: peers})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.router, n.cancel, n.ended, n.running = r, cancel, make(chan error, 1), true
-	n.restart = func() error { return n.Start(logURL, listURL) }
 	go func() { n.ended <- r.Run(ctx) }()
 	return nil
 }
 
-// dialer connects like net.Dialer, but not across a cut.
-func (n *Node) dialer() func(ctx context.Context, network, address string) (net.Conn, error) {
-	var d net.Dialer
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		if !n.site.reachable(n.Domain, address) {
-			return nil, errCut
-		}
-		conn, err := d.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &cutConn{Conn: conn, n: n, address: address}, nil
+// dial connects to an address if no cut lies between.
+func (n *Node) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	n.gate.wait()
+	if !n.site.reachable(n.Domain, address) {
+		return nil, errCut
 	}
+	conn, err := n.site.Network.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	cut := func() bool { return !n.site.reachable(n.Domain, address) }
+	return &gatedConn{Conn: conn, gate: n.gate, cut: cut}, nil
 }
 
-// cutConn fails once its two ends are cut off from each other.
-type cutConn struct {
-	net.Conn
-	n       *Node
-	address string
-}
+// Freeze holds back everything that the instance sends and receives, as a paused
+// process would, or lets it go on.
+func (n *Node) Freeze(frozen bool) { n.gate.set(frozen) }
 
-// Write implements net.Conn.
-func (c *cutConn) Write(p []byte) (int, error) {
-	if !c.n.site.reachable(c.n.Domain, c.address) {
-		_ = c.Conn.Close()
-		return 0, errCut
+// Kill ends the instance at once, with all that waits and runs there.
+func (n *Node) Kill() {
+	if !n.running {
+		return
 	}
-	return c.Conn.Write(p)
+	n.running = false
+	n.router.Kill()
+	<-n.ended
 }
 
 // Stop stops the instance gracefully and waits for it.
@@ -279,12 +302,12 @@
 	if err := n.Stop(); err != nil {
 		return err
 	}
-	return n.restart()
+	return n.Start()
 }
 
 // Operator returns a client of the instance's operators' address.
 func (n *Node) Operator() *operator.Client {
-	return &operator.Client{Address: n.Operators, Secret: Secret}
+	return &operator.Client{Address: n.Operators, Secret: Secret, HTTP: n.site.client}
 }
 
 // Ready reports whether the balancer may send requests to the instance.
@@ -293,7 +316,7 @@
 	if err != nil {
 		return false
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := n.site.client.Do(req)
 	if err != nil {
 		return false
 	}
@@ -365,5 +388,7 @@
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
+	s.client.CloseIdleConnections()
+	s.Network.Close()
 	return errors.Join(errs...)
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -22,12 +22,18 @@
 	// Head is a hash of the beginning of the prompt, for cache affinity; zero
 	// means none.
 	Head uint64
-	// Avoid names an endpoint that must not run the request, because an
+	// Avoid names an endpoint that should not run the request, because an
 	// earlier attempt failed there.
 	Avoid   string
 	Arrived time.Time
+
+	declined int // slots of the avoided endpoint that were not used
 }
 
+// maxDeclined is how many slots of the endpoint to avoid are declined before a
+// request takes one all the same, because no other endpoint may be left.
+const maxDeclined = 3
+
 // Refusal is the error for a request that was not taken or was dropped.
 type Refusal struct {
 	Reason fleet.Reason
@@ -120,7 +126,9 @@
 	seen := 0
 	for e := line.Front(); e != nil && seen < lookahead; e = e.Next() {
 		r := e.Value.(Request)
-		if r.Avoid != "" && r.Avoid == endpoint {
+		if r.Avoid != "" && r.Avoid == endpoint && r.declined < maxDeclined {
+			r.declined++
+			e.Value = r
 			continue
 		}
 		seen++
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -74,6 +74,9 @@
 	senders   *suture.Supervisor
 	stopping  chan struct{}
 	stopOnce  sync.Once
+	killed    chan struct{}
+	killInit  sync.Once
+	killOnce  sync.Once
 	listed    bool
 	told      told
 	followed  time.Time
@@ -180,18 +183,33 @@
 	treeCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	done := tree.ServeBackground(treeCtx)
+	var err error
 	select {
 	case <-ctx.Done():
+		err = r.drain()
+	case <-r.killSignal():
 	case err := <-done:
 		return fmt.Errorf("router: supervisor ended: %w", err)
 	}
-	err := r.drain()
-	r.calls.Close()
 	cancel()
 	<-done
+	r.calls.Close()
+	r.peerClient.CloseIdleConnections()
 	return err
 }
 
+// Kill ends Run at once, with all that waits and runs here, as a crash would. It
+// is for tests and may be called before and while Run runs.
+func (r *Router) Kill() {
+	killed := r.killSignal()
+	r.killOnce.Do(func() { close(killed) })
+}
+
+func (r *Router) killSignal() chan struct{} {
+	r.killInit.Do(func() { r.killed = make(chan struct{}) })
+	return r.killed
+}
+
 func (r *Router) addServices(tree *suture.Supervisor) {
 	operators := r.server(r.Operators, r.authenticated(r.operatorsMux()))
 	peers := r.server(r.Peers, r.authenticated(r.peersMux()))
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/greengagestep/greengagestep/internal/member"
 	"github.com/greengagestep/greengagestep/internal/share"
+	"github.com/greengagestep/greengagestep/internal/slot"
 )
 
 // wireEnvelope is the message between two instances. Each duty encodes its own
@@ -32,7 +33,7 @@
 type link struct {
 	sent     share.Sent
 	beat     bool
-	releases int
+	returned slot.Returned // leases given back in the message on its way
 	// told is the free slots per service that the peer was last told.
 	told map[string]int
 	// free is what the peer last reported.
@@ -85,7 +86,7 @@
 	}
 	reference := l.beat && s.Table.Owner("reference", "") == s.self()
 	w.Report = s.Book.Report(&l.sent, l.beat, reference)
-	l.releases = s.held.Unsent(peer)
+	l.returned = s.held.Unsent(peer)
 	w.Holder = s.held.Message(peer, s.owns(peer))
 	w.Home = s.home.Message(peer, now)
 	l.beat = false
@@ -108,8 +109,8 @@
 		l.sent.Forget()
 		return
 	}
-	s.held.Acknowledged(peer, l.releases)
-	if s.held.Unsent(peer) > 0 {
+	s.held.Acknowledged(peer, l.returned)
+	if s.held.Unsent(peer) != (slot.Returned{}) {
 		s.wake(peer)
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -231,9 +231,26 @@
 // use starts a request in a slot that was granted for its account. If none waits
 // any more the slot goes to another account or back.
 func (s *Scheduler) use(l *slot.Lease, now time.Time) {
-	if !s.start(l, l.Key, now) {
-		s.reuse(l, now)
+	if s.start(l, l.Key, now) {
+		return
+	}
+	if s.Queue.Len(l.Key) > 0 {
+		s.decline(l, now)
+		return
 	}
+	s.reuse(l, now)
+}
+
+// decline returns a slot that no waiting request may use, because their earlier
+// attempts failed at its endpoint.
+func (s *Scheduler) decline(l *slot.Lease, now time.Time) {
+	if l.Home == s.self() {
+		s.held.Return(l)
+		s.home.Decline(s.self(), l.Number, now)
+		return
+	}
+	s.held.Decline(l)
+	s.wake(l.Home)
 }
 
 // reuse starts the next request in a slot held here if no other instance has
--- a/internal/slot/exchange.go
+++ b/internal/slot/exchange.go
@@ -11,6 +11,7 @@
 // wireHolder is what an entry instance tells a home.
 type wireHolder struct {
 	Released []uint64          `json:"x,omitempty"`
+	Declined []uint64          `json:"d,omitempty"`
 	Seen     uint64            `json:"s,omitempty"`
 	Held     int               `json:"h,omitempty"`
 	All      map[uint64]string `json:"a,omitempty"`
@@ -49,7 +50,7 @@
 // message until Acknowledged is called.
 func (h *Held) Message(home string, owns func(endpoint string) bool) json.RawMessage {
 	s := h.source(home)
-	w := wireHolder{Released: s.released, Seen: s.seen, Held: len(s.leases), Foreign: h.foreign(home, owns)}
+	w := wireHolder{Released: s.released, Declined: s.declined, Seen: s.seen, Held: len(s.leases), Foreign: h.foreign(home, owns)}
 	if s.list {
 		w.Listed = true
 		w.All = map[uint64]string{}
@@ -60,16 +61,25 @@
 	return encode(w)
 }
 
-// Acknowledged drops what the last message to a home said, given how many
-// releases it held.
-func (h *Held) Acknowledged(home string, releases int) {
+// Returned counts the leases that a message gives back.
+type Returned struct {
+	released int
+	declined int
+}
+
+// Unsent returns what a home has not been told yet.
+func (h *Held) Unsent(home string) Returned {
 	s := h.source(home)
-	s.released = s.released[min(releases, len(s.released)):]
-	s.list = false
+	return Returned{len(s.released), len(s.declined)}
 }
 
-// Unsent returns how many releases a home has not been told yet.
-func (h *Held) Unsent(home string) int { return len(h.source(home).released) }
+// Acknowledged drops what a message to a home said that reached it.
+func (h *Held) Acknowledged(home string, r Returned) {
+	s := h.source(home)
+	s.released = s.released[min(r.released, len(s.released)):]
+	s.declined = s.declined[min(r.declined, len(s.declined)):]
+	s.list = false
+}
 
 // Receive takes in the message of an entry instance.
 func (h *Home) Receive(from string, data json.RawMessage, now time.Time) error {
@@ -82,6 +92,9 @@
 	for _, number := range w.Released {
 		h.Release(from, number)
 	}
+	for _, number := range w.Declined {
+		h.Decline(from, number, now)
+	}
 	h.Renew(from, w.Seen, w.Held, now)
 	if w.Listed {
 		h.Listed(from, w.All)
--- a/internal/slot/held.go
+++ b/internal/slot/held.go
@@ -30,6 +30,7 @@
 	seen        uint64
 	leases      map[uint64]*Lease
 	released    []uint64
+	declined    []uint64
 	list        bool
 }
 
@@ -113,6 +114,18 @@
 	}
 }
 
+// Decline gives a lease back that the requests it was granted for must not use.
+func (h *Held) Decline(l *Lease) {
+	s := h.source(l.Home)
+	if s.leases[l.Number] != l {
+		return
+	}
+	delete(s.leases, l.Number)
+	if l.Home != orphanHome {
+		s.declined = append(s.declined, l.Number)
+	}
+}
+
 // Count returns how many slots are held in all.
 func (h *Held) Count() int {
 	n := 0
--- a/internal/slot/home.go
+++ b/internal/slot/home.go
@@ -80,8 +80,18 @@
 	pending map[share.Key]int // grants above seen
 	outbox  []Grant
 	ask     bool
+	avoid   map[share.Key]avoided
 }
 
+// avoided is an endpoint whose slot an entry instance declined for an account.
+type avoided struct {
+	endpoint string
+	until    time.Time
+}
+
+// avoidTerm is how long another endpoint is preferred after a slot was declined.
+const avoidTerm = time.Second
+
 // NewHome returns a home without endpoints.
 func NewHome(domain string) *Home {
 	return &Home{Domain: domain, endpoints: map[string]*endpoint{}, entries: map[string]*entry{}}
@@ -139,6 +149,7 @@
 			demand:  map[share.Key]int{},
 			leases:  map[uint64]*lease{},
 			pending: map[share.Key]int{},
+			avoid:   map[share.Key]avoided{},
 		}
 		h.entries[name] = e
 	}
@@ -166,6 +177,18 @@
 	h.free(e, l)
 }
 
+// Decline takes a slot back whose endpoint the requests must avoid, and prefers
+// other endpoints for them for a while.
+func (h *Home) Decline(name string, number uint64, now time.Time) {
+	e := h.entry(name)
+	l := e.leases[number]
+	if l == nil {
+		return
+	}
+	e.avoid[l.key] = avoided{l.endpoint, now.Add(avoidTerm)}
+	h.free(e, l)
+}
+
 func (h *Home) free(e *entry, l *lease) {
 	delete(e.leases, l.number)
 	if at := h.endpoints[l.endpoint]; at != nil {
@@ -332,7 +355,7 @@
 			if !ok {
 				break
 			}
-			h.grant(e, k, h.emptiest(service, now))
+			h.grant(e, k, h.choose(e, k, now))
 			touched[e.name] = true
 		}
 	}
@@ -355,13 +378,27 @@
 	return names
 }
 
-// emptiest returns the endpoint with the largest share of free slots.
-func (h *Home) emptiest(service string, now time.Time) *endpoint {
+// choose returns the endpoint for a grant. Endpoints that were declined are taken
+// only if no other has a free slot.
+func (h *Home) choose(e *entry, k share.Key, now time.Time) *endpoint {
+	a, known := e.avoid[k]
+	if known && now.After(a.until) {
+		delete(e.avoid, k)
+	}
+	if best := h.emptiest(k.Service, e.avoid[k].endpoint, now); best != nil {
+		return best
+	}
+	return h.emptiest(k.Service, "", now)
+}
+
+// emptiest returns the endpoint with the largest share of free slots, except for
+// one of a name.
+func (h *Home) emptiest(service, except string, now time.Time) *endpoint {
 	var best *endpoint
 	bestFree := 0.0
 	for _, e := range h.endpoints {
 		free := e.free(now)
-		if e.service != service || free == 0 {
+		if e.service != service || free == 0 || e.name == except {
 			continue
 		}
 		part := float64(free) / float64(e.slots)
