internal/quarantine: tell the request at fault from those that ran beside it

Cause: a stream that broke off counted as a crash, so one that broke twice was quarantined, and so were requests sent to an endpoint that had just crashed (poison.txtar: 3 of 10 innocent requests; bystanders.txtar: answers cut off).

Change: a crash counts only if the endpoint does not answer afterwards and had not crashed before the request began; suspects do not run beside each other; a crash closes the endpoint at every instance at once; a home does not grant a declined endpoint again for a second. Control messages: regular reports ride on any message that is due, free slots and versions are told when they change, idle accounts in every fortieth report, with what a customer was lifted by covering what is reported late.

Ruled out: counting broken streams only if they made no progress (an engine that crashes halfway would never be found).

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -55,6 +55,7 @@
 func newList() *cobra.Command {
 	l := &standin.List{}
 	var file string
+	var lag time.Duration
 	cmd := command("list", "Run the instance list", func() (http.Handler, error) {
 		data, err := os.ReadFile(file)
 		if err != nil {
@@ -65,10 +66,11 @@
 			return nil, fmt.Errorf("%s: %w", file, err)
 		}
 		l.Set(list)
+		l.SetLag(lag)
 		return l, nil
 	})
 	cmd.Flags().StringVar(&file, "file", "instances.json", "JSON list of instances")
-	cmd.Flags().DurationVar(&l.Lag, "lag", 0, "how old the answers are")
+	cmd.Flags().DurationVar(&lag, "lag", 0, "how old the answers are")
 	return cmd
 }
 
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/greengagestep/greengagestep/internal/claim"
 	"github.com/greengagestep/greengagestep/internal/dispatch"
@@ -35,6 +36,7 @@
 	if !ok {
 		return &endpoint.Failure{Endpoint: slot.Endpoint, Reason: fleet.ReasonUnreachable, Cause: errors.New("it left the instance list")}
 	}
+	started := time.Now()
 	req := c.request(ctx, address)
 	resp, err := c.h.Endpoints.Call(ctx, slot.Endpoint, req, c.repeat)
 	if err != nil {
@@ -42,11 +44,11 @@
 		if !errors.As(err, &failure) {
 			failure = &endpoint.Failure{Endpoint: slot.Endpoint, Reason: fleet.ReasonBroken, Reached: true, Cause: err}
 		}
-		return c.failed(ctx, failure)
+		return c.failed(ctx, failure, started)
 	}
 	defer resp.Body.Close()
 	if failure := c.pass(resp, slot); failure != nil {
-		return c.failed(ctx, failure)
+		return c.failed(ctx, failure, started)
 	}
 	c.h.Result(slot.Endpoint, true)
 	c.finish()
@@ -54,7 +56,7 @@
 }
 
 // failed records a failure against the endpoint, unless the caller caused it.
-func (c *call) failed(ctx context.Context, f *endpoint.Failure) *endpoint.Failure {
+func (c *call) failed(ctx context.Context, f *endpoint.Failure, started time.Time) *endpoint.Failure {
 	c.step("attempt failed", f.Error())
 	c.reached = c.reached || f.Reached
 	if ctx.Err() != nil {
@@ -62,8 +64,9 @@
 		return f
 	}
 	c.h.Result(f.Endpoint, false)
-	if f.Reached && f.Reason == fleet.ReasonBroken && c.h.Quarantine != nil {
-		c.h.Quarantine.Crashed(c.print, f.Endpoint, c.id)
+	if f.Reached && f.Reason == fleet.ReasonBroken && c.h.Quarantine != nil && c.h.Crashed(ctx, f.Endpoint) {
+		c.suspect = true
+		c.h.Quarantine.Crashed(c.print, f.Endpoint, c.id, started)
 	}
 	return f
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -49,8 +49,10 @@
 	Address func(name string) (string, bool)
 	// Result records whether an endpoint answered.
 	Result func(name string, ok bool)
-	Claims *claim.Desk
-	Trail  *audit.Trail
+	// Crashed asks an endpoint that broke off whether it is still there.
+	Crashed func(ctx context.Context, name string) bool
+	Claims  *claim.Desk
+	Trail   *audit.Trail
 	// Ready is nil if services are always ready.
 	Ready Ready
 	// Quarantine is nil if no request is ever quarantined.
@@ -67,7 +69,7 @@
 	// Held reports whether a fingerprint is quarantined.
 	Held(print string) bool
 	// Crashed records that an endpoint broke off while it ran a request.
-	Crashed(print, endpoint, request string)
+	Crashed(print, endpoint, request string, started time.Time)
 }
 
 // Use brings a configuration into force for the requests that arrive from now on.
@@ -93,6 +95,8 @@
 	arrived time.Time
 	until   time.Time
 	ticket  *claim.Ticket
+	// suspect is set once an endpoint crashed while it ran the request.
+	suspect bool
 	// written is set once a part of the answer went to the caller.
 	written bool
 	// reached is set once an endpoint may have executed the request.
@@ -264,6 +268,7 @@
 func (c *call) run(ctx context.Context) {
 	request := queue.Request{ID: c.id, Key: c.key, Bytes: c.body.size(), Deadline: c.until, Head: c.body.affinity(), Arrived: c.arrived}
 	c.h.Budget.Deposit()
+	fruitless := 0
 	for attempt := 1; ; attempt++ {
 		c.step("queued", "attempt "+strconv.Itoa(attempt))
 		slot, err := c.h.Dispatcher.Acquire(ctx, request, attempt > 1)
@@ -272,15 +277,21 @@
 			return
 		}
 		c.step("granted", slot.Endpoint)
+		events := c.events
 		failure := c.attempt(ctx, slot)
 		slot.Release()
 		if failure == nil {
 			return
 		}
-		if !c.again(ctx, failure, attempt) {
+		fruitless++
+		if c.events > events {
+			fruitless = 0
+		}
+		if !c.again(ctx, failure, fruitless) {
 			return
 		}
 		request.Avoid = failure.Endpoint
+		request.Suspect = request.Suspect || c.suspect
 	}
 }
 
--- a/internal/caller/retry.go
+++ b/internal/caller/retry.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -13,11 +12,12 @@
 )
 
 const (
-	// maxAttempts bounds the attempts of one request.
+	// maxAttempts bounds the attempts of one request that bring nothing. One
+	// that carried a stream on does not count.
 	maxAttempts = 4
-	// firstBackoff is the longest pause before the second attempt; each
-	// further one may be twice as long.
-	firstBackoff = 50 * time.Millisecond
+	// firstBackoff is the longest pause after an attempt that carried a stream
+	// on; each one that brought nothing doubles it.
+	firstBackoff = 25 * time.Millisecond
 )
 
 // Budget bounds the retries of the fleet to a part of its requests: every instance
@@ -76,7 +76,7 @@
 
 // again decides whether another attempt follows a failed one. If not, it answers
 // the caller.
-func (c *call) again(ctx context.Context, f *endpoint.Failure, attempt int) bool {
+func (c *call) again(ctx context.Context, f *endpoint.Failure, fruitless int) bool {
 	if ctx.Err() != nil || f.Reason == fleet.ReasonCancelled {
 		c.cancelled(f)
 		return false
@@ -85,7 +85,7 @@
 		c.giveUp(f, f.Reason)
 		return false
 	}
-	if attempt == maxAttempts || !c.h.Budget.Withdraw() {
+	if fruitless == maxAttempts || !c.h.Budget.Withdraw() {
 		c.giveUp(f, fleet.ReasonBudget)
 		return false
 	}
@@ -93,8 +93,8 @@
 		c.giveUp(f, fleet.ReasonQuarantine)
 		return false
 	}
-	c.step("retry", "after "+string(f.Reason)+" at "+f.Endpoint+", attempt "+strconv.Itoa(attempt+1))
-	pause := rand.N(firstBackoff << (attempt - 1))
+	c.step("retry", "after "+string(f.Reason)+" at "+f.Endpoint)
+	pause := rand.N(firstBackoff << fruitless)
 	select {
 	case <-time.After(pause):
 		return true
--- a/internal/demo/stage_test.go
+++ b/internal/demo/stage_test.go
@@ -22,8 +22,10 @@
 
 // stage is the fleet of one script.
 type stage struct {
-	site   *demo.Site
-	jobs   map[string]*job
+	site *demo.Site
+	jobs map[string]*job
+
+	mu     sync.Mutex // guards what follows and the addresses of instances
 	serial int
 }
 
@@ -137,11 +139,13 @@
 	case "kill":
 		n.Kill()
 	case "start":
-		err = n.Start()
+		err = stageOf(ts).start(n)
 	case "stop":
 		err = n.Stop()
 	case "restart":
-		err = n.Restart()
+		if err = n.Stop(); err == nil {
+			err = stageOf(ts).start(n)
+		}
 	case "freeze", "thaw":
 		n.Freeze(args[1] == "freeze")
 	default:
@@ -155,6 +159,12 @@
 	}
 }
 
+func (s *stage) start(n *demo.Node) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return n.Start()
+}
+
 // net cut|join DOMAIN, net block|unblock FROM TO
 func cmdNet(ts *testscript.TestScript, _ bool, args []string) {
 	site := stageOf(ts).site
@@ -186,7 +196,7 @@
 func cmdList(ts *testscript.TestScript, _ bool, args []string) {
 	l := stageOf(ts).site.List
 	if args[0] == "lag" {
-		l.Lag = span(ts, args[1])
+		l.SetLag(span(ts, args[1]))
 		return
 	}
 	l.Down(args[0] == "down")
@@ -412,6 +422,8 @@
 }
 
 func (s *stage) request(ts *testscript.TestScript, named map[string]string) prepared {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.serial++
 	node := s.site.Nodes[s.serial%len(s.site.Nodes)]
 	if name := named["node"]; name != "" {
--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -18,6 +18,8 @@
 	// row lasts as much longer, up to maxEjectTerm.
 	ejectTerm    = 5 * time.Second
 	maxEjectTerm = time.Minute
+	// crashTerm is how long an endpoint that crashed gets no work.
+	crashTerm = 3 * time.Second
 	// maxEjectedPart is the part of a service's endpoints that may be ejected
 	// at a time, so that a fault that all share cannot empty the service.
 	maxEjectedPart = 0.5
@@ -178,6 +180,17 @@
 	}
 }
 
+// Crash closes an endpoint that broke off requests and does not answer, until it
+// has had time to come back. Its load reports decide from then on.
+func (t *Table) Crash(name string, now time.Time) {
+	k := t.known[name]
+	if k == nil || now.Before(k.until) {
+		return
+	}
+	k.until = now.Add(crashTerm)
+	t.changed(name, "crashed", "broke off requests and did not answer")
+}
+
 func (t *Table) eject(k *known, now time.Time) {
 	if now.Before(k.until) {
 		return
@@ -254,7 +267,7 @@
 		Name: k.instance.Name, Service: k.instance.Service, Domain: k.instance.Domain, Address: k.instance.Address,
 		Model: k.load.Model, Version: k.load.Version,
 	}
-	if k.remote != nil && !k.leaving {
+	if k.remote != nil && !k.leaving && !now.Before(k.until) {
 		s.Slots, s.Closed, s.Why, s.Ready = k.remote.Slots, k.remote.Closed, k.remote.Why, k.remote.Ready
 		return s
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -17,6 +17,8 @@
 	crashesToHold = 2
 	// term is how long a crash is remembered and a request held.
 	term = 10 * time.Minute
+	// maxTimes bounds the crashes that are remembered of one endpoint.
+	maxTimes = 64
 	// maxCrashes bounds the fingerprints that are remembered.
 	maxCrashes = 4096
 )
@@ -26,16 +28,25 @@
 	Print    string    `json:"p"`
 	Endpoint string    `json:"e"`
 	Request  string    `json:"r"`
+	Started  time.Time `json:"s"`
 	At       time.Time `json:"t"`
 }
 
+// episode is how long after a crash an endpoint may still be away. A request that
+// was started in that time met a crashed endpoint and did not crash it.
+const episode = 30 * time.Second
+
 // List is the quarantine of one instance. Exported fields are set before the
 // first call. It is safe for concurrent use.
 type List struct {
 	Trail *audit.Trail
+	// OnCrash is called, with the list locked, with each endpoint that crashed,
+	// as seen here or by a peer; nil is allowed.
+	OnCrash func(endpoint string)
 
 	mu      sync.Mutex
 	crashes map[string]map[string]crash // by fingerprint and endpoint
+	times   map[string][]time.Time      // crashes of each endpoint
 	own     []crash
 	sent    map[string]int // own crashes that a peer has been told
 	told    map[string]int // own crashes in the message on its way
@@ -43,7 +54,7 @@
 
 // New returns an empty quarantine.
 func New(trail *audit.Trail) *List {
-	return &List{Trail: trail, crashes: map[string]map[string]crash{}, sent: map[string]int{}, told: map[string]int{}}
+	return &List{Trail: trail, crashes: map[string]map[string]crash{}, times: map[string][]time.Time{}, sent: map[string]int{}, told: map[string]int{}}
 }
 
 // Held reports whether a fingerprint is quarantined.
@@ -56,18 +67,29 @@
 func (l *List) count(print string) int {
 	n := 0
 	for _, c := range l.crashes[print] {
-		if time.Since(c.At) < term {
+		if time.Since(c.At) < term && !l.innocent(c) {
 			n++
 		}
 	}
 	return n
 }
 
-// Crashed records that an endpoint broke off while it ran a request.
-func (l *List) Crashed(print, endpoint, request string) {
+// innocent reports whether the endpoint had crashed before the request began.
+func (l *List) innocent(c crash) bool {
+	for _, at := range l.times[c.Endpoint] {
+		if at.Before(c.Started) && c.Started.Sub(at) < episode {
+			return true
+		}
+	}
+	return false
+}
+
+// Crashed records that an endpoint broke off while it ran a request that was started
+// there at a time.
+func (l *List) Crashed(print, endpoint, request string, started time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := crash{Print: print, Endpoint: endpoint, Request: request, At: time.Now()}
+	c := crash{Print: print, Endpoint: endpoint, Request: request, Started: started, At: time.Now()}
 	if l.add(c) {
 		l.own = append(l.own, c)
 	}
@@ -84,6 +106,13 @@
 		return false
 	}
 	endpoints[c.Endpoint] = c
+	l.times[c.Endpoint] = append(l.times[c.Endpoint], c.At)
+	if len(l.times[c.Endpoint]) > maxTimes {
+		l.times[c.Endpoint] = l.times[c.Endpoint][1:]
+	}
+	if l.OnCrash != nil && !l.innocent(c) {
+		l.OnCrash(c.Endpoint)
+	}
 	if l.count(c.Print) == crashesToHold {
 		l.Trail.Add(audit.Entry{
 			What: audit.WhatQuarantine, Subject: "request " + c.Request, Change: "quarantined",
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -27,12 +27,16 @@
 	Avoid   string
 	Arrived time.Time
 
-	declined int // slots of the avoided endpoint that were not used
+	// Suspect requests were running on an endpoint that crashed. Two of them
+	// do not run on the same endpoint, so that the one at fault is found.
+	Suspect bool
+
+	declined int // slots that the request did not take
 }
 
-// maxDeclined is how many slots of the endpoint to avoid are declined before a
-// request takes one all the same, because no other endpoint may be left.
-const maxDeclined = 3
+// maxDeclined is how many slots are declined before a request takes one all the
+// same, because no other endpoint may be left.
+const maxDeclined = 1
 
 // Refusal is the error for a request that was not taken or was dropped.
 type Refusal struct {
@@ -115,9 +119,27 @@
 // slot that comes free.
 const lookahead = 4
 
+// Place is the endpoint whose slot a request is popped for.
+type Place struct {
+	Endpoint string
+	// Suspects is how many suspect requests run there.
+	Suspects int
+	// Warm reports whether the endpoint's cache holds the head of a prompt;
+	// nil means never.
+	Warm func(head uint64) bool
+}
+
+func (p Place) suits(r Request) bool {
+	if r.declined >= maxDeclined {
+		return true
+	}
+	avoided := r.Avoid != "" && r.Avoid == p.Endpoint
+	return !avoided && !(r.Suspect && p.Suspects > 0)
+}
+
 // Pop removes the next request of a line that may run at an endpoint. Among the
-// first few it prefers one whose prompt head prefer accepts; prefer may be nil.
-func (w *Waiting) Pop(k share.Key, endpoint string, prefer func(head uint64) bool) (Request, bool) {
+// first few it prefers one whose prompt's head is cached there.
+func (w *Waiting) Pop(k share.Key, at Place) (Request, bool) {
 	line := w.lines[k]
 	if line == nil {
 		return Request{}, false
@@ -126,7 +148,7 @@
 	seen := 0
 	for e := line.Front(); e != nil && seen < lookahead; e = e.Next() {
 		r := e.Value.(Request)
-		if r.Avoid != "" && r.Avoid == endpoint && r.declined < maxDeclined {
+		if !at.suits(r) {
 			r.declined++
 			e.Value = r
 			continue
@@ -135,7 +157,7 @@
 		if first == nil {
 			first = e
 		}
-		if prefer != nil && r.Head != 0 && prefer(r.Head) {
+		if at.Warm != nil && r.Head != 0 && at.Warm(r.Head) {
 			first = e
 			break
 		}
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -18,7 +18,8 @@
 
 // configPart tells peers which configuration is in force here.
 type configPart struct {
-	r *Router
+	r    *Router
+	told *told
 }
 
 type wireVersion struct {
@@ -27,12 +28,12 @@
 
 func (configPart) name() string { return "c" }
 
-func (c configPart) compose(string) json.RawMessage {
+func (c configPart) compose(peer string) json.RawMessage {
 	_, version := c.r.follower.Text()
-	return json.RawMessage(fmt.Sprintf(`{"v":%d}`, version))
+	return c.told.changed(peer, json.RawMessage(fmt.Sprintf(`{"v":%d}`, version)))
 }
 
-func (configPart) sent(string, bool) {}
+func (c configPart) sent(peer string, ok bool) { c.told.sent(peer, ok) }
 
 func (c configPart) receive(from member.Member, data json.RawMessage) error {
 	var w wireVersion
@@ -65,10 +66,11 @@
 
 // endpointsPart tells peers about the endpoints that this instance is home of.
 type endpointsPart struct {
-	r *Router
+	r    *Router
+	told *told
 }
 
-// told remembers what a peer was last told about endpoints.
+// told remembers what each peer was last told by a part.
 type told struct {
 	mu   sync.Mutex
 	last map[string]json.RawMessage
@@ -76,7 +78,7 @@
 	at   map[string]time.Time
 }
 
-// repeatTerm is how often unchanged states are told again.
+// repeatTerm is how often unchanged state is told again.
 const repeatTerm = 5 * time.Second
 
 var noStates = json.RawMessage("[]")
@@ -88,7 +90,7 @@
 	if err != nil || bytes.Equal(data, noStates) {
 		return nil
 	}
-	return e.r.told.changed(peer, data)
+	return e.told.changed(peer, data)
 }
 
 func (t *told) changed(peer string, data json.RawMessage) json.RawMessage {
@@ -104,8 +106,9 @@
 	return data
 }
 
-func (e endpointsPart) sent(peer string, ok bool) {
-	t := &e.r.told
+func (e endpointsPart) sent(peer string, ok bool) { e.told.sent(peer, ok) }
+
+func (t *told) sent(peer string, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if data := t.next[peer]; data != nil && ok {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -78,7 +78,6 @@
 	killInit  sync.Once
 	killOnce  sync.Once
 	listed    bool
-	told      told
 	followed  time.Time
 	started   time.Time
 	bytesSent metrics.Counter
@@ -134,16 +133,17 @@
 	r.peerClient = newPeerClient(r.Dial)
 	r.calls = endpoint.NewCaller(r.Dial)
 	r.quarantine = quarantine.New(r.trail)
+	r.quarantine.OnCrash = r.endpointCrashed
 	r.follower = &publication.Follower{Log: r.Log, Trail: r.trail, OnAccept: r.use}
 	r.endpoints = r.newEndpoints()
 	r.wireScheduler()
 	r.claims = &claim.Desk{Self: r.Name, Incarnation: r.self.Incarnation, Log: r.Log, Peers: claimPeers{r}, Trail: r.trail}
 	r.caller = &caller.Handler{
 		Instance: r.Name, Dispatcher: r.dispatcher, Endpoints: r.calls,
-		Address: r.address, Result: r.result, Claims: r.claims, Trail: r.trail,
+		Address: r.address, Result: r.result, Crashed: r.crashed, Claims: r.claims, Trail: r.trail,
 		Ready: r.serviceReady, Quarantine: r.quarantine, Budget: &caller.Budget{}, Metrics: r.metrics,
 	}
-	r.parts = []part{configPart{r}, endpointsPart{r}, quarantinePart{r.quarantine}, drainPart{r}}
+	r.parts = []part{configPart{r, &told{}}, endpointsPart{r, &told{}}, quarantinePart{r.quarantine}, drainPart{r}}
 }
 
 func (r *Router) wireScheduler() {
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -143,6 +143,26 @@
 	return in.Address, ok
 }
 
+// crashed asks an endpoint that broke off a request whether it still answers. A
+// broken connection alone is no crash.
+func (r *Router) crashed(ctx context.Context, name string) bool {
+	_, err := r.load(ctx, name)
+	return err != nil && ctx.Err() == nil
+}
+
+// endpointCrashed closes an endpoint here, whichever instance saw it crash. The
+// scheduler learns of it in another goroutine, since the caller holds a lock.
+func (r *Router) endpointCrashed(name string) {
+	go func() {
+		now := time.Now()
+		r.mu.Lock()
+		r.endpoints.Crash(name, now)
+		r.mu.Unlock()
+		r.refresh(now)
+		r.dispatcher.With(func(s *scheduler.Scheduler) { s.WakeAll() })
+	}()
+}
+
 func (r *Router) result(name string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -31,8 +32,9 @@
 
 // link is what the instance keeps about its exchange with one peer.
 type link struct {
-	sent     share.Sent
-	beat     bool
+	sent share.Sent
+	// reported is when the last regular report was composed.
+	reported time.Time
 	returned slot.Returned // leases given back in the message on its way
 	// told is the free slots per service that the peer was last told.
 	told map[string]int
@@ -57,6 +59,9 @@
 // Unwrap returns the cause.
 func (e *MessageError) Unwrap() error { return e.Cause }
 
+// due tells whether a regular report is due.
+func (l *link) due(now time.Time) bool { return now.Sub(l.reported) >= reportInterval-TickInterval/2 }
+
 func (s *Scheduler) link(name string) *link {
 	l := s.links[name]
 	if l == nil {
@@ -84,17 +89,15 @@
 	if l.synced.IsZero() {
 		w.Domain, w.Address = self.Domain, self.Address
 	}
-	reference := l.beat && s.Table.Owner("reference", "") == s.self()
-	w.Report = s.Book.Report(&l.sent, l.beat, reference)
+	regular := l.due(now)
+	if regular {
+		l.reported = now
+	}
+	reference := regular && s.Table.Owner("reference", "") == s.self()
+	w.Report = s.Book.Report(&l.sent, regular, reference)
 	l.returned = s.held.Unsent(peer)
 	w.Holder = s.held.Message(peer, s.owns(peer))
-	w.Home = s.home.Message(peer, now)
-	l.beat = false
-	l.told = map[string]int{}
-	for _, name := range s.home.Endpoints() {
-		service := s.endpoints[name].Service
-		l.told[service] = s.home.Free(service, now)
-	}
+	w.Home = s.home.Message(peer, s.tellFree(l, now))
 	data, err := json.Marshal(w)
 	if err != nil {
 		panic(fmt.Sprintf("scheduler: message does not encode: %v", err))
@@ -102,11 +105,23 @@
 	return data
 }
 
+// tellFree returns the free slots here if the peer has not been told them, and nil
+// otherwise.
+func (s *Scheduler) tellFree(l *link, now time.Time) map[string]int {
+	free := s.home.FreeSlots(now)
+	if maps.Equal(free, l.told) {
+		return nil
+	}
+	l.told = free
+	return free
+}
+
 // Sent records whether the last composed message reached the peer.
 func (s *Scheduler) Sent(peer string, ok bool) {
 	l := s.link(peer)
 	if !ok {
 		l.sent.Forget()
+		l.told = nil
 		return
 	}
 	s.held.Acknowledged(peer, l.returned)
@@ -158,6 +173,7 @@
 	l.sent.Forget()
 	l.synced = time.Time{}
 	l.free = nil
+	l.told = nil
 }
 
 func (s *Scheduler) take(from member.Member, w wireEnvelope, now time.Time) error {
@@ -175,7 +191,9 @@
 	if err != nil {
 		return err
 	}
-	s.link(from.Name).free = free
+	if free != nil {
+		s.link(from.Name).free = free
+	}
 	for _, l := range leases {
 		s.use(l, now)
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -15,9 +15,12 @@
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
-// TickInterval is how often Tick must be called. Each tick sends a heartbeat
-// with the changed counters to every peer.
-const TickInterval = 500 * time.Millisecond
+// TickInterval is how often Tick must be called.
+const TickInterval = 250 * time.Millisecond
+
+// reportInterval is how often every peer gets the changed counters. A message that
+// is due anyway carries them along and takes the place of the heartbeat.
+const reportInterval = 500 * time.Millisecond
 
 // settleTerm is how long a new home waits for the reports of what is held under
 // the earlier home, at the most.
@@ -81,6 +84,8 @@
 	runs      map[string]*run
 	running   map[share.Key]int
 	inUse     map[string]int // slots in use here by service
+	suspects  map[string]int // suspect requests that run, by endpoint
+	warm      *warmth
 	endpoints map[string]Endpoint
 	owners    map[string]string // home of each endpoint
 	adopted   map[string]time.Time
@@ -109,6 +114,8 @@
 		runs:      map[string]*run{},
 		running:   map[share.Key]int{},
 		inUse:     map[string]int{},
+		suspects:  map[string]int{},
+		warm:      newWarmth(),
 		endpoints: map[string]Endpoint{},
 		owners:    map[string]string{},
 		adopted:   map[string]time.Time{},
@@ -217,6 +224,9 @@
 	s.chargeTime(r, now)
 	s.Book.Ended(r.request.Key.Service, r.cost)
 	delete(s.runs, id)
+	if r.request.Suspect {
+		s.suspects[r.lease.Endpoint]--
+	}
 	k := r.request.Key
 	s.inUse[k.Service]--
 	s.running[k]--
@@ -231,6 +241,10 @@
 // use starts a request in a slot that was granted for its account. If none waits
 // any more the slot goes to another account or back.
 func (s *Scheduler) use(l *slot.Lease, now time.Time) {
+	if s.endpoints[l.Endpoint].Closed {
+		s.decline(l, now)
+		return
+	}
 	if s.start(l, l.Key, now) {
 		return
 	}
@@ -241,8 +255,8 @@
 	s.reuse(l, now)
 }
 
-// decline returns a slot that no waiting request may use, because their earlier
-// attempts failed at its endpoint.
+// decline returns a slot that no waiting request may use, because its endpoint is
+// closed here or their earlier attempts failed there.
 func (s *Scheduler) decline(l *slot.Lease, now time.Time) {
 	if l.Home == s.self() {
 		s.held.Return(l)
@@ -313,10 +327,18 @@
 }
 
 func (s *Scheduler) start(l *slot.Lease, k share.Key, now time.Time) bool {
-	r, ok := s.Queue.Pop(k, l.Endpoint, nil)
+	r, ok := s.Queue.Pop(k, queue.Place{
+		Endpoint: l.Endpoint,
+		Suspects: s.suspects[l.Endpoint],
+		Warm:     func(head uint64) bool { return s.warm.holds(l.Endpoint, head) },
+	})
 	if !ok {
 		return false
 	}
+	s.warm.note(l.Endpoint, r.Head)
+	if r.Suspect {
+		s.suspects[l.Endpoint]++
+	}
 	l.Key = k
 	s.runs[r.ID] = &run{request: r, lease: l, charged: now}
 	s.running[k]++
@@ -359,6 +381,11 @@
 func (s *Scheduler) Leave(now time.Time) {
 	s.Table.Leave()
 	s.assign(now)
+	s.WakeAll()
+}
+
+// WakeAll sends something to every peer soon, because another duty has news.
+func (s *Scheduler) WakeAll() {
 	for _, m := range s.Table.Peers() {
 		s.wake(m.Name)
 	}
@@ -413,8 +440,9 @@
 	s.assign(now)
 	s.decide(now)
 	for _, m := range s.Table.Peers() {
-		s.link(m.Name).beat = true
-		s.wake(m.Name)
+		if s.link(m.Name).due(now) {
+			s.wake(m.Name)
+		}
 	}
 }
 
--- a/internal/scheduler/share_bench_test.go
+++ b/internal/scheduler/share_bench_test.go
@@ -70,6 +70,10 @@
 	return func(w *world) float64 { return float64(w.bytes) / length.Seconds() / float64(len(w.nodes)) }
 }
 
+func sendsOf(length time.Duration) func(w *world) float64 {
+	return func(w *world) float64 { return float64(w.sends) / length.Seconds() / float64(len(w.nodes)) }
+}
+
 func coreOf(length time.Duration) func(w *world) float64 {
 	return func(w *world) float64 { return 100 * w.busy.Seconds() / length.Seconds() / float64(len(w.nodes)) }
 }
@@ -96,6 +100,7 @@
 	}
 	b.ReportMetric(mean(fleet, controlOf(tr.length)), "control-B/s")
 	b.ReportMetric(mean(fleet, coreOf(tr.length)), "core-%")
+	b.ReportMetric(mean(fleet, sendsOf(tr.length)), "messages/s")
 	b.ReportMetric(mean(fleet, func(w *world) float64 { return float64(w.stray) }), "stray")
 }
 
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -192,7 +192,7 @@
 // launch starts the instance's process with no memory of what it knew.
 func (n *node) launch() {
 	n.launched++
-	n.inc = uint32(len(n.w.nodes)*1000 + n.launched)
+	n.inc = uint32(3_000_000_000 + len(n.w.nodes)*1000 + n.launched)
 	self := member.Member{Name: n.name, Domain: n.domain, Address: n.name, Incarnation: n.inc}
 	n.s = scheduler.New(self, n.w.now)
 	n.s.Port = n
--- a/internal/share/book.go
+++ b/internal/share/book.go
@@ -93,6 +93,11 @@
 	// that flow*now-base estimates what was delivered since.
 	flow float64
 	base float64
+	// since is when the customer's work last began to wait, and lifted by how
+	// much its virtual time was raised then. What peers delivered before that
+	// and report later is covered by it.
+	since  float64
+	lifted float64
 }
 
 type kind struct {
@@ -256,7 +261,9 @@
 func (b *Book) shift(s *service, c *customer, a *kind, waiting, running int) {
 	if waiting > 0 && c.waiting == 0 {
 		b.raiseFloor(s)
-		c.virtual += math.Max(0, s.floor-b.at(c))
+		c.lifted = math.Max(0, s.floor-b.at(c))
+		c.since = b.now
+		c.virtual += c.lifted
 	}
 	if waiting > 0 && a.allWaiting == 0 {
 		raiseKindFloor(c)
--- a/internal/share/exchange.go
+++ b/internal/share/exchange.go
@@ -70,7 +70,7 @@
 // idleReports is how many regular reports pass between two that hold the accounts
 // of customers without waiting work. Their order does not matter, so what they were
 // delivered may be known later.
-const idleReports = 10
+const idleReports = 40
 
 // Report encodes what changed since the last report to the same peer. Regular
 // reports hold everything, with reference set also the lags; the others hold only
@@ -238,11 +238,23 @@
 	row.Delivered = last.Delivered + grown
 	if charge {
 		b.advance(c, a, grown)
+		b.cover(c, grown, p.flows[row.Key].at)
 	}
 	b.observe(p, s, c, last, row, charge)
 	p.rows[row.Key] = row
 }
 
+// cover takes back the charge for service from before the customer's work began to
+// wait, as far as the customer was lifted then.
+func (b *Book) cover(c *customer, grown, reported float64) {
+	if reported >= c.since {
+		return
+	}
+	covered := math.Min(grown/b.weight(c.name), c.lifted)
+	c.virtual -= covered
+	c.lifted -= covered
+}
+
 // flow is the rate at which a peer delivers service to an account.
 type flow struct {
 	rate float64 // weighted units a second
--- a/internal/slot/exchange.go
+++ b/internal/slot/exchange.go
@@ -103,22 +103,26 @@
 	return nil
 }
 
-// Message encodes the grants and questions for an entry instance. Grants stay in
-// the message until the entry instance has seen them.
-func (h *Home) Message(to string, now time.Time) json.RawMessage {
-	w := wireHome{}
+// FreeSlots returns the free slots of every service that has endpoints here.
+func (h *Home) FreeSlots(now time.Time) map[string]int {
+	free := map[string]int{}
+	for _, service := range h.services() {
+		free[service] = h.Free(service, now)
+	}
+	return free
+}
+
+// Message encodes the grants and questions for an entry instance, and free slots
+// unless free is nil. Grants stay in the message until the entry instance has seen
+// them.
+func (h *Home) Message(to string, free map[string]int) json.RawMessage {
+	w := wireHome{Free: free}
 	if e := h.entries[to]; e != nil {
 		w.Ask = e.ask
 		for _, g := range e.outbox {
 			w.Grants = append(w.Grants, wireGrant{g.Number, g.Endpoint, g.Key.Service, g.Key.Customer, g.Key.Kind})
 		}
 	}
-	for _, service := range h.services() {
-		if w.Free == nil {
-			w.Free = map[string]int{}
-		}
-		w.Free[service] = h.Free(service, now)
-	}
 	if len(w.Grants) == 0 && !w.Ask && w.Free == nil {
 		return nil
 	}
--- a/internal/slot/home.go
+++ b/internal/slot/home.go
@@ -89,7 +89,7 @@
 	until    time.Time
 }
 
-// avoidTerm is how long another endpoint is preferred after a slot was declined.
+// avoidTerm is how long an endpoint is not granted again for work that declined it.
 const avoidTerm = time.Second
 
 // NewHome returns a home without endpoints.
@@ -350,13 +350,20 @@
 func (h *Home) Decide(order Order, now time.Time) []string {
 	touched := map[string]bool{}
 	for _, service := range h.services() {
-		for free := h.Free(service, now); free > 0; free-- {
-			e, k, ok := h.pick(service, order, now)
+		blocked := map[demand]bool{}
+		for free := h.Free(service, now); free > 0; {
+			e, k, ok := h.pick(service, order, blocked)
 			if !ok {
 				break
 			}
-			h.grant(e, k, h.choose(e, k, now))
+			at := h.choose(e, k, now)
+			if at == nil {
+				blocked[demand{e.name, k}] = true
+				continue
+			}
+			h.grant(e, k, at)
 			touched[e.name] = true
+			free--
 		}
 	}
 	names := make([]string, 0, len(touched))
@@ -378,17 +385,20 @@
 	return names
 }
 
-// choose returns the endpoint for a grant. Endpoints that were declined are taken
-// only if no other has a free slot.
+// demand is what waits of one account at one entry instance.
+type demand struct {
+	entry string
+	key   share.Key
+}
+
+// choose returns the endpoint for a grant, or nil if only one that was declined
+// lately has free slots.
 func (h *Home) choose(e *entry, k share.Key, now time.Time) *endpoint {
 	a, known := e.avoid[k]
 	if known && now.After(a.until) {
 		delete(e.avoid, k)
 	}
-	if best := h.emptiest(k.Service, e.avoid[k].endpoint, now); best != nil {
-		return best
-	}
-	return h.emptiest(k.Service, "", now)
+	return h.emptiest(k.Service, e.avoid[k].endpoint, now)
 }
 
 // emptiest returns the endpoint with the largest share of free slots, except for
@@ -412,7 +422,8 @@
 // pick returns the entry instance and account to serve next. Among entry
 // instances with work of the same account it prefers the own failure domain,
 // then the one with the most of it waiting.
-func (h *Home) pick(service string, order Order, now time.Time) (*entry, share.Key, bool) {
+// Blocked demand is passed over.
+func (h *Home) pick(service string, order Order, blocked map[demand]bool) (*entry, share.Key, bool) {
 	pendingCustomer := map[string]int{}
 	pendingKind := map[share.Key]int{}
 	for _, e := range h.entries {
@@ -427,7 +438,7 @@
 	for _, e := range h.entries {
 		for k, waiting := range e.demand {
 			left := waiting - e.pending[k]
-			if k.Service != service || left <= 0 {
+			if k.Service != service || left <= 0 || blocked[demand{e.name, k}] {
 				continue
 			}
 			first, second := order(k, pendingCustomer[k.Customer], pendingKind[k])
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -52,8 +52,14 @@
 	tokens   int64
 	crashes  int
 	runs     map[string]int
+	backAt   time.Time // end of the last crash
 }
 
+// crashTime is how long an engine that crashed is away.
+const crashTime = 2 * time.Second
+
+var errCrashed = errors.New("standin: the engine crashed")
+
 // EngineFaults are the failures that an engine can be told to show.
 type EngineFaults struct {
 	// Down drops all connections.
@@ -137,7 +143,7 @@
 // ServeHTTP serves prompts on every path but /load, /order and /faults.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
-	down := e.faults.Down
+	down := e.faults.Down || time.Now().Before(e.backAt)
 	e.mu.Unlock()
 	switch {
 	case r.URL.Path == "/faults":
@@ -249,14 +255,18 @@
 		return
 	}
 	defer e.leaveBatch()
-	breakAt := e.begin(r, p)
-	w.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-ID"))
+	breakAt := e.begin(r, p, from)
+	w.Header().Set("Content-Type", "text/event-stream")
 	for i := from + 1; i <= p.Tokens; i++ {
 		if i == breakAt {
 			panic(http.ErrAbortHandler)
 		}
-		if err := e.pause(r.Context()); err != nil {
+		err := e.pause(r.Context())
+		if errors.Is(err, errCrashed) {
+			panic(http.ErrAbortHandler)
+		}
+		if err != nil {
 			return
 		}
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, Word(p.Prompt, i))
@@ -276,7 +286,7 @@
 }
 
 // begin counts a start and returns the token at which the stream breaks, or -1.
-func (e *Engine) begin(r *http.Request, p Prompt) int {
+func (e *Engine) begin(r *http.Request, p Prompt, from int) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.starts++
@@ -289,11 +299,12 @@
 	e.remember(p.Prompt)
 	if e.faults.Poison != "" && strings.Contains(p.Prompt, e.faults.Poison) {
 		e.crashes++
-		return 1
+		e.backAt = time.Now().Add(crashTime)
+		return from + 1
 	}
 	if e.faults.Break > 0 {
 		e.faults.Break--
-		return max(1, p.Tokens/2)
+		return from + max(1, (p.Tokens-from)/2)
 	}
 	return -1
 }
@@ -319,6 +330,10 @@
 // pause waits for the next token. The time grows with the batch.
 func (e *Engine) pause(ctx context.Context) error {
 	e.mu.Lock()
+	if time.Now().Before(e.backAt) {
+		e.mu.Unlock()
+		return errCrashed
+	}
 	e.tokens++
 	fill := float64(e.running) / float64(e.batch())
 	per := time.Duration(0)
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -11,13 +11,11 @@
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
-// List is the instance list. What it answers is as old as Lag. It is safe for
-// concurrent use.
+// List is the instance list. The default (zero) value is empty and does not lag. It
+// is safe for concurrent use.
 type List struct {
-	// Lag is how far the list is behind; zero means not at all.
-	Lag time.Duration
-
 	mu   sync.Mutex
+	lag  time.Duration
 	past []version
 	down bool
 }
@@ -34,6 +32,13 @@
 	l.past = append(l.past, version{time.Now(), slices.Clone(list)})
 }
 
+// SetLag sets how old the answers are.
+func (l *List) SetLag(lag time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag = lag
+}
+
 // Down switches an outage.
 func (l *List) Down(down bool) {
 	l.mu.Lock()
@@ -50,7 +55,7 @@
 	}
 	var list []fleet.Instance
 	for _, v := range l.past {
-		if time.Since(v.at) >= l.Lag || list == nil {
+		if time.Since(v.at) >= l.lag || list == nil {
 			list = v.list
 		}
 	}
