internal/claim: decide a released key in one go

Cause: an owner whose index still held a released claim read on, found the key free and refused the new claim all the same, so a caller needed one try more than necessary (TestReleasedKeyIsFreeAgain failed with 'log service unavailable').

--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -54,18 +54,36 @@
 // It returns ErrUnavailable if the log could not be used; the claim may be in the
 // log all the same.
 func (s *shard) decide(ctx context.Context, c Claim) (Claim, error) {
+	if w, held := s.holder(ctx, c); held {
+		return w, nil
+	}
 	if err := s.submit(ctx, c, false); err != nil {
 		return Claim{}, err
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	w, ok := s.index.winner(c.subject())
+	w, ok := s.winner(c)
 	if !ok {
 		return Claim{}, ErrUnavailable
 	}
 	return w, nil
 }
 
+// holder returns an earlier claim that holds the key, if one is known. It reads on
+// first, in case that one was released; if the log cannot be read, it stands.
+func (s *shard) holder(ctx context.Context, c Claim) (Claim, bool) {
+	w, held := s.winner(c)
+	if !held || w.ID == c.ID {
+		return w, held
+	}
+	_ = s.readAll(ctx)
+	return s.winner(c)
+}
+
+func (s *shard) winner(c Claim) (Claim, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.index.winner(c.subject())
+}
+
 // release makes a key free again after a claim whose request never ran.
 func (s *shard) release(ctx context.Context, c Claim) error {
 	return s.submit(ctx, c, true)
@@ -73,12 +91,6 @@
 
 func (s *shard) submit(ctx context.Context, c Claim, release bool) error {
 	s.mu.Lock()
-	if w, ok := s.index.winner(c.subject()); ok && !release && w.ID != c.ID {
-		// An earlier claim in the log never loses to a later one, so no
-		// append is needed. A release that is not read yet only delays.
-		s.mu.Unlock()
-		return s.recheck(ctx, w)
-	}
 	a := &ask{claim: c, release: release, done: make(chan error, 1)}
 	s.waiting = append(s.waiting, a)
 	if !s.busy {
@@ -94,13 +106,6 @@
 	}
 }
 
-// recheck reads on, in case the known winner was released meanwhile. If the log
-// cannot be read, the known winner stands.
-func (s *shard) recheck(ctx context.Context, _ Claim) error {
-	_ = s.readAll(ctx)
-	return nil
-}
-
 // flush appends what waits, batch after batch, until nothing does.
 func (s *shard) flush() {
 	for {
--- /dev/null
+++ b/internal/publication/publication_test.go
@@ -0,0 +1,159 @@
+package publication_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/greengagestep/greengagestep/internal/audit"
+	"github.com/greengagestep/greengagestep/internal/publication"
+	"github.com/greengagestep/greengagestep/internal/standin"
+	"github.com/greengagestep/greengagestep/pkg/arrangement"
+)
+
+// watched is a follower that checks that its version never goes down.
+type watched struct {
+	*publication.Follower
+	last int64
+}
+
+func follow(t *testing.T, log *standin.Log, name string) *watched {
+	w := &watched{}
+	w.Follower = &publication.Follower{Log: log, Trail: &audit.Trail{Instance: name}}
+	w.OnAccept = func(_ arrangement.Text, version int64) {
+		require.Greater(t, version, w.last, "a configuration reverted")
+		w.last = version
+	}
+	return w
+}
+
+func text(i int) string {
+	return fmt.Sprintf("services:\n  - name: portal\ncustomers:\n  - name: c%d\n    keys: [key-%d]\n", i, i)
+}
+
+func propose(f *watched, actor string, edits int64, i int) (int64, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return f.Publish(ctx, publication.Proposal{Actor: actor, Edits: edits, Text: text(i)})
+}
+
+func TestLoserOfARaceIsTold(t *testing.T) {
+	log := &standin.Log{}
+	a, b := follow(t, log, "a"), follow(t, log, "b")
+	version, err := propose(a, "ana", 0, 1)
+	require.NoError(t, err)
+	require.Equal(t, int64(1), version)
+	_, err = propose(b, "bo", 0, 2)
+	var race *publication.Race
+	require.ErrorAs(t, err, &race)
+	require.Equal(t, "ana", race.Actor)
+}
+
+func TestRepeatedPublicationKeepsItsVersion(t *testing.T) {
+	log := &standin.Log{}
+	a := follow(t, log, "a")
+	_, err := propose(a, "ana", 0, 1)
+	require.NoError(t, err)
+	_, err = propose(a, "ana", 1, 2)
+	require.NoError(t, err)
+	version, err := propose(a, "ana", 0, 1)
+	require.NoError(t, err)
+	require.Equal(t, int64(1), version)
+}
+
+func TestInvalidTextIsNotAppended(t *testing.T) {
+	log := &standin.Log{}
+	a := follow(t, log, "a")
+	_, err := a.Publish(t.Context(), publication.Proposal{Text: "services:\n  - name: A B\n"})
+	var invalid *publication.Invalid
+	require.ErrorAs(t, err, &invalid)
+	require.Zero(t, log.Appends())
+}
+
+func TestOnlyChangedSectionsAreAppended(t *testing.T) {
+	log := &standin.Log{}
+	a := follow(t, log, "a")
+	_, err := propose(a, "ana", 0, 1)
+	require.NoError(t, err)
+	_, err = propose(a, "ana", 1, 2)
+	require.NoError(t, err)
+	page, err := log.Read(t.Context(), publication.Stream, 1, 1)
+	require.NoError(t, err)
+	require.NotContains(t, string(page.Records[0].Data), `"services"`)
+	require.Contains(t, string(page.Records[0].Data), `"customers"`)
+}
+
+func TestStaleChangeBehindTheHorizonIsNotAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &standin.Log{Retention: time.Minute}
+		a := follow(t, log, "a")
+		_, err := propose(a, "ana", 0, 1)
+		require.NoError(t, err)
+		_, err = propose(a, "ana", 1, 2)
+		require.NoError(t, err)
+		time.Sleep(2 * time.Minute)
+		// A record that edits version 0 is all that the log still keeps.
+		_, err = log.Append(t.Context(), publication.Stream, []byte(`{"type":"change","id":"late","edits":0,"sections":{"services":[]}}`))
+		require.NoError(t, err)
+		fresh := follow(t, log, "b")
+		require.Error(t, fresh.Poll(t.Context()))
+		_, version := fresh.Text()
+		require.Zero(t, version)
+		require.NoError(t, a.Keep(t.Context(), time.Second))
+		require.NoError(t, fresh.Poll(t.Context()))
+		_, version = fresh.Text()
+		require.Equal(t, int64(2), version)
+	})
+}
+
+// TestFollowersAgree lets operators race through several followers under random
+// faults; followers come and go, and the log forgets.
+func TestFollowersAgree(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { followersAgree(t, seed) })
+		})
+	}
+}
+
+func followersAgree(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	log := &standin.Log{Retention: 2 * time.Minute}
+	followers := []*watched{follow(t, log, "a"), follow(t, log, "b"), follow(t, log, "c")}
+	accepted := map[int64]string{}
+	for i := range 150 {
+		time.Sleep(time.Duration(rng.IntN(4000)) * time.Millisecond)
+		if rng.IntN(10) == 0 {
+			log.Set(standin.LogFaults{Down: rng.IntN(4) == 0, Lose: rng.IntN(3)})
+		}
+		f := followers[rng.IntN(3)]
+		_, version := f.Text()
+		actor := fmt.Sprintf("operator-%d", i)
+		if version, err := propose(f, actor, version, i); err == nil {
+			require.Empty(t, accepted[version], "two publications became version %d", version)
+			accepted[version] = actor
+		}
+		_ = f.Keep(t.Context(), 30*time.Second)
+		if rng.IntN(15) == 0 {
+			n := rng.IntN(3)
+			fresh := follow(t, log, "new")
+			fresh.Adopt(followers[(n+1)%3].Snapshot(), "peer")
+			followers[n] = fresh
+		}
+	}
+	log.Set(standin.LogFaults{})
+	var texts []arrangement.Text
+	for _, f := range followers {
+		require.NoError(t, f.Poll(t.Context()))
+		text, _ := f.Text()
+		texts = append(texts, text)
+	}
+	require.Equal(t, texts[0], texts[1])
+	require.Equal(t, texts[0], texts[2])
+	require.NotEmpty(t, accepted)
+}
