--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 
 	"github.com/ansel1/merry/v2"
@@ -25,17 +26,26 @@
 	return merry.Wrap(err, merry.WithHTTPCode(code))
 }
 
+// Program is the command line with what it uses of its surroundings.
+type Program struct {
+	Out io.Writer
+	Err io.Writer
+	// Transport carries calls to instances; nil means the network of the
+	// machine.
+	Transport http.RoundTripper
+}
+
 // Main runs the command line and returns the exit code.
-func Main(args []string, stdout, stderr io.Writer) int {
-	root := newRoot()
+func (p *Program) Main(args []string) int {
+	root := p.newRoot()
 	root.SetArgs(args)
-	root.SetOut(stdout)
-	root.SetErr(stderr)
+	root.SetOut(p.Out)
+	root.SetErr(p.Err)
 	err := root.Execute()
 	if err == nil {
 		return exitOK
 	}
-	fmt.Fprintln(stderr, "greengagestep: "+err.Error())
+	fmt.Fprintln(p.Err, "greengagestep: "+err.Error())
 	if code := merry.HTTPCode(err); code >= exitFailed && code <= exitUnavailable {
 		return code
 	}
@@ -43,9 +53,12 @@
 }
 
 // Run is Main with the process's own arguments and streams.
-func Run() int { return Main(os.Args[1:], os.Stdout, os.Stderr) }
+func Run() int {
+	p := &Program{Out: os.Stdout, Err: os.Stderr}
+	return p.Main(os.Args[1:])
+}
 
-func newRoot() *cobra.Command {
+func (p *Program) newRoot() *cobra.Command {
 	root := &cobra.Command{
 		Use:   "greengagestep",
 		Short: "A router fleet for customers who share capacity fairly",
@@ -58,7 +71,7 @@
 		SilenceErrors: true,
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(newRun(), newCheck(), newPublish(), newShow(), newStatus(), newAudit(), newExplain(), newDemo())
+	root.AddCommand(newRun(), newCheck(), p.newPublish(), p.newShow(), p.newStatus(), p.newAudit(), p.newExplain(), newDemo())
 	return root
 }
 
--- a/internal/command/look.go
+++ b/internal/command/look.go
@@ -17,8 +17,9 @@
 
 // connection holds the flags of commands that call an instance.
 type connection struct {
-	address string
-	json    bool
+	address   string
+	json      bool
+	transport http.RoundTripper
 }
 
 // callTimeout bounds a call to an instance.
@@ -38,7 +39,7 @@
 	if secret == "" {
 		return nil, fail(exitUsage, errNoSecret)
 	}
-	return &operator.Client{Address: c.address, Secret: secret, HTTP: &http.Client{Timeout: callTimeout}}, nil
+	return &operator.Client{Address: c.address, Secret: secret, HTTP: &http.Client{Timeout: callTimeout, Transport: c.transport}}, nil
 }
 
 // callFailed gives the exit code of a failed call.
@@ -65,8 +66,8 @@
 	_ = t.Flush()
 }
 
-func newStatus() *cobra.Command {
-	c := &connection{}
+func (p *Program) newStatus() *cobra.Command {
+	c := &connection{transport: p.Transport}
 	cmd := &cobra.Command{
 		Use:   "status",
 		Short: "Print what an instance knows about itself, its peers and the endpoints",
@@ -110,8 +111,8 @@
 	})
 }
 
-func newAudit() *cobra.Command {
-	c := &connection{}
+func (p *Program) newAudit() *cobra.Command {
+	c := &connection{transport: p.Transport}
 	cmd := &cobra.Command{
 		Use:   "audit",
 		Short: "Print the newest changes that an instance made or saw, with cause and actor",
@@ -138,8 +139,8 @@
 	return cmd
 }
 
-func newExplain() *cobra.Command {
-	c := &connection{}
+func (p *Program) newExplain() *cobra.Command {
+	c := &connection{transport: p.Transport}
 	cmd := &cobra.Command{
 		Use:   "explain ID",
 		Short: "Print the way of a request across the fleet",
--- a/internal/command/text.go
+++ b/internal/command/text.go
@@ -71,8 +71,8 @@
 	return fail(exitFailed, fmt.Errorf("%s has %d faults", file, len(faults)))
 }
 
-func newPublish() *cobra.Command {
-	c := &connection{}
+func (p *Program) newPublish() *cobra.Command {
+	c := &connection{transport: p.Transport}
 	var edits int64
 	var actor string
 	cmd := &cobra.Command{
@@ -103,8 +103,8 @@
 		if err != nil {
 			return err
 		}
-		p := operator.Proposal{Actor: actorName(actor), Edits: edits, Text: string(data)}
-		published, err := client.Publish(cmd.Context(), p)
+		proposal := operator.Proposal{Actor: actorName(actor), Edits: edits, Text: string(data)}
+		published, err := client.Publish(cmd.Context(), proposal)
 		if err != nil {
 			return callFailed(err)
 		}
@@ -148,8 +148,8 @@
 	}
 }
 
-func newShow() *cobra.Command {
-	c := &connection{}
+func (p *Program) newShow() *cobra.Command {
+	c := &connection{transport: p.Transport}
 	cmd := &cobra.Command{
 		Use:   "show",
 		Short: "Print the configuration text in force, ready to be edited and published",
--- /dev/null
+++ b/internal/demo/path_bench_test.go
@@ -0,0 +1,178 @@
+package demo_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/greengagestep/greengagestep/internal/demo"
+)
+
+// The benchmarks measure the cost of the path over loopback, direct and through one
+// router, in one run:
+//
+//	go test -run '^$' -bench Path -benchtime 3s ./internal/demo
+
+const pathText = `services:
+  - name: portal
+    unit: time
+    slots: 64
+    repeat: [GET, POST]
+  - name: model
+    model: assistant
+    slots: 256
+    rate: 1000
+customers:
+  - name: c0
+    keys: [key-0]
+models:
+  - name: assistant
+    version: "1"
+`
+
+// pathSite starts one router before one endpoint of each kind.
+func pathSite(b *testing.B, callTime time.Duration, rate float64) (site *demo.Site, plain, model string) {
+	site = &demo.Site{
+		Instances: 1, Domains: 1, Engines: 1, Plains: 1, PlainSlots: 64, EngineSlots: 256,
+		CallTime: callTime, TokenRate: rate, Drain: time.Second,
+	}
+	require.NoError(b, site.Start())
+	_, err := site.Publish(context.Background(), pathText, 0)
+	require.NoError(b, err)
+	b.Cleanup(func() { _ = site.Close() })
+	return site, site.Address("p0"), site.Address("m0")
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func get(client *http.Client, url string) error {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer key-0")
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// BenchmarkPathCall measures small calls one after the other.
+func BenchmarkPathCall(b *testing.B) {
+	site, plain, _ := pathSite(b, time.Nanosecond, 1000)
+	for _, way := range []struct{ name, url string }{
+		{"direct", "http://" + plain + "/stock"},
+		{"router", "http://" + site.Nodes[0].Callers + "/portal/stock"},
+	} {
+		b.Run(way.name, func(b *testing.B) {
+			b.ReportAllocs()
+			times := make([]time.Duration, 0, b.N)
+			before := processorTime()
+			for b.Loop() {
+				start := time.Now()
+				require.NoError(b, get(site.Client(), way.url))
+				times = append(times, time.Since(start))
+			}
+			cpu := processorTime() - before
+			slices.Sort(times)
+			b.ReportMetric(float64(times[len(times)/2].Microseconds()), "median-us")
+			b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99-us")
+			b.ReportMetric(float64(cpu.Microseconds())/float64(len(times)), "cpu-us/op")
+		})
+	}
+}
+
+// BenchmarkPathParallel measures small calls of 32 callers at a time.
+func BenchmarkPathParallel(b *testing.B) {
+	site, plain, _ := pathSite(b, time.Nanosecond, 1000)
+	for _, way := range []struct{ name, url string }{
+		{"direct", "http://" + plain + "/stock"},
+		{"router", "http://" + site.Nodes[0].Callers + "/portal/stock"},
+	} {
+		b.Run(way.name, func(b *testing.B) {
+			b.SetParallelism(32 / runtime.GOMAXPROCS(0))
+			before := processorTime()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					if err := get(site.Client(), way.url); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+			b.ReportMetric(float64((processorTime()-before).Microseconds())/float64(b.N), "cpu-us/op")
+		})
+	}
+}
+
+// BenchmarkPathStreams measures the tokens a second of 1 and 200 streams.
+func BenchmarkPathStreams(b *testing.B) {
+	const tokens = 500
+	site, _, model := pathSite(b, time.Nanosecond, 1000)
+	for _, streams := range []int{1, 200} {
+		for _, way := range []struct{ name, url string }{
+			{"direct", "http://" + model + "/generate"},
+			{"router", "http://" + site.Nodes[0].Callers + "/model/generate"},
+		} {
+			b.Run(fmt.Sprintf("%s/streams=%d", way.name, streams), func(b *testing.B) {
+				var done atomic.Int64
+				start, before := time.Now(), processorTime()
+				for b.Loop() {
+					var wg sync.WaitGroup
+					for range streams {
+						wg.Go(func() {
+							if prompt(site.Client(), way.url, tokens) == nil {
+								done.Add(tokens)
+							}
+						})
+					}
+					wg.Wait()
+				}
+				b.ReportMetric(float64(done.Load())/time.Since(start).Seconds(), "tokens/s")
+				b.ReportMetric(float64((processorTime()-before).Nanoseconds())/float64(done.Load())/1000, "cpu-us/token")
+			})
+		}
+	}
+}
+
+func prompt(client *http.Client, url string, tokens int) error {
+	body := fmt.Sprintf(`{"prompt":"x","tokens":%d}`, tokens)
+	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer key-0")
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	n, err := io.Copy(io.Discard, resp.Body)
+	if err == nil && n < int64(tokens) {
+		err = fmt.Errorf("answer of %d bytes", n)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/demo/program_test.go
@@ -0,0 +1,82 @@
+package demo_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/greengagestep/greengagestep/internal/command"
+	"github.com/greengagestep/greengagestep/internal/demo"
+)
+
+func TestMain(m *testing.M) {
+	os.Setenv("GREENGAGESTEP_SECRET", demo.Secret)
+	os.Exit(m.Run())
+}
+
+// greengagestep ARGS runs the program's commands against the fleet. @NAME stands for
+// the operators' address of an instance.
+func cmdProgram(ts *testscript.TestScript, neg bool, args []string) {
+	s := stageOf(ts)
+	var out, errs bytes.Buffer
+	p := &command.Program{Out: &out, Err: &errs}
+	if s.site != nil {
+		p.Transport = s.site.Client().Transport
+	}
+	for i, a := range args {
+		if name, ok := strings.CutPrefix(a, "@"); ok {
+			args[i] = s.node(ts, name).Operators
+		}
+		if strings.HasSuffix(a, ".yaml") {
+			args[i] = ts.MkAbs(a)
+		}
+	}
+	code := p.Main(args)
+	work := ts.MkAbs("") + "/"
+	fmt.Fprint(ts.Stdout(), strings.ReplaceAll(out.String(), work, ""))
+	fmt.Fprint(ts.Stderr(), strings.ReplaceAll(errs.String(), work, ""))
+	if (code != 0) != neg {
+		ts.Fatalf("exit code %d", code)
+	}
+}
+
+// raw ADDRESS FILE sends a file's bytes to the callers', peers' or operators' address
+// of an instance and prints the head of the answer. REPEAT lines of the form
+// "%pad N" become N bytes; "%wait D" pauses.
+func cmdRaw(ts *testscript.TestScript, _ bool, args []string) {
+	s := stageOf(ts)
+	n := s.node(ts, args[0])
+	address := map[string]string{"callers": n.Callers, "peers": n.Peers, "operators": n.Operators}[args[1]]
+	conn, err := s.site.Network.Dial(context.Background(), "tcp", address)
+	ts.Check(err)
+	defer conn.Close()
+	go func() {
+		for _, line := range strings.Split(strings.TrimSuffix(ts.ReadFile(args[2]), "\n"), "\n") {
+			var count int
+			if _, err := fmt.Sscanf(line, "%%pad %d", &count); err == nil {
+				line = "X-Pad: " + strings.Repeat("x", count)
+			}
+			if _, err := io.WriteString(conn, line+"\r\n"); err != nil {
+				return
+			}
+		}
+	}()
+	_ = conn.SetReadDeadline(time.Now().Add(time.Minute))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		fmt.Fprintln(ts.Stdout(), "no answer")
+		return
+	}
+	body := make([]byte, 512)
+	count, _ := io.ReadFull(resp.Body, body)
+	fmt.Fprintf(ts.Stdout(), "%d outcome=%s retry=%s %s\n", resp.StatusCode, resp.Header.Get("Outcome"), resp.Header.Get("Retry-After"), body[:count])
+}
--- a/internal/demo/script_test.go
+++ b/internal/demo/script_test.go
@@ -1,6 +1,7 @@
 package demo_test
 
 import (
+	"flag"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -10,6 +11,9 @@
 	"github.com/stretchr/testify/require"
 )
 
+// update rewrites the golden files in the scripts.
+var update = flag.Bool("update", false, "rewrite the golden files in the scripts")
+
 // TestScript runs the scenarios in testdata/script. Each runs a whole fleet over a
 // network in memory and in fake time, so its verdict does not depend on the machine.
 func TestScript(t *testing.T) {
@@ -20,7 +24,9 @@
 		name := strings.TrimSuffix(filepath.Base(file), ".txtar")
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				testscript.RunT(&bubble{t}, testscript.Params{Files: []string{file}, Cmds: commands(), Setup: setup})
+				testscript.RunT(&bubble{t}, testscript.Params{
+					Files: []string{file}, Cmds: commands(), Setup: setup, UpdateScripts: *update,
+				})
 			})
 		})
 	}
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -68,8 +68,9 @@
 type Node struct {
 	Name   string
 	Domain string
-	// Callers and Operators are its addresses while it runs.
+	// Callers, Peers and Operators are its addresses while it runs.
 	Callers   string
+	Peers     string
 	Operators string
 
 	site    *Site
@@ -172,6 +173,18 @@
 	return nil
 }
 
+// Address returns the address of an endpoint, or an empty string.
+func (s *Site) Address(endpoint string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, in := range s.entries {
+		if in.Name == endpoint {
+			return in.Address
+		}
+	}
+	return ""
+}
+
 // publishList adds an entry to the instance list or replaces it.
 func (s *Site) publishList(in fleet.Instance) {
 	s.mu.Lock()
@@ -247,12 +260,11 @@
 		}
 		*to = gatedListener{l, n.gate}
 	}
-	n.Callers, n.Operators = r.Callers.Addr().String(), r.Operators.Addr().String()
-	peers := r.Peers.Addr().String()
+	n.Callers, n.Peers, n.Operators = r.Callers.Addr().String(), r.Peers.Addr().String(), r.Operators.Addr().String()
 	s.mu.Lock()
-	s.homes[peers] = n.Domain
+	s.homes[n.Peers] = n.Domain
 	s.mu.Unlock()
-	s.publishList(fleet.Instance{Name: n.Name, Role: fleet.RoleEntry, Domain: n.Domain, Address: peers})
+	s.publishList(fleet.Instance{Name: n.Name, Role: fleet.RoleEntry, Domain: n.Domain, Address: n.Peers})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.router, n.cancel, n.ended, n.running = r, cancel, make(chan error, 1), true
 	go func() { n.ended <- r.Run(ctx) }()
--- a/internal/demo/stage_test.go
+++ b/internal/demo/stage_test.go
@@ -90,7 +90,7 @@
 		"site": cmdSite, "publish": cmdPublish, "sleep": cmdSleep, "send": cmdSend, "traffic": cmdTraffic, "await": cmdAwait,
 		"node": cmdNode, "net": cmdNet, "log": cmdLog, "list": cmdList, "plain": cmdPlain, "engine": cmdEngine,
 		"runs": cmdRuns, "orders": cmdOrders, "status": cmdStatus, "audit": cmdAudit, "explain": cmdExplain,
-		"leader": cmdLeader,
+		"leader": cmdLeader, "greengagestep": cmdProgram, "raw": cmdRaw,
 	}
 }
 
--- a/pkg/arrangement/check.go
+++ b/pkg/arrangement/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/greengagestep/greengagestep/pkg/fleet"
@@ -24,6 +25,12 @@
 	c.customers()
 	c.kinds()
 	c.models()
+	slices.SortStableFunc(c.faults, func(a, b Fault) int {
+		if a.Line != b.Line {
+			return a.Line - b.Line
+		}
+		return a.Column - b.Column
+	})
 	return c.faults
 }
 
@@ -53,7 +60,7 @@
 		if route == "" {
 			route = "/" + s.Name
 		}
-		if other, ok := paths[route]; ok {
+		if other, ok := paths[route]; ok && other != s.Name {
 			c.add(at, "services %q and %q have the same route %q", other, s.Name, route)
 		}
 		paths[route] = s.Name
@@ -99,7 +106,9 @@
 	)
 	index := map[string]int{}
 	for i, s := range c.text.Services {
-		index[s.Name] = i
+		if _, twice := index[s.Name]; !twice {
+			index[s.Name] = i
+		}
 	}
 	state := map[string]int{}
 	var visit func(name string, way []string)
