--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -104,6 +104,8 @@
 	c.header(resp)
 	s := &stream{whole: c.service.Resume}
 	events := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	// An answer whose length is known is not awaited piece by piece.
+	hasty := events || resp.ContentLength < 0
 	flusher := http.NewResponseController(c.w)
 	buf := buffers.Get().(*[copyBuffer]byte)
 	defer buffers.Put(buf)
@@ -120,7 +122,9 @@
 			if failure := c.write(part, slot); failure != nil {
 				return failure
 			}
-			_ = flusher.Flush()
+			if hasty {
+				_ = flusher.Flush()
+			}
 		}
 		if err == io.EOF {
 			if !events {
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -296,6 +296,7 @@
 	}
 	n.running = false
 	n.router.Kill()
+	n.gate.set(false)
 	<-n.ended
 }
 
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -251,36 +251,62 @@
 	return ok && (s.Model == "" || s.Model == l.Model)
 }
 
-// servable reports whether a service has an endpoint that can serve it.
-func (r *Router) servable(service string) bool {
-	owned := map[string]bool{}
+// readiness says which services can be served. It is worked out anew whenever
+// endpoints, members or the configuration change.
+type readiness struct {
+	// servable services have an endpoint that can serve them.
+	servable map[string]bool
+	// missing names, for services that are not ready, what they wait for.
+	missing map[string]string
+}
+
+// workOut brings the readiness up to date.
+func (r *Router) workOut(states []endpoint.State) {
+	text := r.policy.text.Load()
+	if text == nil {
+		return
+	}
+	now := &readiness{servable: map[string]bool{}, missing: map[string]string{}}
 	r.dispatcher.With(func(s *scheduler.Scheduler) {
-		for _, name := range s.Owned(service) {
-			owned[name] = true
+		for _, e := range states {
+			if e.Ready && s.Home(e.Name) != "" {
+				now.servable[e.Service] = true
+			}
 		}
 	})
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, s := range r.endpoints.States(time.Now()) {
-		if s.Service == service && s.Ready && owned[s.Name] {
-			return true
+	for _, s := range text.Services {
+		if missing, ok := now.check(*text, s.Name); !ok {
+			now.missing[s.Name] = missing
 		}
 	}
-	return false
+	r.readiness.Store(now)
 }
 
-// serviceReady implements caller.Ready: a service is ready if all that it depends
-// on is.
-func (r *Router) serviceReady(service string) (string, bool) {
-	text := r.policy.text.Load()
-	if text == nil {
-		return service, false
-	}
+// check reports whether a service and all that it depends on can be served, and
+// which one cannot.
+func (n *readiness) check(text arrangement.Text, service string) (string, bool) {
 	s, _ := text.Service(service)
 	for _, need := range s.Needs {
-		if missing, ok := r.serviceReady(need); !ok {
+		if missing, ok := n.check(text, need); !ok {
 			return missing, false
 		}
 	}
-	return service, r.servable(service)
+	return service, n.servable[service]
+}
+
+// servable reports whether a service has an endpoint that can serve it.
+func (r *Router) servable(service string) bool {
+	now := r.readiness.Load()
+	return now != nil && now.servable[service]
+}
+
+// serviceReady implements caller.Ready: a service is ready if all that it depends
+// on is.
+func (r *Router) serviceReady(service string) (string, bool) {
+	now := r.readiness.Load()
+	if now == nil {
+		return service, false
+	}
+	missing, waits := now.missing[service]
+	return missing, !waits
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -69,6 +70,7 @@
 	endpoints *endpoint.Table
 	versions  map[string]int64 // configuration version of each peer
 	leaders   leadership
+	readiness atomic.Pointer[readiness]
 
 	parts     []part
 	senders   *suture.Supervisor
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -57,6 +57,7 @@
 func (r *Router) use(text arrangement.Text, _ int64) {
 	r.policy.text.Store(&text)
 	r.caller.Use(text)
+	go r.refresh(time.Now())
 }
 
 // pollList reads the instance list. If the platform cannot be reached, what is
@@ -87,6 +88,7 @@
 		eps = append(eps, scheduler.Endpoint{Name: s.Name, Service: s.Service, Domain: s.Domain, Slots: s.Slots, Closed: s.Closed})
 	}
 	r.dispatcher.With(func(s *scheduler.Scheduler) { s.SetEndpoints(eps, now) })
+	r.workOut(states)
 }
 
 // pollLoads asks the endpoints that this instance is home of for their load.
--- a/internal/scheduler/duty.go
+++ b/internal/scheduler/duty.go
@@ -100,14 +100,3 @@
 	}
 	return homes
 }
-
-// Owned returns the endpoints of a service that have a live home.
-func (s *Scheduler) Owned(service string) []string {
-	var names []string
-	for name, e := range s.endpoints {
-		if e.Service == service && s.owners[name] != "" {
-			names = append(names, name)
-		}
-	}
-	return names
-}
