internal/scheduler: drop messages that were overtaken

A second storm had the same shape: both endpoints of a home were closed to an entry instance, which declined each in turn.

Change: messages carry a number, and one that is not higher than the last is dropped; a home remembers every endpoint that was declined, not the last one only.

--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -20,6 +20,10 @@
 	Domain      string `json:"d,omitempty"`
 	Address     string `json:"a,omitempty"`
 	Incarnation uint32 `json:"i"`
+	// Number grows with every message of an incarnation to an addressee. A
+	// message that was overtaken is dropped: it holds old state, and what it
+	// asked for is repeated in the later ones.
+	Number uint64 `json:"m"`
 	// To is the incarnation of the addressee that the sender knows.
 	To      uint32          `json:"t,omitempty"`
 	Leaving bool            `json:"v,omitempty"`
@@ -44,6 +48,10 @@
 	synced time.Time
 	// incarnation is the peer's, as last heard.
 	incarnation uint32
+	// number is that of the last message to the peer, heard that of the last
+	// one from it.
+	number uint64
+	heard  uint64
 }
 
 // MessageError reports a message of a peer that cannot be used.
@@ -83,8 +91,9 @@
 	s.Book.Advance(now)
 	l := s.link(peer)
 	self := s.Table.Self
+	l.number++
 	w := wireEnvelope{
-		Name: self.Name, Incarnation: self.Incarnation, To: l.incarnation, Leaving: self.Leaving, Extra: extra,
+		Name: self.Name, Incarnation: self.Incarnation, Number: l.number, To: l.incarnation, Leaving: self.Leaving, Extra: extra,
 	}
 	if l.synced.IsZero() {
 		w.Domain, w.Address = self.Domain, self.Address
@@ -152,6 +161,10 @@
 	if l.incarnation != from.Incarnation {
 		s.greet(l, from)
 	}
+	if w.Number <= l.heard {
+		return from, nil, nil
+	}
+	l.heard = w.Number
 	if w.To == s.Table.Self.Incarnation {
 		l.synced = now
 	}
@@ -170,6 +183,7 @@
 		s.home.Forget(from.Name)
 	}
 	l.incarnation = from.Incarnation
+	l.heard = 0
 	l.sent.Forget()
 	l.synced = time.Time{}
 	l.free = nil
--- /dev/null
+++ b/internal/scheduler/exchange_test.go
@@ -0,0 +1,73 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/greengagestep/greengagestep/internal/member"
+	"github.com/greengagestep/greengagestep/internal/queue"
+	"github.com/greengagestep/greengagestep/internal/scheduler"
+	"github.com/greengagestep/greengagestep/internal/share"
+	"github.com/greengagestep/greengagestep/pkg/fleet"
+)
+
+// recorder is a port that only counts.
+type recorder struct {
+	started []scheduler.Run
+	woken   map[string]int
+}
+
+func (r *recorder) Start(run scheduler.Run)            { r.started = append(r.started, run) }
+func (r *recorder) Refuse(queue.Request, fleet.Reason) {}
+func (r *recorder) Wake(peer string)                   { r.woken[peer]++ }
+
+func instance(name string, incarnation uint32) (*scheduler.Scheduler, *recorder) {
+	s := scheduler.New(member.Member{Name: name, Domain: "d0", Address: name, Incarnation: incarnation}, epoch)
+	port := &recorder{woken: map[string]int{}}
+	s.Port = port
+	return s, port
+}
+
+// TestOvertakenMessageIsDropped keeps out a storm of messages that the soak found: a
+// message that a paused instance delivered late brought back demand that no longer
+// waited, and the home granted slots for it without end.
+func TestOvertakenMessageIsDropped(t *testing.T) {
+	entry, _ := instance("e1", 11)
+	home, port := instance("e0", 10)
+	peers := []fleet.Instance{{Name: "e0", Role: fleet.RoleEntry, Domain: "d0"}, {Name: "e1", Role: fleet.RoleEntry, Domain: "d0"}}
+	entry.Table.Seed(peers)
+	home.Table.Seed(peers)
+	k := share.Key{Service: "model", Customer: "a"}
+	require.NoError(t, entry.Arrive(queue.Request{ID: "r", Key: k}, epoch))
+	late := entry.Compose("e0", nil, epoch)
+	entry.Sent("e0", false)
+	entry.Cancel("r")
+	_, _, err := home.Receive(entry.Compose("e0", nil, epoch), epoch)
+	require.NoError(t, err)
+	_, _, err = home.Receive(late, epoch)
+	require.NoError(t, err)
+	home.SetEndpoints([]scheduler.Endpoint{{Name: "m0", Service: "model", Domain: "d0", Slots: 1}}, epoch)
+	port.woken = map[string]int{}
+	home.Tick(epoch.Add(4 * time.Second))
+	require.Empty(t, home.Status().Held)
+	require.Zero(t, home.Granted())
+}
+
+func FuzzReceive(f *testing.F) {
+	entry, _ := instance("e1", 11)
+	_ = entry.Arrive(queue.Request{ID: "r", Key: share.Key{Service: "model", Customer: "a"}}, epoch)
+	f.Add(entry.Compose("e0", nil, epoch))
+	f.Add([]byte(`{"n":"e1","i":1,"m":1,"h":{"g":[{"n":1,"e":"m0","s":"model","c":"a"}]}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, _ := instance("e0", 10)
+		s.SetEndpoints([]scheduler.Endpoint{{Name: "m0", Service: "model", Domain: "d0", Slots: 1}}, epoch)
+		_, _, err := s.Receive(data, epoch)
+		if err != nil {
+			var unusable *scheduler.MessageError
+			require.ErrorAs(t, err, &unusable)
+		}
+		s.Tick(epoch.Add(time.Second))
+	})
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -457,6 +457,17 @@
 	Running int
 }
 
+// Granted returns how many slots of the endpoints that this instance is home of are
+// in use or granted.
+func (s *Scheduler) Granted() int {
+	granted := 0
+	for _, name := range s.home.Endpoints() {
+		used, _ := s.home.Used(name)
+		granted += used
+	}
+	return granted
+}
+
 // Accounts returns the customers that have work waiting or running in the fleet,
 // ordered by service and name.
 func (s *Scheduler) Accounts() []Account {
--- a/internal/slot/home.go
+++ b/internal/slot/home.go
@@ -80,13 +80,13 @@
 	pending map[share.Key]int // grants above seen
 	outbox  []Grant
 	ask     bool
-	avoid   map[share.Key]avoided
+	avoid   map[avoided]time.Time
 }
 
 // avoided is an endpoint whose slot an entry instance declined for an account.
 type avoided struct {
+	key      share.Key
 	endpoint string
-	until    time.Time
 }
 
 // avoidTerm is how long an endpoint is not granted again for work that declined it.
@@ -149,7 +149,7 @@
 			demand:  map[share.Key]int{},
 			leases:  map[uint64]*lease{},
 			pending: map[share.Key]int{},
-			avoid:   map[share.Key]avoided{},
+			avoid:   map[avoided]time.Time{},
 		}
 		h.entries[name] = e
 	}
@@ -185,7 +185,7 @@
 	if l == nil {
 		return
 	}
-	e.avoid[l.key] = avoided{l.endpoint, now.Add(avoidTerm)}
+	e.avoid[avoided{l.key, l.endpoint}] = now.Add(avoidTerm)
 	h.free(e, l)
 }
 
@@ -391,34 +391,35 @@
 	key   share.Key
 }
 
-// choose returns the endpoint for a grant, or nil if only one that was declined
-// lately has free slots.
+// choose returns the endpoint for a grant: the one with the largest share of free
+// slots, or nil if only endpoints that were declined lately have any.
 func (h *Home) choose(e *entry, k share.Key, now time.Time) *endpoint {
-	a, known := e.avoid[k]
-	if known && now.After(a.until) {
-		delete(e.avoid, k)
-	}
-	return h.emptiest(k.Service, e.avoid[k].endpoint, now)
-}
-
-// emptiest returns the endpoint with the largest share of free slots, except for
-// one of a name.
-func (h *Home) emptiest(service, except string, now time.Time) *endpoint {
 	var best *endpoint
 	bestFree := 0.0
-	for _, e := range h.endpoints {
-		free := e.free(now)
-		if e.service != service || free == 0 || e.name == except {
+	for _, at := range h.endpoints {
+		free := at.free(now)
+		if at.service != k.Service || free == 0 || e.avoids(k, at.name, now) {
 			continue
 		}
-		part := float64(free) / float64(e.slots)
-		if best == nil || part > bestFree || (part == bestFree && e.name < best.name) {
-			best, bestFree = e, part
+		part := float64(free) / float64(at.slots)
+		if best == nil || part > bestFree || (part == bestFree && at.name < best.name) {
+			best, bestFree = at, part
 		}
 	}
 	return best
 }
 
+// avoids reports whether a slot of an endpoint was declined lately.
+func (e *entry) avoids(k share.Key, endpoint string, now time.Time) bool {
+	a := avoided{k, endpoint}
+	until, known := e.avoid[a]
+	if known && now.After(until) {
+		delete(e.avoid, a)
+		return false
+	}
+	return known
+}
+
 // pick returns the entry instance and account to serve next. Among entry
 // instances with work of the same account it prefers the own failure domain,
 // then the one with the most of it waiting.
--- a/internal/slot/slot_test.go
+++ b/internal/slot/slot_test.go
@@ -125,6 +125,25 @@
 	require.Equal(t, []string{"e"}, home.Decide(even, start.Add(2*time.Second)))
 }
 
+// TestTwoDeclinedEndpointsDoNotAlternate keeps out a storm of messages that the soak
+// found: an entry instance to which both endpoints of a home were closed declined
+// each in turn, without end.
+func TestTwoDeclinedEndpointsDoNotAlternate(t *testing.T) {
+	home := slot.NewHome("d0")
+	home.Adopt("m0", "model", 1, start)
+	home.Adopt("m1", "model", 1, start)
+	home.Demand("e", "d0", key("a"), 1)
+	for declined := 0; ; declined++ {
+		require.LessOrEqual(t, declined, 2)
+		if len(home.Decide(even, start)) == 0 {
+			return
+		}
+		number := home.Outbox("e")[0].Number
+		home.Renew("e", number, 1, start)
+		home.Decline("e", number, start)
+	}
+}
+
 // TestNoSlotTwice drives a home with random events and checks that slots are never
 // granted beyond what the endpoint has, and that no work waits beside a free slot.
 func TestNoSlotTwice(t *testing.T) {
