--- /dev/null
+++ b/internal/claim/claim_bench_test.go
@@ -0,0 +1,51 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/greengagestep/greengagestep/internal/standin"
+)
+
+// BenchmarkClaims gives the appends a second and the delay that claims cost, in fake
+// time, as the claims a second grow. The log answers after 2 ms.
+func BenchmarkClaims(b *testing.B) {
+	for _, rate := range []int{10, 100, 500, 1000, 2000} {
+		b.Run(fmt.Sprintf("claims=%d", rate), func(b *testing.B) {
+			for b.Loop() {
+				t := &testing.T{}
+				var appends, delay float64
+				synctest.Test(t, func(*testing.T) { appends, delay = claims(rate) })
+				b.ReportMetric(appends, "appends/s")
+				b.ReportMetric(delay, "delay-ms")
+			}
+		})
+	}
+}
+
+func claims(rate int) (appends, delay float64) {
+	const seconds = 5
+	log := &standin.Log{}
+	log.Set(standin.LogFaults{Delay: 2 * time.Millisecond})
+	h := newHall(log, "a", "b", "c", "d", "e")
+	h.owner = func(_ string, shard int) string { return string(rune('a' + shard%5)) }
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	total := time.Duration(0)
+	for i := range rate * seconds {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * time.Second / time.Duration(rate))
+			start := time.Now()
+			_, _ = h.desk(string(rune('a'+i%5))).Begin(context.Background(), "c0", fmt.Sprint("key", i), "p", "r")
+			mu.Lock()
+			defer mu.Unlock()
+			total += time.Since(start)
+		})
+	}
+	wg.Wait()
+	return float64(log.Appends()) / seconds, total.Seconds() * 1000 / float64(rate*seconds)
+}
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -323,6 +323,19 @@
 	return &operator.Client{Address: n.Operators, Secret: Secret, HTTP: n.site.client}
 }
 
+// Running reports whether the instance was started and neither stopped nor killed.
+func (n *Node) Running() bool { return n.running }
+
+// Version returns the configuration version in force at the instance, 0 if it does
+// not answer.
+func (n *Node) Version(ctx context.Context) int64 {
+	st, err := n.Operator().Status(ctx)
+	if err != nil {
+		return 0
+	}
+	return st.Version
+}
+
 // Ready reports whether the balancer may send requests to the instance.
 func (n *Node) Ready(ctx context.Context) bool {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Operators+"/ready", nil)
--- a/internal/router/operators.go
+++ b/internal/router/operators.go
@@ -76,6 +76,7 @@
 	r.dispatcher.With(func(s *scheduler.Scheduler) {
 		own := s.Status()
 		st.Waiting, st.Running, st.Held, st.Homed = own.Waiting, own.Running, own.Held, own.Homed
+		st.Unsettled = own.Unsettled
 		for _, m := range s.Table.Peers() {
 			st.Members = append(st.Members, operator.Member{Name: m.Name, Domain: m.Domain, State: string(m.State), Leaving: m.Leaving})
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -401,6 +401,8 @@
 	Held    int `json:"held"`
 	// Homed lists the endpoints that the instance grants slots of.
 	Homed []string `json:"homed"`
+	// Unsettled counts those whose slots are not granted yet.
+	Unsettled int `json:"unsettled"`
 }
 
 // Status returns what the instance holds now.
@@ -410,6 +412,8 @@
 		Running: len(s.runs),
 		Held:    s.held.Count(),
 		Homed:   s.home.Endpoints(),
+
+		Unsettled: len(s.unsettled),
 	}
 }
 
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -16,20 +16,22 @@
 
 // Status is what an instance knows about itself and the fleet.
 type Status struct {
-	Name        string            `json:"name"`
-	Domain      string            `json:"domain"`
-	Incarnation uint32            `json:"incarnation"`
-	Version     int64             `json:"version"`
-	Stopping    bool              `json:"stopping"`
-	Leader      string            `json:"leader"`
-	Waiting     int               `json:"waiting"`
-	Running     int               `json:"running"`
-	Held        int               `json:"held"`
-	Homed       []string          `json:"homed"`
-	Members     []Member          `json:"members"`
-	Endpoints   []Endpoint        `json:"endpoints"`
-	Accounts    []Account         `json:"accounts"`
-	Waits       map[string]string `json:"waits,omitempty"`
+	Name        string   `json:"name"`
+	Domain      string   `json:"domain"`
+	Incarnation uint32   `json:"incarnation"`
+	Version     int64    `json:"version"`
+	Stopping    bool     `json:"stopping"`
+	Leader      string   `json:"leader"`
+	Waiting     int      `json:"waiting"`
+	Running     int      `json:"running"`
+	Held        int      `json:"held"`
+	Homed       []string `json:"homed"`
+	// Unsettled counts the homed endpoints whose slots are not granted yet.
+	Unsettled int               `json:"unsettled"`
+	Members   []Member          `json:"members"`
+	Endpoints []Endpoint        `json:"endpoints"`
+	Accounts  []Account         `json:"accounts"`
+	Waits     map[string]string `json:"waits,omitempty"`
 	// Sent is what the instance sent to its peers since its start, in bytes;
 	// Uptime is the time since then, in seconds.
 	Sent   int64   `json:"sent"`
