--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -190,7 +190,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := r.peerClient.Do(req)
+	resp, err := r.endpointClient.Do(req)
 	if err == nil {
 		_ = resp.Body.Close()
 		if resp.StatusCode != http.StatusOK {
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -157,20 +158,37 @@
 	return err == nil
 }
 
-// newPeerClient returns a client whose requests have as few header bytes as HTTP
-// allows.
-func newPeerClient(dial endpoint.Dial) *http.Client {
+// newPeerClient returns a client that counts the bytes that it writes.
+func newPeerClient(dial endpoint.Dial, written metrics.Counter) *http.Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: sendTimeout}).DialContext
+	}
+	counted := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return countedConn{conn, written}, nil
+	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute,
+		DialContext: counted, DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute,
 	}}
 }
 
-// messageOverhead is what one exchange costs beyond its body: the request line,
-// the headers and the empty answer, in bytes.
-const messageOverhead = 210
+// countedConn counts what is written to a connection.
+type countedConn struct {
+	net.Conn
+	written metrics.Counter
+}
+
+// Write implements net.Conn.
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Inc(int64(n))
+	return n, err
+}
 
 func (r *Router) post(ctx context.Context, address string, body []byte) error {
-	r.bytesSent.Inc(int64(len(body) + messageOverhead))
 	metrics.GetOrRegisterCounter("peers.messages", r.metrics).Inc(1)
 	resp, err := r.peerCall(ctx, http.MethodPost, address, pathMessage, body, sendTimeout)
 	if err != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -64,7 +64,9 @@
 	caller     *caller.Handler
 	calls      *endpoint.Caller
 	peerClient *http.Client
-	policy     policy
+	// endpointClient asks endpoints for their load and gives them orders.
+	endpointClient *http.Client
+	policy         policy
 
 	mu        sync.Mutex
 	endpoints *endpoint.Table
@@ -132,7 +134,8 @@
 	r.started = time.Now()
 	r.stopping = make(chan struct{})
 	r.versions = map[string]int64{}
-	r.peerClient = newPeerClient(r.Dial)
+	r.peerClient = newPeerClient(r.Dial, r.bytesSent)
+	r.endpointClient = newPeerClient(r.Dial, metrics.GetOrRegisterCounter("endpoints.bytes", r.metrics))
 	r.calls = endpoint.NewCaller(r.Dial)
 	r.quarantine = quarantine.New(r.trail)
 	r.quarantine.OnCrash = r.endpointCrashed
@@ -197,6 +200,7 @@
 	<-done
 	r.calls.Close()
 	r.peerClient.CloseIdleConnections()
+	r.endpointClient.CloseIdleConnections()
 	return err
 }
 
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -129,7 +129,7 @@
 	if err != nil {
 		return load, err
 	}
-	resp, err := r.peerClient.Do(req)
+	resp, err := r.endpointClient.Do(req)
 	if err != nil {
 		return load, err
 	}
