--- a/internal/publication/publication_test.go
+++ b/internal/publication/publication_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,6 +55,29 @@
 	require.Equal(t, "ana", race.Actor)
 }
 
+// TestConcurrentPublicationsHaveOneWinner lets both operators append before either
+// has read what the other did.
+func TestConcurrentPublicationsHaveOneWinner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &standin.Log{}
+		log.Set(standin.LogFaults{Delay: 500 * time.Millisecond})
+		followers := []*watched{follow(t, log, "a"), follow(t, log, "b")}
+		errs := make([]error, 2)
+		var wg sync.WaitGroup
+		for i, f := range followers {
+			wg.Go(func() { _, errs[i] = propose(f, fmt.Sprint("operator-", i), 0, i) })
+		}
+		wg.Wait()
+		require.Equal(t, int64(2), log.Appends())
+		if errs[0] == nil {
+			errs[0], errs[1] = errs[1], errs[0]
+		}
+		var race *publication.Race
+		require.ErrorAs(t, errs[0], &race)
+		require.NoError(t, errs[1])
+	})
+}
+
 func TestRepeatedPublicationKeepsItsVersion(t *testing.T) {
 	log := &standin.Log{}
 	a := follow(t, log, "a")
--- a/internal/scheduler/duty.go
+++ b/internal/scheduler/duty.go
@@ -45,6 +45,7 @@
 		s.home.Adopt(name, e.Service, e.Slots, settled)
 		s.home.Close(name, e.Closed)
 	}
+	s.homes = s.homesByService()
 }
 
 func (s *Scheduler) drop(name string) {
@@ -86,17 +87,19 @@
 	return func(endpoint string) bool { return s.owners[endpoint] == home }
 }
 
-// homes returns the peers that are home of an endpoint of a service, with
-// whether they are in the own failure domain.
-func (s *Scheduler) homes(service string) map[string]bool {
-	homes := map[string]bool{}
+// homesByService works out, for every service, the peers that are home of one of its
+// endpoints, with whether they are in the own failure domain.
+func (s *Scheduler) homesByService() map[string]map[string]bool {
+	all := map[string]map[string]bool{}
 	for name, e := range s.endpoints {
-		if e.Service != service || e.Closed {
+		owner := s.owners[name]
+		if e.Closed || owner == "" || owner == s.self() {
 			continue
 		}
-		if owner := s.owners[name]; owner != "" && owner != s.self() {
-			homes[owner] = e.Domain == s.Table.Self.Domain
+		if all[e.Service] == nil {
+			all[e.Service] = map[string]bool{}
 		}
+		all[e.Service][owner] = e.Domain == s.Table.Self.Domain
 	}
-	return homes
+	return all
 }
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -207,6 +207,7 @@
 	}
 	if free != nil {
 		s.link(from.Name).free = free
+		defer s.seekAll()
 	}
 	for _, l := range leases {
 		s.use(l, now)
@@ -217,7 +218,6 @@
 	s.shedSpares(now)
 	s.decide(now)
 	s.disappoint(from.Name, now)
-	s.seekAll()
 	return nil
 }
 
@@ -291,7 +291,7 @@
 // service, the best first: with free slots, near, with the most free slots.
 func (s *Scheduler) candidates(k share.Key) []candidateHome {
 	var homes []candidateHome
-	for name, near := range s.homes(k.Service) {
+	for name, near := range s.homes[k.Service] {
 		l := s.link(name)
 		homes = append(homes, candidateHome{name, near, l.free[k.Service], l.sent.Waiting(k) > 0})
 	}
@@ -319,14 +319,10 @@
 	return -1
 }
 
+// seekAll seeks slots for everything that waits here, because a home reported other
+// free slots than before.
 func (s *Scheduler) seekAll() {
-	seen := map[string]bool{}
-	for name := range s.endpoints {
-		service := s.endpoints[name].Service
-		if seen[service] {
-			continue
-		}
-		seen[service] = true
+	for service := range s.homes {
 		for _, k := range s.Queue.Keys(service) {
 			s.seek(k)
 		}
--- a/internal/scheduler/exchange_test.go
+++ b/internal/scheduler/exchange_test.go
@@ -24,7 +24,8 @@
 func (r *recorder) Wake(peer string)                   { r.woken[peer]++ }
 
 func instance(name string, incarnation uint32) (*scheduler.Scheduler, *recorder) {
-	s := scheduler.New(member.Member{Name: name, Domain: "d0", Address: name, Incarnation: incarnation}, epoch)
+	domain := map[string]string{"e0": "d0", "e1": "d1"}[name]
+	s := scheduler.New(member.Member{Name: name, Domain: domain, Address: name, Incarnation: incarnation}, epoch)
 	port := &recorder{woken: map[string]int{}}
 	s.Port = port
 	return s, port
@@ -35,23 +36,23 @@
 // waited, and the home granted slots for it without end.
 func TestOvertakenMessageIsDropped(t *testing.T) {
 	entry, _ := instance("e1", 11)
-	home, port := instance("e0", 10)
-	peers := []fleet.Instance{{Name: "e0", Role: fleet.RoleEntry, Domain: "d0"}, {Name: "e1", Role: fleet.RoleEntry, Domain: "d0"}}
+	home, _ := instance("e0", 10)
+	peers := []fleet.Instance{{Name: "e0", Role: fleet.RoleEntry, Domain: "d0"}, {Name: "e1", Role: fleet.RoleEntry, Domain: "d1"}}
 	entry.Table.Seed(peers)
 	home.Table.Seed(peers)
-	k := share.Key{Service: "model", Customer: "a"}
-	require.NoError(t, entry.Arrive(queue.Request{ID: "r", Key: k}, epoch))
-	late := entry.Compose("e0", nil, epoch)
+	home.SetEndpoints([]scheduler.Endpoint{{Name: "m0", Service: "model", Domain: "d0", Slots: 1}}, epoch)
+	_, _, err := entry.Receive(home.Compose("e1", nil, epoch), epoch)
+	require.NoError(t, err)
+	now := epoch.Add(time.Millisecond)
+	require.NoError(t, entry.Arrive(queue.Request{ID: "r", Key: share.Key{Service: "model", Customer: "a"}}, now))
+	late := entry.Compose("e0", nil, now)
 	entry.Sent("e0", false)
 	entry.Cancel("r")
-	_, _, err := home.Receive(entry.Compose("e0", nil, epoch), epoch)
+	_, _, err = home.Receive(entry.Compose("e0", nil, now), now)
 	require.NoError(t, err)
-	_, _, err = home.Receive(late, epoch)
+	require.Zero(t, home.Status().Unsettled)
+	_, _, err = home.Receive(late, now)
 	require.NoError(t, err)
-	home.SetEndpoints([]scheduler.Endpoint{{Name: "m0", Service: "model", Domain: "d0", Slots: 1}}, epoch)
-	port.woken = map[string]int{}
-	home.Tick(epoch.Add(4 * time.Second))
-	require.Empty(t, home.Status().Held)
 	require.Zero(t, home.Granted())
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -88,6 +88,7 @@
 	warm      *warmth
 	endpoints map[string]Endpoint
 	owners    map[string]string // home of each endpoint
+	homes     map[string]map[string]bool
 	adopted   map[string]time.Time
 	links     map[string]*link
 	unsettled map[string]bool // endpoints whose slots are not granted yet
--- a/internal/scheduler/trace_test.go
+++ b/internal/scheduler/trace_test.go
@@ -226,6 +226,7 @@
 			w.addNode(fmt.Sprintf("e%d", i), fmt.Sprintf("d%d", i))
 		}
 		w.eps = split(w.eps, t.instances)
+		w.alone = true
 	case wayFleet:
 		for i := range t.instances {
 			w.addNode(fmt.Sprintf("e%d", i), fmt.Sprintf("d%d", i%t.domains))
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -81,6 +81,7 @@
 	used    map[string]int // slots in use per endpoint
 	epIndex map[string]int
 	refused int
+	alone   bool // instances know nothing of each other
 	stray   int // runs beyond an endpoint's slots
 	rng     *rand.Rand
 	tune    func(s *scheduler.Scheduler)
@@ -222,7 +223,7 @@
 		list = append(list, fleet.Instance{Name: o.name, Role: fleet.RoleEntry, Domain: o.domain, Address: o.name})
 	}
 	n.s.Table.Seed(list)
-	n.s.SetEndpoints(n.w.eps, n.w.now)
+	n.s.SetEndpoints(n.w.visible(n), n.w.now)
 	launch := n.launched
 	var tick func()
 	tick = func() {
@@ -257,6 +258,21 @@
 	n.w.after(offset, load)
 }
 
+// visible returns the endpoints that an instance knows: all, or its own if the
+// instances know nothing of each other.
+func (w *world) visible(n *node) []scheduler.Endpoint {
+	if !w.alone {
+		return w.eps
+	}
+	var own []scheduler.Endpoint
+	for _, e := range w.eps {
+		if e.Domain == n.domain {
+			own = append(own, e)
+		}
+	}
+	return own
+}
+
 // kill ends the process with all that runs and waits under it.
 func (n *node) kill() {
 	n.down = true
