--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -82,7 +82,7 @@
 	epIndex map[string]int
 	refused int
 	alone   bool // instances know nothing of each other
-	stray   int // runs beyond an endpoint's slots
+	stray   int  // runs beyond an endpoint's slots
 	rng     *rand.Rand
 	tune    func(s *scheduler.Scheduler)
 	noted   float64 // set by the benchmark
