--- a/internal/scheduler/trace_test.go
+++ b/internal/scheduler/trace_test.go
@@ -199,6 +199,18 @@
 // build makes the world for a trace: the fleet itself, one central scheduler
 // that sees all at no delay, or routers that each have their part of the slots.
 func (t trace) build(how way, tune func(*scheduler.Scheduler)) *world {
+	w := t.empty(how, tune)
+	for _, j := range t.jobs() {
+		if how == wayCentral || how == wayFIFO {
+			j.entry = 0
+		}
+		w.after(j.at, func() { w.submit(j) })
+	}
+	return w
+}
+
+// empty makes the world without arrivals.
+func (t trace) empty(how way, tune func(*scheduler.Scheduler)) *world {
 	w := newWorld(t.seed)
 	w.near, w.far = t.near, t.far
 	w.tune = func(s *scheduler.Scheduler) {
@@ -236,12 +248,6 @@
 		w.cut = func(a, b *node) bool { return a != b }
 	}
 	w.begin()
-	for _, j := range t.jobs() {
-		if how == wayCentral || how == wayFIFO {
-			j.entry = 0
-		}
-		w.after(j.at, func() { w.submit(j) })
-	}
 	return w
 }
 
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -80,6 +80,7 @@
 	eps     []scheduler.Endpoint
 	used    map[string]int // slots in use per endpoint
 	epIndex map[string]int
+	worst   map[string]time.Duration // longest wait by customer
 	refused int
 	alone   bool // instances know nothing of each other
 	stray   int  // runs beyond an endpoint's slots
@@ -119,6 +120,7 @@
 		near:   250 * time.Microsecond,
 		far:    1500 * time.Microsecond,
 		used:   map[string]int{},
+		worst:  map[string]time.Duration{},
 		meter:  newMeters(),
 		rng:    rand.New(rand.NewPCG(seed, 7)),
 	}
@@ -350,6 +352,7 @@
 	}
 	delete(w.jobs, j.id)
 	n.left(j)
+	w.worst[j.key.Customer] = max(w.worst[j.key.Customer], w.now.Sub(epoch)-j.at)
 	x := &execution{job: j, endpoint: r.Endpoint, started: w.now}
 	n.running[j.id] = x
 	w.occupy(r.Endpoint, 1)
