internal/share: report idle accounts in every twentieth report

Change: every twentieth; late reports are covered for the part of the time before the customer began to wait; messages name the addressee's incarnation only until one that did has arrived.

Benchmarks of the slopes for the capacity page.

--- a/internal/claim/claim_bench_test.go
+++ b/internal/claim/claim_bench_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/greengagestep/greengagestep/internal/claim"
 	"github.com/greengagestep/greengagestep/internal/standin"
 )
 
@@ -49,3 +51,18 @@
 	wg.Wait()
 	return float64(log.Appends()) / seconds, total.Seconds() * 1000 / float64(rate*seconds)
 }
+
+// BenchmarkClaimMemory gives the memory of a claim at the owner of its shard.
+func BenchmarkClaimMemory(b *testing.B) {
+	const n = 20000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		x := claim.IndexForTest(n)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(x)
+		b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/n, "B/claim")
+	}
+}
--- /dev/null
+++ b/internal/scheduler/capacity_bench_test.go
@@ -0,0 +1,115 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/greengagestep/greengagestep/internal/member"
+	"github.com/greengagestep/greengagestep/internal/queue"
+	"github.com/greengagestep/greengagestep/internal/scheduler"
+	"github.com/greengagestep/greengagestep/internal/share"
+)
+
+// The benchmarks give the slopes that docs/CAPACITY.md works with:
+//
+//	go test -run '^$' -bench Capacity ./internal/scheduler
+
+// kept returns the bytes that build keeps alive.
+func kept(build func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	value := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(value)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+func account(i int) share.Key {
+	return share.Key{Service: fmt.Sprintf("service-%d", i%34), Customer: fmt.Sprintf("customer-%d", i), Kind: "plan"}
+}
+
+// BenchmarkCapacityAccounts gives the memory of an account and the time of a report,
+// for a home that knows the accounts of one peer.
+func BenchmarkCapacityAccounts(b *testing.B) {
+	for _, n := range []int{260, 2600, 26000} {
+		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
+			build := func() any {
+				book := share.New()
+				for i := range n {
+					book.SetOwn(account(i), 1, 1)
+					book.Charge(account(i), 100)
+				}
+				return book
+			}
+			bytes := kept(build)
+			book := build().(*share.Book)
+			sent := &share.Sent{}
+			book.Report(sent, true, false)
+			for b.Loop() {
+				book.Report(sent, false, false)
+			}
+			b.ReportMetric(bytes/float64(n), "B/account")
+		})
+	}
+}
+
+// BenchmarkCapacityGrant gives the time of one grant and release at a home with the
+// demand of several entry instances.
+func BenchmarkCapacityGrant(b *testing.B) {
+	for _, waiting := range []int{15, 260, 2600} {
+		b.Run(fmt.Sprintf("customers=%d", waiting), func(b *testing.B) {
+			s, _ := instance("e0", 10)
+			s.SetEndpoints([]scheduler.Endpoint{{Name: "m0", Service: "service-0", Domain: "d0", Slots: 1}}, epoch)
+			now := epoch.Add(4 * time.Second)
+			s.Tick(now)
+			for i := range waiting {
+				k := share.Key{Service: "service-0", Customer: fmt.Sprintf("customer-%d", i)}
+				for j := range 2 {
+					if err := s.Arrive(queue.Request{ID: fmt.Sprintf("%d/%d", i, j), Key: k}, now); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+			port := s.Port.(*recorder)
+			n := 0
+			for b.Loop() {
+				run := port.started[len(port.started)-1]
+				port.started = port.started[:0]
+				s.Finish(run.Request.ID, now)
+				n++
+				again := run.Request
+				again.ID = fmt.Sprintf("again-%d", n)
+				if err := s.Arrive(again, now); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkCapacityDuties gives the time to reassign the homes of endpoints when a
+// member comes or goes, and the memory of the endpoints.
+func BenchmarkCapacityDuties(b *testing.B) {
+	for _, size := range []struct{ members, endpoints int }{{5, 23}, {65, 706}, {1100, 12000}} {
+		b.Run(fmt.Sprintf("members=%d", size.members), func(b *testing.B) {
+			s, _ := instance("e0", 10)
+			for i := range size.members - 1 {
+				m := member.Member{Name: fmt.Sprintf("p%d", i), Domain: fmt.Sprintf("d%d", i%17), Incarnation: uint32(i + 1)}
+				s.Table.Heard(m, epoch)
+			}
+			eps := make([]scheduler.Endpoint, size.endpoints)
+			for i := range eps {
+				eps[i] = scheduler.Endpoint{Name: fmt.Sprintf("m%d", i), Service: fmt.Sprintf("service-%d", i%34), Domain: fmt.Sprintf("d%d", i%17), Slots: 64}
+			}
+			bytes := kept(func() any { s.SetEndpoints(eps, epoch); return s })
+			for b.Loop() {
+				s.SetEndpoints(eps, epoch)
+			}
+			b.ReportMetric(bytes/float64(size.endpoints), "B/endpoint")
+		})
+	}
+}
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -24,7 +24,8 @@
 	// message that was overtaken is dropped: it holds old state, and what it
 	// asked for is repeated in the later ones.
 	Number uint64 `json:"m"`
-	// To is the incarnation of the addressee that the sender knows.
+	// To is the incarnation of the addressee that the sender knows, left out
+	// once a message that named it has arrived.
 	To      uint32          `json:"t,omitempty"`
 	Leaving bool            `json:"v,omitempty"`
 	Report  json.RawMessage `json:"r,omitempty"`
@@ -52,6 +53,12 @@
 	// one from it.
 	number uint64
 	heard  uint64
+	// naming is the peer's incarnation that the message on its way names, and
+	// named the last one that a message named which arrived. Known is set
+	// while the peer knows this incarnation.
+	naming uint32
+	named  uint32
+	known  bool
 }
 
 // MessageError reports a message of a peer that cannot be used.
@@ -93,8 +100,12 @@
 	self := s.Table.Self
 	l.number++
 	w := wireEnvelope{
-		Name: self.Name, Incarnation: self.Incarnation, Number: l.number, To: l.incarnation, Leaving: self.Leaving, Extra: extra,
+		Name: self.Name, Incarnation: self.Incarnation, Number: l.number, Leaving: self.Leaving, Extra: extra,
 	}
+	if l.named != l.incarnation {
+		w.To = l.incarnation
+	}
+	l.naming = l.incarnation
 	if l.synced.IsZero() {
 		w.Domain, w.Address = self.Domain, self.Address
 	}
@@ -129,10 +140,12 @@
 func (s *Scheduler) Sent(peer string, ok bool) {
 	l := s.link(peer)
 	if !ok {
+		l.named = 0
 		l.sent.Forget()
 		l.told = nil
 		return
 	}
+	l.named = l.naming
 	s.held.Acknowledged(peer, l.returned)
 	if s.held.Unsent(peer) != (slot.Returned{}) {
 		s.wake(peer)
@@ -165,7 +178,8 @@
 		return from, nil, nil
 	}
 	l.heard = w.Number
-	if w.To == s.Table.Self.Incarnation {
+	l.known = w.To == s.Table.Self.Incarnation || (w.To == 0 && l.known)
+	if l.known {
 		l.synced = now
 	}
 	if !known || before.State != member.StateLive || before.Leaving != from.Leaving {
@@ -184,6 +198,7 @@
 	}
 	l.incarnation = from.Incarnation
 	l.heard = 0
+	l.known = false
 	l.sent.Forget()
 	l.synced = time.Time{}
 	l.free = nil
--- a/internal/share/exchange.go
+++ b/internal/share/exchange.go
@@ -70,7 +70,7 @@
 // idleReports is how many regular reports pass between two that hold the accounts
 // of customers without waiting work. Their order does not matter, so what they were
 // delivered may be known later.
-const idleReports = 40
+const idleReports = 20
 
 // Report encodes what changed since the last report to the same peer. Regular
 // reports hold everything, with reference set also the lags; the others hold only
@@ -245,12 +245,14 @@
 }
 
 // cover takes back the charge for service from before the customer's work began to
-// wait, as far as the customer was lifted then.
+// wait, as far as the customer was lifted then. What grew since the last report is
+// taken to have grown evenly.
 func (b *Book) cover(c *customer, grown, reported float64) {
-	if reported >= c.since {
+	if reported >= c.since || b.now <= reported {
 		return
 	}
-	covered := math.Min(grown/b.weight(c.name), c.lifted)
+	before := (c.since - reported) / (b.now - reported)
+	covered := math.Min(grown*before/b.weight(c.name), c.lifted)
 	c.virtual -= covered
 	c.lifted -= covered
 }
