--- a/internal/command/look.go
+++ b/internal/command/look.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/goccy/go-yaml"
 	"github.com/spf13/cobra"
 
 	"github.com/greengagestep/greengagestep/internal/setting"
@@ -66,28 +68,91 @@
 	_ = t.Flush()
 }
 
-func (p *Program) newStatus() *cobra.Command {
+// look is a command that asks an instance one question and prints the answer.
+type look struct {
+	use   string
+	short string
+	args  cobra.PositionalArgs
+	// ask returns the answer as it is printed in JSON, and how to print it
+	// for people.
+	ask func(ctx context.Context, client *operator.Client, args []string) (any, func(w io.Writer), error)
+}
+
+func (p *Program) newLook(l look) *cobra.Command {
 	c := &connection{transport: p.Transport}
-	cmd := &cobra.Command{
-		Use:   "status",
-		Short: "Print what an instance knows about itself, its peers and the endpoints",
-		Args:  cobra.NoArgs,
-	}
+	cmd := &cobra.Command{Use: l.use, Short: l.short, Args: l.args}
 	c.bind(cmd)
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
 		client, err := c.client()
 		if err != nil {
 			return err
 		}
-		st, err := client.Status(cmd.Context())
+		answer, human, err := l.ask(cmd.Context(), client, args)
 		if err != nil {
 			return callFailed(err)
 		}
-		return c.print(cmd.OutOrStdout(), st, func(w io.Writer) { printStatus(w, st) })
+		return c.print(cmd.OutOrStdout(), answer, human)
 	}
 	return cmd
 }
 
+func (p *Program) newStatus() *cobra.Command {
+	return p.newLook(look{
+		use: "status", short: "Print what an instance knows about itself, its peers and the endpoints", args: cobra.NoArgs,
+		ask: func(ctx context.Context, client *operator.Client, _ []string) (any, func(io.Writer), error) {
+			st, err := client.Status(ctx)
+			return st, func(w io.Writer) { printStatus(w, st) }, err
+		},
+	})
+}
+
+func (p *Program) newAudit() *cobra.Command {
+	return p.newLook(look{
+		use: "audit", short: "Print the newest changes that an instance made or saw, with cause and actor", args: cobra.NoArgs,
+		ask: func(ctx context.Context, client *operator.Client, _ []string) (any, func(io.Writer), error) {
+			entries, err := client.Audit(ctx)
+			return entries, func(w io.Writer) { printAudit(w, entries) }, err
+		},
+	})
+}
+
+func (p *Program) newExplain() *cobra.Command {
+	return p.newLook(look{
+		use: "explain ID", short: "Print the way of a request across the fleet", args: cobra.ExactArgs(1),
+		ask: func(ctx context.Context, client *operator.Client, args []string) (any, func(io.Writer), error) {
+			e, err := client.Explain(ctx, args[0])
+			return e, func(w io.Writer) { printExplanation(w, e) }, err
+		},
+	})
+}
+
+func (p *Program) newShow() *cobra.Command {
+	return p.newLook(look{
+		use: "show", short: "Print the configuration text in force, ready to be edited and published", args: cobra.NoArgs,
+		ask: func(ctx context.Context, client *operator.Client, _ []string) (any, func(io.Writer), error) {
+			conf, err := client.Configuration(ctx)
+			return conf, func(w io.Writer) { printText(w, conf) }, err
+		},
+	})
+}
+
+func printText(w io.Writer, conf operator.Configuration) {
+	data, err := yaml.Marshal(conf.Text)
+	if err != nil {
+		// Only strings, numbers and lists are in it.
+		panic(fmt.Sprintf("command: text does not encode: %v", err))
+	}
+	fmt.Fprintf(w, "# version: %d\n%s", conf.Version, data)
+}
+
+func printAudit(w io.Writer, entries []operator.Entry) {
+	table(w, func(w io.Writer) {
+		for _, e := range entries {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", e.At.Format(time.RFC3339Nano), e.What, e.Subject, e.Change, e.Actor, e.Cause)
+		}
+	})
+}
+
 func printStatus(w io.Writer, st operator.Status) {
 	fmt.Fprintf(w, "%s in %s: configuration version %d, leader %s, %d waiting, %d running, %d slots held\n",
 		st.Name, st.Domain, st.Version, st.Leader, st.Waiting, st.Running, st.Held)
@@ -111,56 +176,6 @@
 	})
 }
 
-func (p *Program) newAudit() *cobra.Command {
-	c := &connection{transport: p.Transport}
-	cmd := &cobra.Command{
-		Use:   "audit",
-		Short: "Print the newest changes that an instance made or saw, with cause and actor",
-		Args:  cobra.NoArgs,
-	}
-	c.bind(cmd)
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		client, err := c.client()
-		if err != nil {
-			return err
-		}
-		entries, err := client.Audit(cmd.Context())
-		if err != nil {
-			return callFailed(err)
-		}
-		return c.print(cmd.OutOrStdout(), entries, func(w io.Writer) {
-			table(w, func(w io.Writer) {
-				for _, e := range entries {
-					fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", e.At.Format(time.RFC3339Nano), e.What, e.Subject, e.Change, e.Actor, e.Cause)
-				}
-			})
-		})
-	}
-	return cmd
-}
-
-func (p *Program) newExplain() *cobra.Command {
-	c := &connection{transport: p.Transport}
-	cmd := &cobra.Command{
-		Use:   "explain ID",
-		Short: "Print the way of a request across the fleet",
-		Args:  cobra.ExactArgs(1),
-	}
-	c.bind(cmd)
-	cmd.RunE = func(cmd *cobra.Command, args []string) error {
-		client, err := c.client()
-		if err != nil {
-			return err
-		}
-		e, err := client.Explain(cmd.Context(), args[0])
-		if err != nil {
-			return callFailed(err)
-		}
-		return c.print(cmd.OutOrStdout(), e, func(w io.Writer) { printExplanation(w, e) })
-	}
-	return cmd
-}
-
 func printExplanation(w io.Writer, e operator.Explanation) {
 	fmt.Fprintf(w, "request %s\n", e.Request)
 	if e.Note != "" {
--- a/internal/command/text.go
+++ b/internal/command/text.go
@@ -13,7 +13,6 @@
 	"strconv"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/spf13/cobra"
 	"go.uber.org/zap/zapcore"
 
@@ -148,34 +147,6 @@
 	}
 }
 
-func (p *Program) newShow() *cobra.Command {
-	c := &connection{transport: p.Transport}
-	cmd := &cobra.Command{
-		Use:   "show",
-		Short: "Print the configuration text in force, ready to be edited and published",
-		Args:  cobra.NoArgs,
-	}
-	c.bind(cmd)
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		client, err := c.client()
-		if err != nil {
-			return err
-		}
-		conf, err := client.Configuration(cmd.Context())
-		if err != nil {
-			return callFailed(err)
-		}
-		data, err := yaml.Marshal(conf.Text)
-		if err != nil {
-			return fail(exitFailed, err)
-		}
-		return c.print(cmd.OutOrStdout(), conf, func(w io.Writer) {
-			fmt.Fprintf(w, "# version: %d\n%s", conf.Version, data)
-		})
-	}
-	return cmd
-}
-
 func printJSON(w io.Writer, v any) error {
 	enc := json.NewEncoder(w)
 	enc.SetIndent("", "  ")
