--- a/internal/share/book_test.go
+++ b/internal/share/book_test.go
@@ -107,6 +107,24 @@
 	}
 }
 
+// TestCompleteReportEndsOldDemand keeps out a storm of messages that the soak found: a
+// request was cancelled before it got any service while the link was down, and the next
+// complete report left its account out, so that it waited for ever at the peer.
+func TestCompleteReportEndsOldDemand(t *testing.T) {
+	sender, receiver := share.New(), share.New()
+	sent := &share.Sent{}
+	sender.SetOwn(key("a"), 1, 0)
+	_, err := receiver.Merge("e1", 7, sender.Report(sent, true, false), start)
+	require.NoError(t, err)
+	require.True(t, receiver.PeerWaits("e1", "model"))
+	sender.SetOwn(key("a"), 0, 0)
+	sent.Forget()
+	rows, err := receiver.Merge("e1", 7, sender.Report(sent, true, false), start)
+	require.NoError(t, err)
+	require.Equal(t, []share.Row{{Key: key("a")}}, rows)
+	require.False(t, receiver.PeerWaits("e1", "model"))
+}
+
 func TestRestartedPeerIsChargedFromZero(t *testing.T) {
 	receiver := share.New()
 	old, renewed := share.New(), share.New()
--- a/internal/share/exchange.go
+++ b/internal/share/exchange.go
@@ -20,6 +20,8 @@
 	// Lags holds, by number, the virtual times of waiting customers over the
 	// lowest of them. Only the reference instance sends them.
 	Lags map[int]float64 `json:"l,omitempty"`
+	// Complete reports hold every account: nothing waits or runs in others.
+	Complete bool `json:"c,omitempty"`
 }
 
 // MessageError reports a message that cannot be read.
@@ -82,6 +84,7 @@
 	if sent.rows == nil {
 		sent.rows = map[Key]Row{}
 		regular = true
+		report.Complete = true
 	}
 	all := regular && sent.reports%idleReports == 0
 	if regular {
@@ -97,7 +100,7 @@
 	if reference {
 		b.addLags(sent, &report)
 	}
-	if report.Rows == nil && report.Lags == nil {
+	if report.Rows == nil && report.Lags == nil && !report.Complete {
 		return nil
 	}
 	data, err := json.Marshal(report)
@@ -200,10 +203,34 @@
 		b.mergeRow(p, row, charge)
 		rows = append(rows, row)
 	}
+	if report.Complete {
+		rows = append(rows, b.ended(p, rows)...)
+	}
 	b.follow(p, report.Lags)
 	return rows, nil
 }
 
+// ended returns the rows of the accounts that a complete report does not list, with
+// nothing waiting or running any more.
+func (b *Book) ended(p *peer, listed []Row) []Row {
+	known := map[Key]bool{}
+	for _, row := range listed {
+		known[row.Key] = true
+	}
+	var rows []Row
+	for k, row := range p.rows {
+		if known[k] {
+			continue
+		}
+		row.Key, row.Waiting, row.Running = k, 0, 0
+		rows = append(rows, row)
+	}
+	for _, row := range rows {
+		b.mergeRow(p, row, false)
+	}
+	return rows
+}
+
 func count(v float64) int {
 	const most = 1 << 30
 	if !(v > 0) {
