internal/slot: an unused grant ends the demand that it was for

Change: a grant for which nothing waits comes back as unused; its home drops the demand until it is reported again, and the entry instance reports the account anew.

Shown by TestUnusedGrantEndsItsDemand.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -253,6 +253,12 @@
 		s.decline(l, now)
 		return
 	}
+	if l.Home != s.self() && len(s.Queue.Keys(l.Service)) == 0 {
+		s.held.Unused(l)
+		s.link(l.Home).sent.Drop(l.Key)
+		s.wake(l.Home)
+		return
+	}
 	s.reuse(l, now)
 }
 
--- a/internal/share/exchange.go
+++ b/internal/share/exchange.go
@@ -46,6 +46,10 @@
 // Forget makes the next report complete.
 func (s *Sent) Forget() { *s = Sent{} }
 
+// Drop forgets what the peer was told about an account, because it turned out to
+// believe something else.
+func (s *Sent) Drop(k Key) { delete(s.rows, k) }
+
 // Waiting returns the number of waiting requests that the peer was last told
 // about an account.
 func (s *Sent) Waiting(k Key) int { return s.rows[k].Waiting }
--- a/internal/slot/exchange.go
+++ b/internal/slot/exchange.go
@@ -12,6 +12,7 @@
 type wireHolder struct {
 	Released []uint64          `json:"x,omitempty"`
 	Declined []uint64          `json:"d,omitempty"`
+	Unused   []uint64          `json:"u,omitempty"`
 	Seen     uint64            `json:"s,omitempty"`
 	Held     int               `json:"h,omitempty"`
 	All      map[uint64]string `json:"a,omitempty"`
@@ -50,7 +51,7 @@
 // message until Acknowledged is called.
 func (h *Held) Message(home string, owns func(endpoint string) bool) json.RawMessage {
 	s := h.source(home)
-	w := wireHolder{Released: s.released, Declined: s.declined, Seen: s.seen, Held: len(s.leases), Foreign: h.foreign(home, owns)}
+	w := wireHolder{Released: s.released, Declined: s.declined, Unused: s.unused, Seen: s.seen, Held: len(s.leases), Foreign: h.foreign(home, owns)}
 	if s.list {
 		w.Listed = true
 		w.All = map[uint64]string{}
@@ -65,12 +66,13 @@
 type Returned struct {
 	released int
 	declined int
+	unused   int
 }
 
 // Unsent returns what a home has not been told yet.
 func (h *Held) Unsent(home string) Returned {
 	s := h.source(home)
-	return Returned{len(s.released), len(s.declined)}
+	return Returned{len(s.released), len(s.declined), len(s.unused)}
 }
 
 // Acknowledged drops what a message to a home said that reached it.
@@ -78,6 +80,7 @@
 	s := h.source(home)
 	s.released = s.released[min(r.released, len(s.released)):]
 	s.declined = s.declined[min(r.declined, len(s.declined)):]
+	s.unused = s.unused[min(r.unused, len(s.unused)):]
 	s.list = false
 }
 
@@ -95,6 +98,9 @@
 	for _, number := range w.Declined {
 		h.Decline(from, number, now)
 	}
+	for _, number := range w.Unused {
+		h.Unused(from, number)
+	}
 	h.Renew(from, w.Seen, w.Held, now)
 	if w.Listed {
 		h.Listed(from, w.All)
--- a/internal/slot/held.go
+++ b/internal/slot/held.go
@@ -31,6 +31,7 @@
 	leases      map[uint64]*Lease
 	released    []uint64
 	declined    []uint64
+	unused      []uint64
 	list        bool
 }
 
@@ -114,6 +115,18 @@
 	}
 }
 
+// Unused gives a lease back for whose account nothing waits here.
+func (h *Held) Unused(l *Lease) {
+	s := h.source(l.Home)
+	if s.leases[l.Number] != l {
+		return
+	}
+	delete(s.leases, l.Number)
+	if l.Home != orphanHome {
+		s.unused = append(s.unused, l.Number)
+	}
+}
+
 // Decline gives a lease back that the requests it was granted for must not use.
 func (h *Held) Decline(l *Lease) {
 	s := h.source(l.Home)
--- a/internal/slot/home.go
+++ b/internal/slot/home.go
@@ -188,6 +188,19 @@
 	h.free(e, l)
 }
 
+// Unused takes a slot back for whose account nothing waits at the entry instance. Its
+// demand counts as gone until it is reported again, so that a wrong report cannot
+// bring about grants without end.
+func (h *Home) Unused(name string, number uint64) {
+	e := h.entry(name)
+	l := e.leases[number]
+	if l == nil {
+		return
+	}
+	delete(e.demand, l.key)
+	h.free(e, l)
+}
+
 func (h *Home) free(e *entry, l *lease) {
 	delete(e.leases, l.number)
 	if at := h.endpoints[l.endpoint]; at != nil {
--- a/internal/slot/slot_test.go
+++ b/internal/slot/slot_test.go
@@ -113,6 +113,16 @@
 	require.Equal(t, 4, home.Free("model", start), "one report without them frees the slots")
 }
 
+func TestUnusedGrantEndsItsDemand(t *testing.T) {
+	p := newPair(1)
+	p.home.Demand("e", "d0", key("a"), 1)
+	p.home.Decide(even, p.now)
+	p.held.Unused(p.toEntry(t)[0])
+	p.toHome(t)
+	require.Zero(t, p.used())
+	require.Empty(t, p.home.Decide(even, p.now), "the demand was wrong")
+}
+
 func TestDeclinedEndpointIsNotGrantedAtOnce(t *testing.T) {
 	home := slot.NewHome("d0")
 	home.Adopt("m0", "model", 1, start)
