internal/router: do not eject endpoints that are only cut off

Cause: an instance that took over endpoints beyond a cut could not reach them and ejected them, which outlasted the cut. Scenario cutback fails before and passes after.

--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -111,7 +111,11 @@
 	// What an earlier home said stands until the first own load report.
 	r.endpoints.Unfollow(name)
 	if err != nil {
-		r.endpoints.Result(name, false, time.Now())
+		// An endpoint of another domain may only be cut off from here. Ejecting
+		// it would outlast the cut.
+		if in, _ := r.endpoints.Instance(name); in.Domain == r.Domain {
+			r.endpoints.Result(name, false, time.Now())
+		}
 		return
 	}
 	r.endpoints.Result(name, true, time.Now())
