internal/router: take no old word for endpoints of another domain

Cause: an instance that takes over endpoints beyond a cut believed what their home had said before it, sent requests there and refused the endpoints afterwards.

--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -80,7 +80,15 @@
 
 // refresh gives the scheduler the endpoints as they are now.
 func (r *Router) refresh(now time.Time) {
+	mine := r.homedNames()
 	r.mu.Lock()
+	for _, name := range mine {
+		// An endpoint taken over from another domain may be cut off from
+		// here: what its home said before does not count.
+		if in, _ := r.endpoints.Instance(name); in.Domain != r.Domain {
+			r.endpoints.Unfollow(name)
+		}
+	}
 	states := r.endpoints.States(now)
 	r.mu.Unlock()
 	eps := make([]scheduler.Endpoint, 0, len(states))
