internal/endpoint: end ejections at the rejoin

Cause: calls across a cut fail until members count as gone, so instances ejected endpoints that were only cut off, for 5 s and more; what is closed here is declined, and its slots lay idle after the rejoin.

--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -180,6 +180,16 @@
 	}
 }
 
+// Rejoined ends the ejections of a failure domain's endpoints: calls to them failed
+// because the domain was cut off.
+func (t *Table) Rejoined(domain string) {
+	for _, k := range t.known {
+		if k.instance.Domain == domain {
+			k.failures, k.ejected, k.probing, k.until = 0, 0, false, time.Time{}
+		}
+	}
+}
+
 // Crash closes an endpoint that broke off requests and does not answer, until it
 // has had time to come back. Its load reports decide from then on.
 func (t *Table) Crash(name string, now time.Time) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -168,10 +168,22 @@
 		cause = "restarted: new incarnation"
 	case c.To == member.StateGone:
 		cause = "silent for 2 s"
+	case c.From == member.StateGone:
+		cause = "heard again"
+		go r.rejoined(c.Member.Domain)
 	}
 	r.trail.Add(audit.Entry{What: audit.WhatMember, Subject: c.Member.Name, Change: string(c.To), Cause: cause})
 }
 
+// rejoined forgives the endpoints of a failure domain what failed while it was cut
+// off. The caller of memberChanged holds the scheduler's lock, so it runs apart.
+func (r *Router) rejoined(domain string) {
+	r.mu.Lock()
+	r.endpoints.Rejoined(domain)
+	r.mu.Unlock()
+	r.refresh(time.Now())
+}
+
 // Run serves until the context is done, then stops gracefully. It returns an
 // error if the router cannot start or the stop takes longer than Drain.
 func (r *Router) Run(ctx context.Context) error {
