--- a/internal/slot/held.go
+++ b/internal/slot/held.go
@@ -105,38 +105,37 @@
 
 // Return gives a lease back; its home learns it with the next message.
 func (h *Held) Return(l *Lease) {
-	s := h.source(l.Home)
-	if s.leases[l.Number] != l {
-		return
-	}
-	delete(s.leases, l.Number)
-	if l.Home != orphanHome {
+	if s := h.giveUp(l); s != nil {
 		s.released = append(s.released, l.Number)
 	}
 }
 
 // Unused gives a lease back for whose account nothing waits here.
 func (h *Held) Unused(l *Lease) {
-	s := h.source(l.Home)
-	if s.leases[l.Number] != l {
-		return
-	}
-	delete(s.leases, l.Number)
-	if l.Home != orphanHome {
+	if s := h.giveUp(l); s != nil {
 		s.unused = append(s.unused, l.Number)
 	}
 }
 
 // Decline gives a lease back that the requests it was granted for must not use.
 func (h *Held) Decline(l *Lease) {
+	if s := h.giveUp(l); s != nil {
+		s.declined = append(s.declined, l.Number)
+	}
+}
+
+// giveUp forgets a lease and returns the home that has to be told, or nil if there is
+// none or the lease was given back before.
+func (h *Held) giveUp(l *Lease) *source {
 	s := h.source(l.Home)
 	if s.leases[l.Number] != l {
-		return
+		return nil
 	}
 	delete(s.leases, l.Number)
-	if l.Home != orphanHome {
-		s.declined = append(s.declined, l.Number)
+	if l.Home == orphanHome {
+		return nil
 	}
+	return s
 }
 
 // Count returns how many slots are held in all.
