--- a/internal/demo/path_bench_test.go
+++ b/internal/demo/path_bench_test.go
@@ -61,23 +61,27 @@
 }
 
 func get(client *http.Client, url string) error {
-	req, err := http.NewRequest(http.MethodGet, url, nil)
+	_, err := ask(client, http.MethodGet, url, nil)
+	return err
+}
+
+// ask sends a request and reads the answer. It returns its length.
+func ask(client *http.Client, method, url string, body []byte) (int64, error) {
+	req, err := http.NewRequest(method, url, bytes.NewReader(body))
 	if err != nil {
-		return err
+		return 0, err
 	}
 	req.Header.Set("Authorization", "Bearer key-0")
 	resp, err := client.Do(req)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d", resp.StatusCode)
+	n, err := io.Copy(io.Discard, resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("status %d", resp.StatusCode)
 	}
-	return nil
+	return n, err
 }
 
 // BenchmarkPathCall measures small calls one after the other.
@@ -160,17 +164,7 @@
 
 func prompt(client *http.Client, url string, tokens int) error {
 	body := fmt.Sprintf(`{"prompt":"x","tokens":%d}`, tokens)
-	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte(body)))
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Authorization", "Bearer key-0")
-	resp, err := client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	n, err := io.Copy(io.Discard, resp.Body)
+	n, err := ask(client, http.MethodPost, url, []byte(body))
 	if err == nil && n < int64(tokens) {
 		err = fmt.Errorf("answer of %d bytes", n)
 	}
