internal/peer, internal/placement: homes of endpoints grant places

Change: each endpoint has a home among the instances of its domain, by rendezvous hashing. A request that would wait, or goes to an endpoint that is half full, asks the home for a place; granted places count at once. The answer carries the home's counts of all its endpoints. A home that is not heard within 50 ms decides nothing. In fleets of more than 8 peers three of four messages name only endpoints of the receiver.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Case is a request that asks to be served.
 type Case struct {
@@ -53,18 +56,18 @@
 }
 
 // Admit decides whether a request is sent to an endpoint now.
-func (l *Ledger) Admit(c Case, now time.Time) bool {
+func (l *Ledger) Admit(c Case, now time.Time) bool { return c.Wait <= l.Limit(c, now) }
+
+// Limit returns the longest time that a request may wait at an endpoint.
+func (l *Ledger) Limit(c Case, now time.Time) time.Duration {
 	if c.Aim <= 0 {
-		return true
+		return math.MaxInt64
 	}
 	limit := waitPart * float64(c.Aim)
 	if c.Late {
-		return float64(c.Wait) <= latePart*limit
-	}
-	if float64(c.Wait) <= fairPart*limit {
-		return true
+		return time.Duration(latePart * limit)
 	}
 	share := l.Share(c.Customer, now)
 	over := min(max((share-underShare)/(overShare-underShare), 0), 1)
-	return float64(c.Wait) <= limit*(1-over*(1-fairPart))
+	return time.Duration(limit * (1 - over*(1-fairPart)))
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -173,6 +173,7 @@
 		Key:     &peer.Key{Cell: i.Secret, Logger: i.logger},
 		Feeds:   map[string]watch.Relay{"operators": i.operators, "endpoints": i.endpoints},
 	}
+	i.handler.Homes = i.peers
 	i.board.Instances = func() int { return 1 + i.peers.Peers(time.Now()) }
 	for _, seed := range i.Seeds {
 		i.peers.Meet(peer.Member{Address: seed}, now)
@@ -238,6 +239,7 @@
 func (i *Instance) peersMux() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("POST "+peer.Path, i.peers)
+	mux.HandleFunc("POST "+peer.ReservePath, i.peers.ServeReserve)
 	mux.HandleFunc("GET "+peer.SnapshotPath, i.peers.ServeSnapshot)
 	return mux
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -137,7 +137,7 @@
 	if c.place.Endpoint.ID != "" {
 		fields = append(fields, zap.String("endpoint", c.place.Endpoint.ID), zap.Duration("expected", c.place.Expected),
 			zap.Duration("wait", c.place.Wait), zap.Float64("runs", c.place.Runs), zap.Int("missing", c.place.Missing),
-			zap.Int("usable", c.place.Usable), zap.Duration("age", c.place.Age))
+			zap.Int("usable", c.place.Usable), zap.Duration("age", c.place.Age), zap.Int("refusals", len(c.full)), zap.String("grant", string(c.grant)))
 	}
 	return fields
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,9 @@
 	Ledger  *admission.Ledger
 	// Patience tells callers that come back from new ones.
 	Patience *admission.Patience
+	// Homes reserves places at endpoints; nil means that this instance decides
+	// alone.
+	Homes fleet.Homes
 	// Strain tells whether the processor keeps up; nil means always.
 	Strain *strain.Meter
 	// Budget bounds the retries of this instance.
@@ -83,6 +86,8 @@
 	sends   int // requests that may have reached an endpoint
 	runs    int // those that may have run
 	avoid   []string
+	full    []string // endpoints whose homes refused a place
+	grant   fleet.Grant
 	place   placement.Choice
 	first   time.Duration // time to the first event or the answer
 	started bool          // the answer's headers went to the caller
@@ -133,7 +138,7 @@
 			c.expired()
 			return
 		}
-		if !c.choose() {
+		if !c.choose(ctx) {
 			return
 		}
 		o := c.attempt(ctx)
@@ -153,33 +158,6 @@
 	}
 }
 
-// choose finds an endpoint or refuses the request.
-func (c *call) choose() bool {
-	place, ok := c.h.Board.Choose(c.request(), time.Now())
-	if !ok {
-		c.fail(outcome{kind: outcomeNotRun, reason: fleet.ReasonNoEndpoint})
-		return false
-	}
-	c.place = place
-	if c.runs > 0 {
-		return true
-	}
-	if !c.h.Ledger.Admit(admission.Case{Customer: c.customer, Wait: place.Wait, Aim: c.edition.aims[c.service], Late: c.late}, time.Now()) {
-		c.fail(outcome{kind: outcomeNotRun, reason: fleet.ReasonQueueFull})
-		return false
-	}
-	c.h.Ledger.Serve(c.customer, c.tokens(), time.Now())
-	return true
-}
-
-func (c *call) request() placement.Request {
-	return placement.Request{
-		Service: c.service, Shared: c.ask.Shared(), Subject: c.ask.Subject(), Tokens: c.ask.Input,
-		Stream: c.route.Stream, Aim: c.route.Goal(), Avoid: c.avoid,
-		Events: c.edition.events(c.service, c.ask.Hint),
-	}
-}
-
 // again decides whether another endpoint is asked.
 func (c *call) again(o outcome) bool {
 	if c.started && o.kind == outcomeNotRun {
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -1,11 +1,7 @@
 package peer
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -41,6 +37,9 @@
 	// rareMessages is how many messages go by between those that carry usage
 	// and members.
 	rareMessages = 4
+	// maxConns bounds the idle connections to a peer: messages and questions
+	// for places that are under way at once.
+	maxConns = 8
 	// maxMessage bounds a message, in bytes.
 	maxMessage = 1 << 20
 )
@@ -63,6 +62,8 @@
 	peers    map[string]*peer
 	client   *http.Client
 	sequence int64
+	homes    map[string]Member // of endpoints, by ID
+	housed   time.Time         // when homes were found
 	// strangers counts messages whose signature is not the fleet's.
 	strangers atomic.Int64
 }
@@ -79,6 +80,7 @@
 	known    time.Time // when somebody last named it
 	told     int64     // reads that it has been told of
 	places   map[string]int64
+	deaf     time.Time // until when it is not asked for places
 }
 
 func (x *Exchange) init() {
@@ -86,7 +88,7 @@
 		x.peers = map[string]*peer{}
 		x.client = &http.Client{Timeout: timeout, Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: timeout / 2, KeepAlive: time.Second}).DialContext,
-			MaxIdleConnsPerHost: 2, IdleConnTimeout: lostTerm, DisableCompression: true,
+			MaxIdleConnsPerHost: maxConns, IdleConnTimeout: lostTerm, DisableCompression: true,
 		}}
 	}
 }
@@ -153,7 +155,7 @@
 		unheard := now.Sub(p.heard)
 		if unheard > silent && !p.lost {
 			p.lost = true
-			x.Board.Forget(p.Address)
+			x.Board.Forget(p.Address, now)
 			if !p.heard.IsZero() {
 				x.Logger.Warn(event.Lost, zap.String("peer", p.Name), zap.String("address", p.Address))
 			}
@@ -189,7 +191,8 @@
 // compose builds a message. The lock is held.
 func (x *Exchange) compose(to *peer, whole bool, now time.Time) wireMessage {
 	x.sequence++
-	m := wireMessage{From: x.Self, Sequence: x.sequence, Feeds: x.tell(to, now), Work: pack(x.Board.Own())}
+	m := wireMessage{From: x.Self, Sequence: x.sequence, Feeds: x.tell(to, now)}
+	m.Work, m.Part = x.work(to, whole, now)
 	if to != nil {
 		m.Reads, to.told = x.Board.ReadsSince(to.told)
 		if x.Crashes != nil {
@@ -208,7 +211,8 @@
 }
 
 func (x *Exchange) call(ctx context.Context, p *peer, m wireMessage) {
-	answer, err := x.post(ctx, p.Address, m)
+	var answer wireMessage
+	err := x.ask(ctx, p.Address, Path, useAsk, m, &answer)
 	x.mu.Lock()
 	p.busy = false
 	x.mu.Unlock()
@@ -221,52 +225,11 @@
 	x.take(answer, time.Now())
 }
 
-func (x *Exchange) post(ctx context.Context, address string, m wireMessage) (wireMessage, error) {
-	var answer wireMessage
-	data, err := json.Marshal(m)
-	if err != nil {
-		return answer, err
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+Path, bytes.NewReader(data))
-	if err != nil {
-		return answer, err
-	}
-	signature := x.Key.sign(useAsk, data)
-	req.Header.Set(headerSignature, signature)
-	resp, err := x.client.Do(req)
-	if err != nil {
-		return answer, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return answer, fmt.Errorf("peer: %s answered with status %d", address, resp.StatusCode)
-	}
-	data, err = io.ReadAll(io.LimitReader(resp.Body, maxMessage))
-	if err != nil {
-		return answer, err
-	}
-	if !x.Key.verify(useAnswer+signature, data, resp.Header.Get(headerSignature)) {
-		return answer, fmt.Errorf("peer: the answer of %s is not signed by the fleet", address)
-	}
-	err = json.Unmarshal(data, &answer)
-	return answer, err
-}
-
 // ServeHTTP takes a message and answers with the own one.
 func (x *Exchange) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxMessage))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	signature := r.Header.Get(headerSignature)
-	if !x.Key.verify(useAsk, body, signature) {
-		x.unknown(w, r)
-		return
-	}
 	var m wireMessage
-	if err := json.Unmarshal(body, &m); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	signature, ok := x.open(w, r, useAsk, &m)
+	if !ok {
 		return
 	}
 	now := time.Now()
@@ -274,15 +237,9 @@
 	x.mu.Lock()
 	answer := x.compose(x.peers[m.From.Address], m.Usage != nil, now)
 	x.mu.Unlock()
-	data, err := json.Marshal(answer)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set(headerSignature, x.Key.sign(useAnswer+signature, data))
-	_, err = w.Write(data)
+	sent := x.reply(w, signature, answer)
 	if x.Crashes != nil {
-		x.Crashes.Sent(m.From.Address, err == nil)
+		x.Crashes.Sent(m.From.Address, sent)
 	}
 }
 
@@ -302,7 +259,7 @@
 		x.meet(other, now)
 	}
 	x.mu.Unlock()
-	x.Board.Hear(m.From.Address, x.named(m.Work))
+	x.Board.Hear(m.From.Address, x.named(m.Work), !m.Part, now)
 	x.Board.HearReads(m.Reads, now)
 	if m.Usage != nil {
 		x.Ledger.Hear(m.From.Address, m.Usage, now)
--- a/internal/peer/key.go
+++ b/internal/peer/key.go
@@ -115,6 +115,7 @@
 // Uses of signatures.
 const (
 	useAsk      = "ask"
+	useReserve  = "reserve"
 	useAnswer   = "answer"
 	useSnapshot = "snapshot"
 )
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -29,6 +29,9 @@
 	Feeds map[string]json.RawMessage `json:"e,omitempty"`
 	// Work is what lies at endpoints because of the sender, packed.
 	Work []byte `json:"w,omitempty"`
+	// Part is set when Work names only endpoints whose home is the receiver,
+	// those without work included.
+	Part bool `json:"p,omitempty"`
 	// Crashes are requests that crashed endpoints before the sender's eyes.
 	Crashes json.RawMessage `json:"c,omitempty"`
 	// Reads are shared parts that endpoints read for the sender.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -131,3 +131,63 @@
 		require.LessOrEqual(t, len(peer.Unpack(data)), len(data)/7)
 	})
 }
+
+// pair returns two instances that hear each other over loopback, and an endpoint whose
+// home is the second.
+func pair(t *testing.T) (asker, home *peer.Exchange) {
+	home = exchange("key")
+	mux := http.NewServeMux()
+	mux.Handle("POST "+peer.Path, home)
+	mux.HandleFunc("POST "+peer.ReservePath, home.ServeReserve)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	home.Self = peer.Member{Name: "front-2", Domain: "b", Address: strings.TrimPrefix(server.URL, "http://"), Start: 1}
+	asker = exchange("key")
+	asker.Self.Domain = "a"
+	hear(t, asker, home.Self)
+	hear(t, home, asker.Self)
+	for _, x := range []*peer.Exchange{asker, home} {
+		x.Board.Put(placement.Endpoint{ID: "i-1", Entry: fleet.Entry{Service: "m", Address: "e", Domain: "b", Slots: 1}})
+	}
+	return asker, home
+}
+
+// hear makes one instance hear another.
+func hear(t *testing.T, x *peer.Exchange, from peer.Member) {
+	data, err := json.Marshal(map[string]any{"f": from, "q": 1})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, post(x, x.Key.Sign("ask", data), string(data)))
+}
+
+// The home of an endpoint gives its places once, whoever asks, and tells why not.
+func TestHomeGivesPlacesOnce(t *testing.T) {
+	asker, home := pair(t)
+	r := fleet.Reservation{Endpoint: "i-1", Tokens: 100, Limit: 10 * time.Millisecond}
+	require.Equal(t, fleet.GrantGiven, asker.Reserve(t.Context(), r))
+	require.Equal(t, 1.0, home.Board.Services(time.Now())["m"].Runs)
+	require.Equal(t, fleet.GrantRefused, asker.Reserve(t.Context(), r))
+	require.Equal(t, fleet.GrantGiven, home.Reserve(t.Context(), r), "the home itself decides by what it counts")
+}
+
+// An asker that cannot reach the home decides alone, and does not ask again at once.
+func TestHomeUnheard(t *testing.T) {
+	asker, home := pair(t)
+	home.Key.Set([]byte("another"))
+	r := fleet.Reservation{Endpoint: "i-1", Tokens: 100, Limit: 10 * time.Millisecond}
+	require.Equal(t, fleet.GrantUnheard, asker.Reserve(t.Context(), r))
+	home.Key.Set([]byte("key"))
+	require.Equal(t, fleet.GrantUnheard, asker.Reserve(t.Context(), r))
+}
+
+// Who does not know the key gets no place and takes none.
+func TestStrangersGetNoPlace(t *testing.T) {
+	_, home := pair(t)
+	stranger := exchange("another key")
+	body := `{"f":"10.0.0.9:1","e":"i-1","t":1,"l":1000000}`
+	r := httptest.NewRequest(http.MethodPost, peer.ReservePath, strings.NewReader(body))
+	r.Header.Set("Signature", stranger.Key.Sign("reserve", []byte(body)))
+	w := httptest.NewRecorder()
+	home.ServeReserve(w, r)
+	require.Equal(t, http.StatusUnauthorized, w.Code)
+	require.Zero(t, home.Board.Services(time.Now())["m"].Runs)
+}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -115,6 +115,12 @@
 	own  Work            // of requests sent from here
 	far  map[string]Work // of requests sent by other instances, by address
 	sum  Work            // of all in far
+	// promised lists the places granted to others from here.
+	promised []promise
+	// told is what the endpoint's home said of all requests but those sent
+	// from here.
+	told   Work
+	toldAt time.Time
 	// reported is the endpoint's own count of requests when it last spoke,
 	// beyond those that this instance knew of.
 	reported float64
@@ -223,7 +229,17 @@
 	if age := now.Sub(s.heard); age < reportTerm {
 		heard = s.reported * (1 - age.Seconds()/reportTerm.Seconds())
 	}
-	return float64(s.own.Runs) + max(float64(s.sum.Runs), heard), float64(s.own.Tokens + s.sum.Tokens)
+	if now.Sub(s.toldAt) < toldTerm {
+		return float64(s.own.Runs + s.told.Runs), float64(s.own.Tokens + s.told.Tokens)
+	}
+	far := s.sum
+	for _, p := range s.promised {
+		if now.Sub(p.at) <= promiseTerm {
+			far.Runs++
+			far.Tokens += p.tokens
+		}
+	}
+	return float64(s.own.Runs) + max(float64(far.Runs), heard), float64(s.own.Tokens + far.Tokens)
 }
 
 // reportTerm is how long an endpoint's count of others' requests fades: about as
@@ -243,12 +259,17 @@
 	return list
 }
 
-// Hear takes in the work of requests sent by another instance.
-func (b *Board) Hear(instance string, list map[string]Work) {
+// Hear takes in the work of requests sent by another instance. Unless the list is
+// whole, endpoints that are not in it stay as they were.
+func (b *Board) Hear(instance string, list map[string]Work, whole bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, s := range b.byID {
 		w, ok := list[id]
+		if !ok && !whole {
+			continue
+		}
+		s.settle(instance, now)
 		s.sum.Runs += w.Runs - s.far[instance].Runs
 		s.sum.Tokens += w.Tokens - s.far[instance].Tokens
 		if ok {
@@ -260,7 +281,7 @@
 }
 
 // Forget drops what another instance has told.
-func (b *Board) Forget(instance string) { b.Hear(instance, nil) }
+func (b *Board) Forget(instance string, now time.Time) { b.Hear(instance, nil, true, now) }
 
 // Counts are the endpoints of a service by what they are good for.
 type Counts struct {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -47,8 +47,11 @@
 	// could be chosen.
 	Listed, Usable int
 
+	// Tokens is how many tokens the endpoint has to read, those of the shared
+	// parts that it lacks included.
+	Tokens int
+
 	state *state
-	read  int
 }
 
 const (
@@ -163,10 +166,21 @@
 }
 
 func (b *Board) estimate(s *state, r Request, now time.Time) Choice {
-	runs, tokens := s.total(now)
+	runs, _ := s.total(now)
 	shared := length(r.Shared)
 	kept := s.kept.kept(r.Shared, now)
-	c := Choice{Endpoint: s.Endpoint, state: s, Runs: runs, Missing: shared - kept, read: r.Tokens - kept}
+	c := Choice{Endpoint: s.Endpoint, state: s, Runs: runs, Missing: shared - kept, Tokens: r.Tokens - kept}
+	v := b.speed(s.Service)
+	own := v.base + float64(c.Tokens)/v.rate
+	c.Wait = b.wait(s, now)
+	c.Expected = c.Wait + time.Duration(own*s.slowness(now)*float64(time.Millisecond))
+	return c
+}
+
+// wait returns how long a new request would wait at an endpoint before its own work
+// begins there.
+func (b *Board) wait(s *state, now time.Time) time.Duration {
+	runs, tokens := s.total(now)
 	v := b.speed(s.Service)
 	wait := tokens / v.rate
 	if tokens > 0 || runs >= float64(s.Slots)/2 {
@@ -176,11 +190,7 @@
 	if over := runs + 1 - float64(max(s.Slots, 1)); over > 0 {
 		wait += over * v.hold / float64(max(s.Slots, 1))
 	}
-	own := v.base + float64(c.read)/v.rate
-	slow := s.slowness(now)
-	c.Wait = time.Duration(wait * slow * float64(time.Millisecond))
-	c.Expected = c.Wait + time.Duration(own*slow*float64(time.Millisecond))
-	return c
+	return time.Duration(wait * s.slowness(now) * float64(time.Millisecond))
 }
 
 func length(parts []fleet.Part) int {
--- a/internal/placement/choose_bench_test.go
+++ b/internal/placement/choose_bench_test.go
@@ -21,7 +21,7 @@
 		for i := range endpoints / 2 {
 			work[fmt.Sprintf("i-%d", (i*2+p)%endpoints)] = placement.Work{Runs: 1, Tokens: 500}
 		}
-		b.Hear(fmt.Sprintf("10.1.0.%d:1", p), work)
+		b.Hear(fmt.Sprintf("10.1.0.%d:1", p), work, true, start)
 	}
 	return b
 }
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -94,11 +94,11 @@
 // The work of other instances counts as much as one's own.
 func TestWorkOfOthersIsAvoided(t *testing.T) {
 	b := board(3)
-	b.Hear("peer", map[string]placement.Work{"i-0": {Runs: 20, Tokens: 90000}, "i-1": {Runs: 20, Tokens: 90000}})
+	b.Hear("peer", map[string]placement.Work{"i-0": {Runs: 20, Tokens: 90000}, "i-1": {Runs: 20, Tokens: 90000}}, true, start)
 	c, ok := b.Choose(plan(1), start)
 	require.True(t, ok)
 	require.Equal(t, "i-2", c.Endpoint.ID)
-	b.Forget("peer")
+	b.Forget("peer", start)
 	c, _ = b.Choose(plan(1), start)
 	require.Zero(t, c.Runs)
 }
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -24,12 +24,12 @@
 	defer b.mu.Unlock()
 	s := c.state
 	_, ahead := s.total(now)
-	run := &Run{board: b, state: s, tokens: c.read, sent: now, ahead: ahead, plain: !r.Stream, expects: ms(c.Expected) / s.slowness(now)}
+	run := &Run{board: b, state: s, tokens: c.Tokens, sent: now, ahead: ahead, plain: !r.Stream, expects: ms(c.Expected) / s.slowness(now)}
 	if s.own.Runs == 0 {
 		s.spoke.Store(now.UnixNano())
 	}
 	s.own.Runs++
-	s.own.Tokens += c.read
+	s.own.Tokens += c.Tokens
 	if len(r.Shared) > 0 {
 		ids := chained(r.Shared)
 		if s.kept.kept(r.Shared, now) < length(r.Shared) {
