internal/watch: what is told twice confirms nothing; others ahead are not outvoted

Change: an age goes with the name of the read that showed it, which counts once; where others are ahead, who is as far says nothing. Ruled out: messages too long (none was lost), the platform's refusals (no read was tried). Test: TestTellingDoesNotRefresh fails without the change.

--- a/internal/watch/follow.go
+++ b/internal/watch/follow.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -37,6 +38,10 @@
 	// Age is how long ago the platform had nothing beyond Next, in
 	// milliseconds.
 	Age int64 `json:"a"`
+	// Reader and Reading name the read of the platform that showed this. Told
+	// again it says nothing new, however young its age has become on the way.
+	Reader  uint32 `json:"i,omitempty"`
+	Reading int64  `json:"c,omitempty"`
 }
 
 const (
@@ -76,6 +81,9 @@
 	next      int64
 	based     bool
 	confirmed time.Time        // when the platform had nothing beyond next
+	reader    uint32           // names this follower's own reads
+	shown     Mark             // names the read that confirmed
+	readings  map[uint32]int64 // the newest read of each reader that was heard of
 	recent    []fleet.Keyed[T] // the records before next, oldest first
 	newest    map[string]*T    // by key
 	ahead     time.Time        // since when another instance is ahead
@@ -135,7 +143,9 @@
 		if err != nil {
 			return err
 		}
-		f.restart(records, next, begun)
+		f.mu.Lock()
+		f.restart(records, next, f.own(), begun)
+		f.mu.Unlock()
 		f.reached()
 		return nil
 	}
@@ -155,33 +165,56 @@
 	if len(records) == 0 {
 		begun = time.Now()
 	}
-	f.advance(records, from, next, begun)
+	f.mu.Lock()
+	f.advance(records, from, next, f.own(), begun)
+	f.mu.Unlock()
 	f.reached()
 	return nil
 }
 
-// restart takes the newest records in place of all that was known.
-func (f *Follower[T]) restart(records []fleet.Keyed[T], next int64, at time.Time) {
-	f.mu.Lock()
-	f.based, f.next, f.confirmed = true, next, at
+// maxReaders bounds the readers that are remembered: each start of an instance is one.
+const maxReaders = 1024
+
+// own names the next read of this follower. The lock is held.
+func (f *Follower[T]) own() Mark {
+	if f.reader == 0 {
+		f.reader = 1 + rand.Uint32N(math.MaxUint32)
+	}
+	return Mark{Reader: f.reader, Reading: f.readings[f.reader] + 1}
+}
+
+// confirm takes in that a read showed nothing beyond next. It counts once. The lock is
+// held.
+func (f *Follower[T]) confirm(by Mark, at time.Time) {
+	if by.Reading <= f.readings[by.Reader] {
+		return
+	}
+	if f.readings == nil || len(f.readings) >= maxReaders {
+		f.readings = map[uint32]int64{f.reader: f.readings[f.reader]}
+	}
+	f.readings[by.Reader] = by.Reading
+	if at.After(f.confirmed) {
+		f.confirmed, f.shown = at, by
+	}
+}
+
+// restart takes the newest records in place of all that was known. The lock is held.
+func (f *Follower[T]) restart(records []fleet.Keyed[T], next int64, by Mark, at time.Time) {
+	f.based, f.next, f.confirmed = true, next, time.Time{}
+	f.confirm(by, at)
 	f.recent, f.newest = nil, map[string]*T{}
 	f.remember(records)
 	f.recent = nil
 	f.OnBatch(Batch[T]{Records: records, Whole: true, At: time.Now()})
-	f.mu.Unlock()
 }
 
-// advance takes in the records from one place to another.
-func (f *Follower[T]) advance(records []fleet.Keyed[T], from, next int64, at time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// advance takes in the records from one place to another. The lock is held.
+func (f *Follower[T]) advance(records []fleet.Keyed[T], from, next int64, by Mark, at time.Time) {
 	if !f.based || from != f.next {
 		return
 	}
 	f.next = next
-	if at.After(f.confirmed) {
-		f.confirmed = at
-	}
+	f.confirm(by, at)
 	if next-from == int64(len(records)) {
 		f.remember(records)
 	} else {
@@ -242,7 +275,7 @@
 	if !f.based {
 		return Mark{}
 	}
-	return Mark{Next: f.next, Age: now.Sub(f.confirmed).Milliseconds()}
+	return Mark{Next: f.next, Age: now.Sub(f.confirmed).Milliseconds(), Reader: f.shown.Reader, Reading: f.shown.Reading}
 }
 
 // Told is what one instance tells another of a feed.
@@ -303,20 +336,17 @@
 		records = append(records, fleet.Keyed[T]{Key: r.Key, Value: r.Value})
 	}
 	f.mu.Lock()
-	based, own := f.based, f.next
-	if based && t.Next == own && at.After(f.confirmed) {
-		f.confirmed = at
-	}
-	f.mu.Unlock()
+	defer f.mu.Unlock()
 	switch {
-	case t.Whole && (!based || t.Next > own):
-		f.restart(records, t.Next, at)
-	case based && t.From == own && len(records) > 0:
-		f.advance(records, t.From, t.Next, at)
-	default:
-		return t.Next > own
+	case t.Whole && (!f.based || t.Next > f.next):
+		f.restart(records, t.Next, t.Mark, at)
+	case f.based && t.From == f.next && len(records) > 0:
+		f.advance(records, t.From, t.Next, t.Mark, at)
+	case f.based && t.Next == f.next && f.aheadNext <= f.next:
+		// Where others are known to be ahead, who is as far says nothing.
+		f.confirm(t.Mark, at)
 	}
-	return false
+	return t.Next > f.next
 }
 
 // Hurry makes the follower read the feed now.
--- a/internal/watch/follow_test.go
+++ b/internal/watch/follow_test.go
@@ -158,6 +158,67 @@
 	})
 }
 
+// Instances that tell each other how fresh they are do not make each other fresher by
+// it, however long messages take: somebody still reads.
+func TestTellingDoesNotRefresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const transit, pause = 100 * time.Millisecond, 10 * time.Millisecond
+		f := &feed{}
+		f.write("a", 1)
+		readers := make([]*reader, 6)
+		for i := range readers {
+			readers[i] = newReader(f, 600*time.Millisecond)
+		}
+		serve(t, readers...)
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		for _, from := range readers {
+			go func() {
+				for ctx.Err() == nil {
+					for _, to := range readers {
+						told := from.Tell(to.Mark(time.Now()).Next, time.Now())
+						time.AfterFunc(transit, func() { to.Hear(told, time.Now()) })
+					}
+					time.Sleep(pause)
+				}
+			}()
+		}
+		time.Sleep(time.Second)
+		f.write("a", 2)
+		time.Sleep(time.Second)
+		for _, r := range readers {
+			require.Equal(t, 2, r.value("a"))
+		}
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
+
+// An instance that knows of others ahead is not kept from reading by those that are
+// behind like itself.
+func TestBehindTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &feed{}
+		f.write("a", 1)
+		r := newReader(f, 300*time.Millisecond)
+		serve(t, r)
+		time.Sleep(55 * time.Millisecond)
+		f.write("a", 2)
+		for i := range 100 {
+			behind := watch.Told[int]{Mark: watch.Mark{Next: 2, Reader: 7, Reading: int64(i + 1)}}
+			ahead := watch.Told[int]{Mark: watch.Mark{Next: 3, Reader: 8, Reading: int64(i + 1)}}
+			for _, told := range []watch.Told[int]{ahead, behind} {
+				data, err := json.Marshal(told)
+				require.NoError(t, err)
+				_, err = r.Receive(data, time.Now())
+				require.NoError(t, err)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.Equal(t, 2, r.value("a"))
+	})
+}
+
 // An instance that cannot reach the platform takes everything from a neighbour.
 func TestSnapshotFromNeighbour(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
