--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -199,8 +199,8 @@
 		i.logger.Warn("supervisor", zap.String("event", e.String()))
 	}})
 	callers := &http.Server{
-		Handler: i.handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
-		ConnState: i.idlers.track, ErrorLog: zap.NewStdLog(i.logger),
+		Handler: i.idlers.guard(i.handler), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
+		ConnContext: i.idlers.remember, ConnState: i.idlers.track, ErrorLog: zap.NewStdLog(i.logger),
 	}
 	tree.Add(&service.Server{Listener: i.Callers, HTTP: callers})
 	tree.Add(&service.Server{Listener: i.Ready, HTTP: &http.Server{Handler: http.HandlerFunc(i.serveReady), ReadHeaderTimeout: headerTimeout}})
--- a/internal/entry/idle.go
+++ b/internal/entry/idle.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,9 +21,37 @@
 	// Most bounds the connections of callers; zero means no bound.
 	Most int
 
-	mu    sync.Mutex
-	open  int
-	since map[net.Conn]time.Time
+	mu     sync.Mutex
+	open   int
+	since  map[net.Conn]time.Time
+	closed map[net.Conn]*atomic.Bool
+}
+
+// closedKey is the key of a request's context under which it is noted whether its
+// connection was closed as an idle one.
+type closedKey struct{}
+
+// remember notes a new connection. It is the server's ConnContext.
+func (i *idlers) remember(ctx context.Context, c net.Conn) context.Context {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.closed == nil {
+		i.closed = map[net.Conn]*atomic.Bool{}
+	}
+	closed := &atomic.Bool{}
+	i.closed[c] = closed
+	return context.WithValue(ctx, closedKey{}, closed)
+}
+
+// guard drops requests that arrived just as their connection was closed: their callers
+// get no answer, so that they must not run.
+func (i *idlers) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if closed, ok := r.Context().Value(closedKey{}).(*atomic.Bool); ok && closed.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // track follows the states of connections. It is the server's ConnState.
@@ -39,6 +69,7 @@
 		return
 	case http.StateClosed, http.StateHijacked:
 		i.open--
+		delete(i.closed, c)
 	}
 	delete(i.since, c)
 }
@@ -71,6 +102,9 @@
 // close closes an idle connection. The server counts it when it notices.
 func (i *idlers) close(c net.Conn) {
 	delete(i.since, c)
+	if closed := i.closed[c]; closed != nil {
+		closed.Store(true)
+	}
 	_ = c.Close()
 }
 
