internal/budget: each service has its own retries; spare ones are shared by all instances

Cause: found by reading. Change: an account a service; the spare ones are divided by the most instances that were ever heard.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -260,7 +260,7 @@
 // run makes attempts until one brings the answer or none may follow.
 func (c *call) run(ctx context.Context) {
 	request := queue.Request{ID: c.id, Key: c.key, Bytes: c.body.size(), Deadline: c.until, Head: c.body.affinity(), Arrived: c.arrived}
-	c.h.Budget.Deposit()
+	c.h.Budget.Deposit(c.key.Service, c.arrived)
 	fruitless := 0
 	for attempt := 1; ; attempt++ {
 		c.step("queued", "attempt "+strconv.Itoa(attempt))
--- a/internal/caller/retry.go
+++ b/internal/caller/retry.go
@@ -30,7 +30,7 @@
 		c.giveUp(f, f.Reason)
 		return false
 	}
-	if fruitless == maxAttempts || !c.h.Budget.Withdraw() {
+	if fruitless == maxAttempts || !c.h.Budget.Withdraw(c.key.Service, time.Now()) {
 		c.giveUp(f, fleet.ReasonBudget)
 		return false
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -56,10 +56,12 @@
 	Directory fleet.Directory
 	// Grace is how long a planned stop may take.
 	Grace time.Duration
-	// RetryPart and RetryReserve bound the retries of this instance: a part
-	// of its requests, and a number that may be saved.
-	RetryPart    float64
-	RetryReserve float64
+	// RetryPart and RetrySpare bound the retries for a service in any
+	// RetryWindow: a part of its requests here, and a number for all instances
+	// together.
+	RetryPart   float64
+	RetrySpare  float64
+	RetryWindow time.Duration
 	// Memory is how much memory the process may use, in bytes; zero means no
 	// bound.
 	Memory int64
@@ -157,7 +159,10 @@
 	i.handler = &gateway.Handler{
 		Dialect: i.Dialect, Board: i.board, Strain: i.strain, Ledger: i.ledger, Patience: &admission.Patience{},
 		Pool: i.pool, Quarantine: crashes, Metrics: &gauge.Set{Gauges: i.gauges}, Logger: i.logger,
-		Budget: &budget.Budget{Part: i.RetryPart, Reserve: i.RetryReserve},
+		Budget: &budget.Budget{
+			Part: i.RetryPart, Spare: i.RetrySpare, Window: i.RetryWindow,
+			Instances: func() int { return 1 + i.peers.Peers(time.Now()) },
+		},
 	}
 	i.operators = &watch.Follower[watch.Edition]{
 		Name: "operators", Feed: i.Operators, Wait: operatorsWait, Timeout: feedTimeout, Limit: i.limit(operatorsAge, operatorsWait),
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -15,7 +15,6 @@
 		"requests_active":       float64(i.handler.Active()),
 		"peers_heard":           float64(i.peers.Peers(now)),
 		"lag_milliseconds":      float64(i.strain.Lag().Milliseconds()),
-		"retry_budget_left":     i.handler.Budget.Left(),
 		"log_lines_dropped":     float64(i.Log.Lost()),
 		"caller_connections":    float64(i.idlers.count()),
 		"platform_calls_away":   0,
@@ -26,6 +25,9 @@
 			values["platform_calls_away"]++
 		}
 	}
+	for service, left := range i.handler.Budget.Left(now) {
+		values[gauge.Name("retry_budget_left", "service", service)] = left
+	}
 	for service, c := range i.board.Services(now) {
 		for state, n := range map[string]int{"listed": c.Listed, "leaving": c.Leaving, "down": c.Down, "quiet": c.Quiet} {
 			values[gauge.Name("endpoints", "service", service, "state", state)] = float64(n)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -134,7 +134,7 @@
 
 // run sends the request until an answer was carried back or none can be had.
 func (c *call) run(ctx context.Context) {
-	c.h.Budget.Deposit()
+	c.h.Budget.Deposit(c.service, c.arrived)
 	c.late = c.h.Patience.Late(c.route.Name, c.ask.Wait, c.route.Goal())
 	c.h.Ledger.Ask(c.customer, c.tokens(), c.arrived)
 	for {
@@ -166,15 +166,15 @@
 func (c *call) again(o outcome) bool {
 	if c.started && o.kind == outcomeNotRun {
 		// The caller has a part of the answer; the rest may still be had.
-		return c.sends < maxSends && c.h.Budget.Withdraw()
+		return c.sends < maxSends && c.h.Budget.Withdraw(c.service, time.Now())
 	}
 	switch o.kind {
 	case outcomeUnsent:
 		return len(c.avoid) < maxSends
 	case outcomeNotRun:
-		return c.sends < maxSends && c.h.Budget.Withdraw()
+		return c.sends < maxSends && c.h.Budget.Withdraw(c.service, time.Now())
 	case outcomeUnknown, outcomeFailed:
-		return c.repeatable() && c.runs < c.attempts() && c.h.Budget.Withdraw()
+		return c.repeatable() && c.runs < c.attempts() && c.h.Budget.Withdraw(c.service, time.Now())
 	}
 	return false
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -93,6 +93,9 @@
 	defaultDrain     = 10 * time.Minute
 	defaultRetention = 24 * time.Hour
 	defaultMemory    = 64 << 20
+	// retrySpare is how many retries all instances may make beyond a tenth of the
+	// requests.
+	retrySpare = 80
 	// maxHeaderBytes bounds the headers of a caller's request.
 	maxHeaderBytes = 64 << 10
 	// headerTimeout bounds how long a caller may take to send the headers.
@@ -148,7 +151,7 @@
 	r.caller = &caller.Handler{
 		Instance: r.Name, Dispatcher: r.dispatcher, Endpoints: r.calls,
 		Address: r.address, Result: r.result, Crashed: r.crashed, Claims: r.claims, Trail: r.trail,
-		Ready: r.serviceReady, Quarantine: r.quarantine, Budget: &budget.Budget{}, Metrics: r.metrics,
+		Ready: r.serviceReady, Quarantine: r.quarantine, Budget: &budget.Budget{Spare: retrySpare}, Metrics: r.metrics,
 	}
 	r.parts = []part{configPart{r, &told{}}, endpointsPart{r, &told{}}, quarantinePart{r.quarantine}, drainPart{r}}
 }
