--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -113,14 +113,13 @@
 	hash uint64
 	gone bool
 	own  Work            // of requests sent from here
-	far  map[string]Work // of requests sent by other instances, by address
-	sum  Work            // of all in far
+	far  map[string]heard // of requests sent by other instances, by address
+	sum  load             // of all in far
 	// promised lists the places granted to others from here.
 	promised []promise
 	// told is what the endpoint's home said of all requests but those sent
 	// from here.
-	told   Work
-	toldAt time.Time
+	told heard
 	// reported is the endpoint's own count of requests when it last spoke,
 	// beyond those that this instance knew of.
 	reported float64
@@ -160,7 +159,7 @@
 		s = nil
 	}
 	if s == nil {
-		s = &state{Endpoint: e, hash: xxhash.Sum64String(e.ID), far: map[string]Work{}, kept: newCache(), slow: 1}
+		s = &state{Endpoint: e, hash: xxhash.Sum64String(e.ID), far: map[string]heard{}, kept: newCache(), slow: 1}
 		b.byID[e.ID] = s
 		b.services[e.Service] = append(b.services[e.Service], s)
 		b.changed(s, ConditionListed, "its own record")
@@ -223,25 +222,6 @@
 	s.heard = now
 }
 
-// total returns the requests and the unread tokens at an endpoint from everywhere.
-func (s *state) total(now time.Time) (runs float64, tokens float64) {
-	heard := 0.0
-	if age := now.Sub(s.heard); age < reportTerm {
-		heard = s.reported * (1 - age.Seconds()/reportTerm.Seconds())
-	}
-	if now.Sub(s.toldAt) < toldTerm {
-		return float64(s.own.Runs + s.told.Runs), float64(s.own.Tokens + s.told.Tokens)
-	}
-	far := s.sum
-	for _, p := range s.promised {
-		if now.Sub(p.at) <= promiseTerm {
-			far.Runs++
-			far.Tokens += p.tokens
-		}
-	}
-	return float64(s.own.Runs) + max(float64(far.Runs), heard), float64(s.own.Tokens + far.Tokens)
-}
-
 // reportTerm is how long an endpoint's count of others' requests fades: about as
 // long as those requests run.
 const reportTerm = 3 * time.Second
@@ -270,13 +250,14 @@
 			continue
 		}
 		s.settle(instance, now)
-		s.sum.Runs += w.Runs - s.far[instance].Runs
-		s.sum.Tokens += w.Tokens - s.far[instance].Tokens
-		if ok {
-			s.far[instance] = w
-		} else {
+		if old, known := s.far[instance]; known {
+			s.sum.add(old, -1)
 			delete(s.far, instance)
 		}
+		if w.Runs > 0 || w.Tokens > 0 {
+			s.far[instance] = heard{w, now}
+			s.sum.add(s.far[instance], 1)
+		}
 	}
 }
 
@@ -299,7 +280,7 @@
 		var c Counts
 		for _, s := range list {
 			c.Listed++
-			runs, _ := s.total(now)
+			runs, _ := b.total(s, now)
 			c.Runs += runs
 			c.Slots += float64(s.Slots)
 			switch {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -166,7 +166,7 @@
 }
 
 func (b *Board) estimate(s *state, r Request, now time.Time) Choice {
-	runs, _ := s.total(now)
+	runs, _ := b.total(s, now)
 	shared := length(r.Shared)
 	kept := s.kept.kept(r.Shared, now)
 	c := Choice{Endpoint: s.Endpoint, state: s, Runs: runs, Missing: shared - kept, Tokens: r.Tokens - kept}
@@ -180,7 +180,7 @@
 // wait returns how long a new request would wait at an endpoint before its own work
 // begins there.
 func (b *Board) wait(s *state, now time.Time) time.Duration {
-	runs, tokens := s.total(now)
+	runs, tokens := b.total(s, now)
 	v := b.speed(s.Service)
 	wait := tokens / v.rate
 	if tokens > 0 || runs >= float64(s.Slots)/2 {
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -60,15 +61,8 @@
 		if s == nil {
 			continue
 		}
-		w := s.far[but]
-		work := Work{Runs: s.own.Runs + s.sum.Runs - w.Runs, Tokens: s.own.Tokens + s.sum.Tokens - w.Tokens}
-		for _, p := range s.promised {
-			if p.to != but && now.Sub(p.at) <= promiseTerm {
-				work.Runs++
-				work.Tokens += p.tokens
-			}
-		}
-		list[id] = work
+		others := s.others(but, now)
+		list[id] = Work{Runs: s.own.Runs + int(math.Round(b.passed(s, others, now))), Tokens: s.own.Tokens + int(others.tokens)}
 	}
 	return list
 }
@@ -79,7 +73,7 @@
 	defer b.mu.Unlock()
 	for id, w := range list {
 		if s := b.byID[id]; s != nil {
-			s.told, s.toldAt = w, now
+			s.told = heard{w, now}
 		}
 	}
 }
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -23,7 +23,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := c.state
-	_, ahead := s.total(now)
+	_, ahead := b.total(s, now)
 	run := &Run{board: b, state: s, tokens: c.Tokens, sent: now, ahead: ahead, plain: !r.Stream, expects: ms(c.Expected) / s.slowness(now)}
 	if s.own.Runs == 0 {
 		s.spoke.Store(now.UnixNano())
