--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -118,6 +118,9 @@
 	// operatorsWait is how long a read waits for a new configuration. A
 	// connection that has gone silent is found out after it.
 	operatorsWait = 500 * time.Millisecond
+	// editionsKept is how many configurations are kept for other instances: each
+	// may take some hundred kB.
+	editionsKept = 8
 	// probeInterval is the pause between two looks for endpoints that are
 	// tried again.
 	probeInterval = 100 * time.Millisecond
@@ -165,7 +168,7 @@
 		},
 	}
 	i.operators = &watch.Follower[watch.Edition]{
-		Name: "operators", Feed: i.Operators, Wait: operatorsWait, Timeout: feedTimeout, Limit: i.limit(operatorsAge, operatorsWait),
+		Name: "operators", Feed: i.Operators, Wait: operatorsWait, Keep: editionsKept, Timeout: feedTimeout, Limit: i.limit(operatorsAge, operatorsWait),
 		OnBatch: i.editions, OnLost: i.lost("operators"), OnRegained: i.regained("operators"),
 	}
 	i.endpoints = &watch.Follower[fleet.Entry]{
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -112,7 +112,7 @@
 	Endpoint
 	hash uint64
 	gone bool
-	own  Work            // of requests sent from here
+	own  Work             // of requests sent from here
 	far  map[string]heard // of requests sent by other instances, by address
 	sum  load             // of all in far
 	// promised lists the places granted to others from here.
--- a/internal/watch/export_test.go
+++ b/internal/watch/export_test.go
@@ -4,3 +4,6 @@
 
 // Step makes one read.
 func (f *Follower[T]) Step(ctx context.Context) error { return f.step(ctx) }
+
+// NewEncoded returns a value that is encoded once.
+func NewEncoded[T any](value *T) *Encoded[T] { return &Encoded[T]{value: value} }
--- a/internal/watch/follow.go
+++ b/internal/watch/follow.go
@@ -9,6 +9,7 @@
 	"errors"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,8 +53,12 @@
 	// platform that comes back is found soon and not overrun.
 	firstPause = 100 * time.Millisecond
 	maxPause   = 800 * time.Millisecond
-	// maxRecent bounds the records that are kept for other instances.
-	maxRecent = 512
+	// defaultKeep bounds the records that are kept for other instances if the
+	// follower does not.
+	defaultKeep = 512
+	// maxTold bounds the records of one message, in bytes: who lacks more reads
+	// the platform.
+	maxTold = 512 << 10
 	// checkInterval is the pause between two looks at the age of what is known.
 	checkInterval = 50 * time.Millisecond
 )
@@ -68,6 +73,9 @@
 	Limit func() time.Duration
 	// Wait is how long a read waits for a record; zero means not at all.
 	Wait time.Duration
+	// Keep is how many of the newest records are kept for other instances; zero
+	// means 512.
+	Keep int
 	// Timeout bounds a call beyond Wait; zero means one second.
 	Timeout time.Duration
 	// OnBatch is called with what was read, in order.
@@ -84,10 +92,11 @@
 	reader    uint32           // names this follower's own reads
 	shown     Mark             // names the read that confirmed
 	readings  map[uint32]int64 // the newest read of each reader that was heard of
-	recent    []fleet.Keyed[T] // the records before next, oldest first
-	newest    map[string]*T    // by key
-	ahead     time.Time        // since when another instance is ahead
-	aheadNext int64            // how far it had read
+	recent    []Record[T]      // the records before next, oldest first
+	relayed   time.Time        // when another instance told the newest of them
+	newest    map[string]*Encoded[T]
+	ahead     time.Time // since when another instance is ahead
+	aheadNext int64     // how far it had read
 	pause     time.Duration
 	retry     time.Time
 	lost      time.Time
@@ -202,7 +211,7 @@
 func (f *Follower[T]) restart(records []fleet.Keyed[T], next int64, by Mark, at time.Time) {
 	f.based, f.next, f.confirmed = true, next, time.Time{}
 	f.confirm(by, at)
-	f.recent, f.newest = nil, map[string]*T{}
+	f.recent, f.newest = nil, map[string]*Encoded[T]{}
 	f.remember(records)
 	f.recent = nil
 	f.OnBatch(Batch[T]{Records: records, Whole: true, At: time.Now()})
@@ -228,15 +237,21 @@
 }
 
 func (f *Follower[T]) remember(records []fleet.Keyed[T]) {
-	for _, r := range records {
-		if r.Value == nil {
-			delete(f.newest, r.Key)
-			continue
+	for _, k := range records {
+		r := Record[T]{Key: k.Key}
+		if k.Value == nil {
+			delete(f.newest, k.Key)
+		} else {
+			r.Value = &Encoded[T]{value: k.Value}
+			f.newest[k.Key] = r.Value
 		}
-		f.newest[r.Key] = r.Value
+		f.recent = append(f.recent, r)
+	}
+	keep := f.Keep
+	if keep == 0 {
+		keep = defaultKeep
 	}
-	f.recent = append(f.recent, records...)
-	if over := len(f.recent) - maxRecent; over > 0 {
+	if over := len(f.recent) - keep; over > 0 {
 		f.recent = append(f.recent[:0:0], f.recent[over:]...)
 	}
 }
@@ -291,10 +306,14 @@
 // Record is a record as instances tell it. A nil value means that the key was
 // dropped or could not be read.
 type Record[T any] struct {
-	Key   string `json:"k"`
-	Value *T     `json:"v,omitempty"`
+	Key   string      `json:"k"`
+	Value *Encoded[T] `json:"v,omitempty"`
 }
 
+// relayPause is how long an instance keeps to itself what another one told it: the one
+// that read it tells everybody, and large records told by all to all take seconds.
+const relayPause = 300 * time.Millisecond
+
 // Tell returns what an instance that has read up to a place lacks, as far as it is
 // remembered.
 func (f *Follower[T]) Tell(place int64, now time.Time) Told[T] {
@@ -302,13 +321,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	lacks := f.next - place
-	if !f.based || lacks <= 0 || place <= 0 || lacks > int64(len(f.recent)) {
+	if !f.based || lacks <= 0 || place <= 0 || lacks > int64(len(f.recent)) || now.Sub(f.relayed) < relayPause {
 		return t
 	}
-	t.Next, t.From = f.next, place
-	for _, r := range f.recent[len(f.recent)-int(lacks):] {
-		t.Records = append(t.Records, Record[T]{r.Key, r.Value})
+	records := f.recent[len(f.recent)-int(lacks):]
+	if size(records) > maxTold {
+		return t
 	}
+	t.Next, t.From, t.Records = f.next, place, slices.Clone(records)
 	return t
 }
 
@@ -333,7 +353,7 @@
 	at := now.Add(-time.Duration(t.Age) * time.Millisecond)
 	records := make([]fleet.Keyed[T], 0, len(t.Records))
 	for _, r := range t.Records {
-		records = append(records, fleet.Keyed[T]{Key: r.Key, Value: r.Value})
+		records = append(records, r.keyed())
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -341,6 +361,7 @@
 	case t.Whole && (!f.based || t.Next > f.next):
 		f.restart(records, t.Next, t.Mark, at)
 	case f.based && t.From == f.next && len(records) > 0:
+		f.relayed = now
 		f.advance(records, t.From, t.Next, t.Mark, at)
 	case f.based && t.Next == f.next && f.aheadNext <= f.next:
 		// Where others are known to be ahead, who is as far says nothing.
--- a/internal/watch/follow_test.go
+++ b/internal/watch/follow_test.go
@@ -219,6 +219,44 @@
 	})
 }
 
+// Pattern: a configuration of many routes and many instances. The one that read it tells
+// everybody; those who were told do not all tell each other too.
+func TestRelaysWait(t *testing.T) {
+	f := &feed{}
+	f.write("a", 1)
+	reads, told, third := newReader(f, 0), newReader(f, 0), newReader(f, 0)
+	for _, r := range []*reader{reads, told, third} {
+		require.NoError(t, r.Step(t.Context()))
+	}
+	f.write("a", 2)
+	require.NoError(t, reads.Step(t.Context()))
+	now := time.Now()
+	place := third.Mark(now).Next
+	told.Hear(reads.Tell(place, now), now)
+	require.Equal(t, 2, told.value("a"))
+	require.Empty(t, told.Tell(place, now).Records)
+	require.NotEmpty(t, told.Tell(place, now.Add(400*time.Millisecond)).Records, "the reader may be gone")
+	require.NotEmpty(t, reads.Tell(place, now).Records)
+}
+
+// counted counts how often it is encoded.
+type counted struct{ encoded *int }
+
+func (c counted) MarshalJSON() ([]byte, error) {
+	*c.encoded++
+	return []byte("1"), nil
+}
+
+func TestRecordsAreEncodedOnce(t *testing.T) {
+	n := 0
+	e := watch.NewEncoded(&counted{&n})
+	for range 24 {
+		_, err := json.Marshal(watch.Record[counted]{Key: "a", Value: e})
+		require.NoError(t, err)
+	}
+	require.Equal(t, 1, n)
+}
+
 // An instance that cannot reach the platform takes everything from a neighbour.
 func TestSnapshotFromNeighbour(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
