--- a/internal/watch/follow.go
+++ b/internal/watch/follow.go
@@ -124,6 +124,11 @@
 
 // due returns the time until the next read.
 func (f *Follower[T]) due(now time.Time) time.Duration {
+	limit := time.Duration(0)
+	if f.Limit != nil {
+		// Before the lock: it may lock what calls the follower.
+		limit = f.Limit()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if pause := f.retry.Sub(now); pause > 0 {
@@ -132,7 +137,7 @@
 	if !f.based || f.Limit == nil {
 		return 0
 	}
-	return f.Limit() - now.Sub(f.confirmed)
+	return limit - now.Sub(f.confirmed)
 }
 
 // step makes one read.
--- a/internal/watch/follow_test.go
+++ b/internal/watch/follow_test.go
@@ -257,6 +257,25 @@
 	require.Equal(t, 1, n)
 }
 
+// The limit may ask what asks the follower in turn: the exchange between instances does.
+func TestLimitIsAskedWithoutLock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &feed{}
+		f.write("a", 1)
+		r := newReader(f, 0)
+		free := 0
+		r.Limit = func() time.Duration {
+			if r.Unlocked() {
+				free++
+			}
+			return 100 * time.Millisecond
+		}
+		serve(t, r)
+		time.Sleep(time.Second)
+		require.Greater(t, free, 5)
+	})
+}
+
 // An instance that cannot reach the platform takes everything from a neighbour.
 func TestSnapshotFromNeighbour(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
