internal/watch: the platform's return is known before what lapsed meanwhile is read

Servers' records lapse while the store is away and are awaited for two seconds after its return; but the return was noted only after the first answer had been taken in, with the dropped records, and instances that had not noticed the outage, since another one reads for them, were never told of it. All servers were gone until they wrote again. Change: the return is noted first, and told with the records (Mark.Back).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -173,10 +173,7 @@
 	}
 	i.endpoints = &watch.Follower[fleet.Entry]{
 		Name: "endpoints", Feed: i.Endpoints, Timeout: feedTimeout, Limit: i.limit(entriesAge, 0),
-		OnBatch: i.roster.Take, OnLost: i.lost("endpoints"), OnRegained: func(away time.Duration) {
-			i.roster.Regained(time.Now())
-			i.regained("endpoints")(away)
-		},
+		OnBatch: i.roster.Take, OnLost: i.lost("endpoints"), OnRegained: i.regained("endpoints"), OnBack: i.roster.Regained,
 	}
 	now := time.Now()
 	i.peers = &peer.Exchange{
--- a/internal/watch/export_test.go
+++ b/internal/watch/export_test.go
@@ -1,6 +1,9 @@
 package watch
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Step makes one read.
 func (f *Follower[T]) Step(ctx context.Context) error { return f.step(ctx) }
@@ -16,3 +19,6 @@
 	f.mu.Unlock()
 	return true
 }
+
+// Failed notes a read that failed.
+func (f *Follower[T]) Failed(err error, now time.Time) { f.failed(err, now) }
--- a/internal/watch/follow.go
+++ b/internal/watch/follow.go
@@ -43,6 +43,9 @@
 	// again it says nothing new, however young its age has become on the way.
 	Reader  uint32 `json:"i,omitempty"`
 	Reading int64  `json:"c,omitempty"`
+	// Back is how long ago the platform came back after it was away, in
+	// milliseconds; zero means not lately.
+	Back int64 `json:"b,omitempty"`
 }
 
 const (
@@ -84,6 +87,9 @@
 	// OnRegained at the next success. Nil is allowed.
 	OnLost     func(err error)
 	OnRegained func(away time.Duration)
+	// OnBack is called with the time at which the platform came back, seen here or
+	// by another instance, before anything that was read after it. Nil is allowed.
+	OnBack func(at time.Time)
 
 	mu        sync.Mutex
 	next      int64
@@ -100,6 +106,7 @@
 	pause     time.Duration
 	retry     time.Time
 	lost      time.Time
+	back      time.Time // when the platform came back
 }
 
 // String names the follower in the supervisor's events.
@@ -157,10 +164,10 @@
 		if err != nil {
 			return err
 		}
+		f.reached(time.Now())
 		f.mu.Lock()
 		f.restart(records, next, f.own(), begun)
 		f.mu.Unlock()
-		f.reached()
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout+f.Wait)
@@ -179,10 +186,10 @@
 	if len(records) == 0 {
 		begun = time.Now()
 	}
+	f.reached(time.Now())
 	f.mu.Lock()
 	f.advance(records, from, next, f.own(), begun)
 	f.mu.Unlock()
-	f.reached()
 	return nil
 }
 
@@ -261,18 +268,37 @@
 	}
 }
 
-// reached notes that the platform answered.
-func (f *Follower[T]) reached() {
+// reached notes that the platform answered. It comes before what the answer brought:
+// records may have lapsed while the platform was away.
+func (f *Follower[T]) reached(now time.Time) {
 	f.mu.Lock()
 	f.pause, f.retry = 0, time.Time{}
 	lost := f.lost
 	f.lost = time.Time{}
+	if !lost.IsZero() {
+		f.returned(now)
+	}
 	f.mu.Unlock()
 	if !lost.IsZero() && f.OnRegained != nil {
-		f.OnRegained(time.Since(lost))
+		f.OnRegained(now.Sub(lost))
 	}
 }
 
+// returned takes in when the platform came back. The lock is held.
+func (f *Follower[T]) returned(at time.Time) {
+	if !at.After(f.back) {
+		return
+	}
+	f.back = at
+	if f.OnBack != nil {
+		f.OnBack(at)
+	}
+}
+
+// backTerm is how long the platform's return is told: records that lapsed are back, or
+// gone, before.
+const backTerm = 4 * time.Second
+
 // failed sets the time of the next read.
 func (f *Follower[T]) failed(err error, now time.Time) {
 	f.mu.Lock()
@@ -295,7 +321,11 @@
 	if !f.based {
 		return Mark{}
 	}
-	return Mark{Next: f.next, Age: now.Sub(f.confirmed).Milliseconds(), Reader: f.shown.Reader, Reading: f.shown.Reading}
+	m := Mark{Next: f.next, Age: now.Sub(f.confirmed).Milliseconds(), Reader: f.shown.Reader, Reading: f.shown.Reading}
+	if back := now.Sub(f.back); back < backTerm {
+		m.Back = max(back.Milliseconds(), 1)
+	}
+	return m
 }
 
 // Told is what one instance tells another of a feed.
@@ -362,6 +392,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if t.Back > 0 {
+		f.returned(now.Add(-time.Duration(t.Back) * time.Millisecond))
+	}
 	switch {
 	case t.Whole && (!f.based || t.Next > f.next):
 		f.restart(records, t.Next, t.Mark, at)
--- a/internal/watch/follow_test.go
+++ b/internal/watch/follow_test.go
@@ -276,6 +276,35 @@
 	})
 }
 
+// The platform's return is known before the records that lapsed meanwhile are read, and
+// also to an instance that never noticed the outage and is told by another.
+func TestReturnIsKnownBeforeWhatLapsed(t *testing.T) {
+	f := &feed{}
+	f.write("a", 1)
+	reads, told := newReader(f, 0), newReader(f, 0)
+	var order []string
+	for name, r := range map[string]*reader{"reads": reads, "told": told} {
+		r.OnBack = func(time.Time) { order = append(order, name+" back") }
+		batch := r.OnBatch
+		r.OnBatch = func(b watch.Batch[int]) {
+			order = append(order, name+" batch")
+			batch(b)
+		}
+		require.NoError(t, r.Step(t.Context()))
+	}
+	order = nil
+	f.down = true
+	err := reads.Step(t.Context())
+	require.Error(t, err)
+	reads.Failed(err, time.Now())
+	f.down = false
+	f.write("a", 2)
+	require.NoError(t, reads.Step(t.Context()))
+	now := time.Now()
+	told.Hear(reads.Tell(told.Mark(now).Next, now), now)
+	require.Equal(t, []string{"reads back", "reads batch", "told back", "told batch"}, order)
+}
+
 // An instance that cannot reach the platform takes everything from a neighbour.
 func TestSnapshotFromNeighbour(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/watch/roster.go
+++ b/internal/watch/roster.go
@@ -26,11 +26,13 @@
 	based    bool
 }
 
-// Regained records that the platform can be reached again.
-func (r *Roster) Regained(now time.Time) {
+// Regained records when the platform could be reached again.
+func (r *Roster) Regained(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.regained = now
+	if at.After(r.regained) {
+		r.regained = at
+	}
 }
 
 // Based reports whether the endpoints' records have been read.
