internal/strain: measure how long goroutines wait for the processor

A timer's goroutine runs before all that wait in the queue, so the meter saw only a processor that was taken away. Change: the lag is the larger of that and of the time within which nine of ten goroutines got the processor, from the runtime's histogram.

--- a/internal/strain/strain.go
+++ b/internal/strain/strain.go
@@ -44,11 +44,14 @@
 
 // Serve implements suture.Service.
 func (m *Meter) Serve(ctx context.Context) error {
+	q := newQueue()
 	for {
 		begun := time.Now()
 		select {
 		case <-time.After(interval):
-			m.Measure(time.Since(begun) - interval)
+			// A timer's goroutine runs before those that wait, so that its
+			// own lag shows only a processor that is taken away.
+			m.Measure(max(time.Since(begun)-interval, q.wait()))
 		case <-ctx.Done():
 			return ctx.Err()
 		}
