--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -127,6 +127,9 @@
 func (c *call) fields() []zap.Field {
 	fields := make([]zap.Field, 0, maxFields)
 	fields = append(fields, zap.String("id", c.ask.ID))
+	if c.ask.Odd != "" {
+		fields = append(fields, zap.String("odd", c.ask.Odd))
+	}
 	if c.edition != nil {
 		fields = append(fields, zap.Int64("version", c.edition.version))
 	}
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -81,6 +81,7 @@
 	told     int64     // reads that it has been told of
 	places   map[string]int64
 	deaf     time.Time // until when it is not asked for places
+	cause    error     // why the last call failed
 }
 
 func (x *Exchange) init() {
@@ -157,7 +158,7 @@
 			p.lost = true
 			x.Board.Forget(p.Address, now)
 			if !p.heard.IsZero() {
-				x.Logger.Warn(event.Lost, zap.String("peer", p.Name), zap.String("address", p.Address))
+				x.Logger.Warn(event.Lost, zap.String("peer", p.Name), zap.String("address", p.Address), zap.Error(p.cause))
 			}
 		}
 		if unheard > lostTerm && now.Sub(p.known) > lostTerm {
@@ -214,7 +215,7 @@
 	var answer wireMessage
 	err := x.ask(ctx, p.Address, Path, useAsk, m, &answer)
 	x.mu.Lock()
-	p.busy = false
+	p.busy, p.cause = false, err
 	x.mu.Unlock()
 	if x.Crashes != nil {
 		x.Crashes.Sent(p.Address, err == nil)
--- a/internal/peer/finder.go
+++ b/internal/peer/finder.go
@@ -46,18 +46,29 @@
 // Serve implements suture.Service.
 func (f *Finder) Serve(ctx context.Context) error {
 	var entered, found time.Time
+	away := false
+	note := func(err error) bool {
+		switch {
+		case err != nil && !away:
+			f.Logger.Warn(event.Lost, zap.String("feed", "directory"), zap.Error(err))
+		case err == nil && away:
+			f.Logger.Info(event.Regained, zap.String("feed", "directory"))
+		}
+		away = err != nil
+		return err == nil
+	}
 	for ctx.Err() == nil {
 		now := time.Now()
 		pause := findInterval
 		if now.Sub(entered) > enterInterval {
-			if f.enter(ctx, now) {
+			if note(f.enter(ctx, now)) {
 				entered = now
 			} else {
 				pause = findRetry
 			}
 		}
 		if f.Exchange.Rank(now) == 0 && now.Sub(found) >= findInterval {
-			if f.find(ctx, now) {
+			if note(f.find(ctx, now)) {
 				found = now
 			} else {
 				pause = findRetry
@@ -71,24 +82,23 @@
 	return ctx.Err()
 }
 
-func (f *Finder) enter(ctx context.Context, now time.Time) bool {
+func (f *Finder) enter(ctx context.Context, now time.Time) error {
 	self := f.Exchange.Self
 	data, err := json.Marshal(wireEntry{Member: self, At: now.Unix()})
 	if err != nil {
-		f.Logger.Warn(event.Odd, zap.Error(err))
-		return true
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	return f.Directory.Put(ctx, self.Name, data) == nil
+	return f.Directory.Put(ctx, self.Name, data)
 }
 
-func (f *Finder) find(ctx context.Context, now time.Time) bool {
+func (f *Finder) find(ctx context.Context, now time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	entries, err := f.Directory.List(ctx)
 	if err != nil {
-		return false
+		return err
 	}
 	for key, data := range entries {
 		var e wireEntry
@@ -100,5 +110,5 @@
 			f.Exchange.Meet(e.Member, now)
 		}
 	}
-	return true
+	return nil
 }
--- a/pkg/fleet/request.go
+++ b/pkg/fleet/request.go
@@ -33,6 +33,9 @@
 	// After is the ID of the last event that the caller has of an earlier
 	// run; empty means from the start.
 	After string
+	// Odd names a header that could not be read and counts as missing; empty if
+	// there was none.
+	Odd string
 }
 
 // Shared returns the parts that other requests may have in common with this one.
