internal/peer: homes are spread over the instances

Cause: found by reading: the hash that ranks instances for an endpoint differed for names that end in another digit only in few bits, so that of nine instances of a domain two were home of half of the endpoints, front-tartu-9, the busiest, among them. Change: another hash.

--- a/internal/peer/export_test.go
+++ b/internal/peer/export_test.go
@@ -7,3 +7,6 @@
 	Pack   = pack
 	Unpack = unpack
 )
+
+// Home returns the home of an endpoint.
+var Home = home
--- a/internal/peer/home.go
+++ b/internal/peer/home.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/greengagestep/greengagestep/internal/placement"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
@@ -66,7 +68,7 @@
 	var top uint64
 	near := false
 	for _, m := range members {
-		rank := uint64(short(e.ID + m.Name))
+		rank := xxhash.Sum64String(e.ID + m.Name)
 		switch in := m.Domain == e.Domain; {
 		case in && !near, in == near && (rank > top || rank == top && m.Name > best.Name):
 			best, top, near = m, rank, in
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -191,3 +192,24 @@
 	require.Equal(t, http.StatusUnauthorized, w.Code)
 	require.Zero(t, home.Board.Services(time.Now())["m"].Runs)
 }
+
+// Pattern: instances whose names differ in their last letter. Each is home of its part of
+// the endpoints, in its own failure domain only.
+func TestHomesAreSpread(t *testing.T) {
+	var members []peer.Member
+	for n := 1; n <= 9; n++ {
+		for _, domain := range []string{"tartu", "polva"} {
+			members = append(members, peer.Member{Name: fmt.Sprintf("front-%s-%d", domain, n), Domain: domain})
+		}
+	}
+	homes := map[string]int{}
+	for n := range 900 {
+		m := peer.Home(placement.Endpoint{ID: fmt.Sprintf("i-%08x", n*7919), Entry: fleet.Entry{Domain: "tartu"}}, members)
+		require.Equal(t, "tartu", m.Domain)
+		homes[m.Name]++
+	}
+	require.Len(t, homes, 9)
+	for name, n := range homes {
+		require.InDelta(t, 100, n, 40, name)
+	}
+}
