--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -138,6 +138,8 @@
 	eventIntervalMS float64      // milliseconds between events, zero if not known
 	slowdownAt      time.Time    // when slowdown was last updated
 	slowdown        float64      // ratio of the time taken to the time expected, smoothed
+	hostSlowdown    float64      // how many times longer than usual work takes on its machine, as last reported; zero means never reported
+	hostSlowdownAt  time.Time    // when hostSlowdown was reported
 }
 
 // Work is the load that requests put on an endpoint.
@@ -231,6 +233,9 @@
 	}
 	s.reportedRuns = max(0, float64(r.Running+r.Waiting-s.local.Runs))
 	s.reportedAt = now
+	if r.HostSlowdown > 0 {
+		s.hostSlowdown, s.hostSlowdownAt = min(max(r.HostSlowdown, minSlowdown), maxSlowdown), now
+	}
 }
 
 // reportDecayTime is the time over which an endpoint's report of the requests of other
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -16,6 +16,8 @@
 	started     bool    // the first event or the response has arrived, or the request has ended
 	ended       bool
 	expectedMS  float64 // milliseconds to the first event or the response, without the endpoint's slowdown
+	// hostSlowdown is that of the endpoint's machine when the request was sent.
+	hostSlowdown float64
 }
 
 // Begin records that a request is sent to the endpoint of a choice.
@@ -24,7 +26,7 @@
 	defer b.mu.Unlock()
 	s := c.state
 	_, ahead := b.totalWork(s, now)
-	run := &Run{balancer: b, state: s, tokens: c.Tokens, sentAt: now, tokensAhead: ahead, unary: !r.Stream, expectedMS: ms(c.Expected) / s.currentSlowdown(now)}
+	run := &Run{balancer: b, state: s, tokens: c.Tokens, sentAt: now, tokensAhead: ahead, unary: !r.Stream, expectedMS: ms(c.Expected) / s.currentSlowdown(now), hostSlowdown: s.currentHostSlowdown(now)}
 	if s.local.Runs == 0 {
 		s.lastReceived.Store(now.UnixNano())
 	}
@@ -54,9 +56,11 @@
 	r.RecordData(now)
 	r.started = true
 	r.state.local.Tokens -= r.tokens
-	tookMS := ms(now.Sub(r.sentAt))
+	// What the machine does at the moment is not learned as a property of the endpoint or
+	// of the service.
+	tookMS := ms(now.Sub(r.sentAt)) / ((r.hostSlowdown + r.state.currentHostSlowdown(now)) / 2)
 	r.balancer.latencyModel(r.state.Service).observeFirst(r, tookMS, now)
-	slowdown := r.state.currentSlowdown(now)
+	slowdown := r.state.learnedSlowdown(now)
 	r.state.slowdown = slowdown + slowdownGain*(min(max(tookMS/max(r.expectedMS, 1), minSlowdown), maxSlowdown)-slowdown)
 	r.state.slowdownAt = now
 }
@@ -186,9 +190,28 @@
 	return m.biasMS * math.Exp(-now.Sub(m.biasAt).Seconds()/biasDecayTime.Seconds())
 }
 
-// currentSlowdown returns how many times longer than others an endpoint takes. It decays
-// to 1 while nothing is learned.
+// hostSlowdownDecayTime is how long it takes a reported slowdown of an endpoint's machine to
+// decay to a third (1/e): the machine is shared, and its load changes many times a second.
+const hostSlowdownDecayTime = 500 * time.Millisecond
+
+// currentSlowdown returns how many times longer than others an endpoint takes now: what its
+// answers showed over some seconds, multiplied by what its machine last reported.
 func (s *endpointState) currentSlowdown(now time.Time) float64 {
+	return s.learnedSlowdown(now) * s.currentHostSlowdown(now)
+}
+
+// currentHostSlowdown returns how many times longer than usual work takes on the endpoint's
+// machine. It decays to 1 after the last report.
+func (s *endpointState) currentHostSlowdown(now time.Time) float64 {
+	if s.hostSlowdown == 0 || s.hostSlowdown == 1 {
+		return 1
+	}
+	return 1 + (s.hostSlowdown-1)*math.Exp(-now.Sub(s.hostSlowdownAt).Seconds()/hostSlowdownDecayTime.Seconds())
+}
+
+// learnedSlowdown returns how many times longer than others an endpoint takes, beside what its
+// machine reports. It decays to 1 while nothing is learned.
+func (s *endpointState) learnedSlowdown(now time.Time) float64 {
 	if s.slowdown == 1 || s.slowdownAt.IsZero() {
 		return s.slowdown
 	}
--- a/pkg/fleet/request.go
+++ b/pkg/fleet/request.go
@@ -91,6 +91,9 @@
 	// Running and Waiting count the requests at the endpoint; Slots is how many
 	// requests it runs at a time.
 	Running, Waiting, Slots int
+	// HostSlowdown is how many times longer than usual work takes on the
+	// endpoint's machine at the time of the response; zero means not reported.
+	HostSlowdown float64
 	// IdleTimeout is how long the endpoint keeps an idle connection open; zero
 	// means unknown.
 	IdleTimeout time.Duration
