--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -102,7 +102,7 @@
 		return
 	}
 	entry.Write(append(c.logFields(), zap.Int("status", status), zap.String("how", ending), zap.String("reason", reason),
-		zap.Int("sends", c.sends), zap.Duration("took", time.Since(c.arrived)), zap.Duration("first", c.timeToFirst))...)
+		zap.Int("sends", c.sends), zap.Duration("took", time.Since(c.arrived)), zap.Duration("first", c.timeToFirst), zap.Duration("pause", c.longestGap))...)
 }
 
 // countEnd counts the result that the caller got, and for a relayed response also its
@@ -148,7 +148,7 @@
 	if c.choice.Endpoint.ID != "" {
 		fields = append(fields, zap.String("endpoint", c.choice.Endpoint.ID), zap.Duration("expected", c.choice.Expected),
 			zap.Duration("wait", c.choice.Wait), zap.Float64("runs", c.choice.Runs), zap.Int("missing", c.choice.MissingTokens),
-			zap.Int("usable", c.choice.Usable), zap.Duration("age", c.choice.LoadAge), zap.Int("refusals", len(c.refusedBy)), zap.String("grant", string(c.grant)))
+			zap.Int("usable", c.choice.Usable), zap.Duration("age", c.choice.LoadAge), zap.Float64("slowdown", c.choice.HostSlowdown), zap.Int("refusals", len(c.refusedBy)), zap.String("grant", string(c.grant)))
 	}
 	return fields
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,6 +96,7 @@
 	grant       fleet.ReservationResult // result of the last reservation; empty if none was requested
 	choice      placement.Choice
 	timeToFirst time.Duration // from arrival to the first event or the response; zero until then
+	longestGap  time.Duration // longest time between two relayed parts of a stream
 	headersSent bool          // response headers were written to the caller
 	lastEventID string        // ID of the last event written to the caller; empty if none
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -36,7 +36,7 @@
 		return outcome{kind: outcomeUnknown, reason: fleet.ReasonEndpointFailed, cause: err}
 	}
 	var pending []byte
-	firstEventAt, events := time.Time{}, 0
+	firstEventAt, lastEventAt, events := time.Time{}, time.Time{}, 0
 	defer func() {
 		if !firstEventAt.IsZero() {
 			run.RecordStream(events, time.Since(firstEventAt))
@@ -55,11 +55,14 @@
 		end := completeEventsEnd(pending)
 		if end > 0 {
 			c.recordFirst(run)
+			now := time.Now()
 			if firstEventAt.IsZero() {
-				firstEventAt = time.Now()
+				firstEventAt = now
 			} else {
 				events += bytes.Count(pending[:end], []byte("\n\n"))
+				c.longestGap = max(c.longestGap, now.Sub(lastEventAt))
 			}
+			lastEventAt = now
 			if ferr := c.forward(a, pending[:end]); ferr != nil {
 				return broken(ferr)
 			}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -49,6 +49,9 @@
 	// LoadAge is the time since the endpoint last reported its load; zero if
 	// it never did.
 	LoadAge time.Duration
+	// HostSlowdown is how many times longer than usual work takes on the
+	// endpoint's machine, as last reported.
+	HostSlowdown float64
 	// Listed is how many endpoints the service has, Usable how many of them
 	// could be chosen.
 	Listed, Usable int
@@ -126,6 +129,7 @@
 	best.Listed, best.Usable = len(list), usable
 	if found && !best.state.reportedAt.IsZero() {
 		best.LoadAge = now.Sub(best.state.reportedAt)
+		best.HostSlowdown = best.state.currentHostSlowdown(now)
 	}
 	return best, found
 }
