--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -68,7 +68,8 @@
 	client   *http.Client
 	sequence int64
 	homes    map[string]Member // home of each endpoint, by endpoint ID
-	homesAt  time.Time         // when homes was computed
+	ids      map[uint32]string // endpoint IDs by their hash in messages
+	homesAt  time.Time         // when homes and ids were computed
 	// unauthenticated counts requests whose signature was not made with the
 	// fleet key.
 	unauthenticated atomic.Int64
@@ -88,6 +89,7 @@
 	positions      map[string]int64 // first offset of each feed that it has not read, by name
 	reserveAfter   time.Time        // earliest time of the next reservation request to it
 	lastErr        error            // of the last message sent to it
+	membersDigest  uint64           // of the live instances that it knows
 }
 
 func (x *Exchange) init() {
@@ -208,17 +210,30 @@
 			m.Crashes = x.Crashes.Compose(to.Address)
 		}
 	}
+	var members []Member
+	members, m.MembersDigest = x.liveMembers(now)
 	if full {
 		m.Usage = x.Ledger.LocalUsage(now)
-		for _, p := range x.peers {
-			if p.Name != "" && now.Sub(p.lastReceived) < silenceTimeout {
-				m.Members = append(m.Members, p.Member)
-			}
+		if to == nil || to.membersDigest != m.MembersDigest {
+			m.Members = members
 		}
 	}
 	return m
 }
 
+// liveMembers returns the live peers, and a digest of them and of this instance that does not
+// depend on their order. The caller holds the lock.
+func (x *Exchange) liveMembers(now time.Time) (members []Member, digest uint64) {
+	digest = x.Self.digest()
+	for _, p := range x.peers {
+		if p.Name != "" && now.Sub(p.lastReceived) < silenceTimeout {
+			members = append(members, p.Member)
+			digest ^= p.digest()
+		}
+	}
+	return members, digest
+}
+
 func (x *Exchange) send(ctx context.Context, p *peer, m wireMessage) {
 	var reply wireMessage
 	err := x.postSigned(ctx, p.Address, Path, purposeMessage, m, &reply)
@@ -266,11 +281,12 @@
 		x.Logger.Info(event.DependencyRecovered, zap.String("peer", m.From.Name), zap.String("address", m.From.Address))
 	}
 	p.sequence, p.lastReceived, p.lost = m.Sequence, now, false
+	p.membersDigest = m.MembersDigest
 	for _, other := range m.Members {
 		x.addPeer(other, now)
 	}
 	x.mu.Unlock()
-	x.Balancer.SetInstanceWork(m.From.Address, x.unpackWork(m.Work), !m.Partial, now)
+	x.Balancer.SetInstanceWork(m.From.Address, x.unpackWork(m.Work, now), !m.Partial, now)
 	x.Balancer.MergeCacheFills(m.CacheFills, now)
 	if m.Usage != nil {
 		x.Ledger.SetRemoteUsage(m.From.Address, m.Usage, now)
@@ -285,11 +301,14 @@
 
 // unpackWork decodes packed work and returns it by endpoint ID. Work at endpoints
 // that this instance does not know is left out.
-func (x *Exchange) unpackWork(data []byte) map[string]placement.Work {
+func (x *Exchange) unpackWork(data []byte, now time.Time) map[string]placement.Work {
 	packed := unpack(data)
 	work := make(map[string]placement.Work, len(packed))
-	for _, id := range x.Balancer.IDs() {
-		if w, ok := packed[hashID(id)]; ok {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.endpointHomes(now)
+	for hash, w := range packed {
+		if id, ok := x.ids[hash]; ok {
 			work[id] = w
 		}
 	}
--- a/internal/peer/export_test.go
+++ b/internal/peer/export_test.go
@@ -1,5 +1,7 @@
 package peer
 
+import "github.com/greengagestep/greengagestep/internal/placement"
+
 // Sign, Pack and Unpack let tests build and decode messages of a peer.
 func (k *Key) Sign(purpose string, data []byte) string { return k.sign(purpose, data) }
 
@@ -9,4 +11,6 @@
 )
 
 // Home returns the home of an endpoint.
-var Home = selectHome
+func Home(e placement.Endpoint, members []Member) Member {
+	return selectHome(e, members, memberHashes(members))
+}
--- a/internal/peer/home.go
+++ b/internal/peer/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net/http"
 	"time"
 
@@ -55,27 +56,42 @@
 	if x.homes != nil && now.Sub(x.homesAt) < homesTTL {
 		return x.homes
 	}
-	members := []Member{x.Self}
-	for _, p := range x.peers {
-		if p.Name != "" && now.Sub(p.lastReceived) < silenceTimeout {
-			members = append(members, p.Member)
-		}
-	}
-	x.homes, x.homesAt = map[string]Member{}, now
+	members, _ := x.liveMembers(now)
+	members = append(members, x.Self)
+	hashes := memberHashes(members)
+	x.homes, x.ids, x.homesAt = map[string]Member{}, map[uint32]string{}, now
 	for _, e := range x.Balancer.Endpoints() {
-		x.homes[e.ID] = selectHome(e, members)
+		x.homes[e.ID] = selectHome(e, members, hashes)
+		x.ids[hashID(e.ID)] = e.ID
 	}
 	return x.homes
 }
 
-func selectHome(e placement.Endpoint, members []Member) Member {
+// memberHashes returns the hashes of the members' names.
+func memberHashes(members []Member) []uint64 {
+	hashes := make([]uint64, len(members))
+	for i, m := range members {
+		hashes[i] = xxhash.Sum64String(m.Name)
+	}
+	return hashes
+}
+
+// selectHome returns the home of an endpoint among members, whose names have the given
+// hashes.
+func selectHome(e placement.Endpoint, members []Member, hashes []uint64) Member {
 	var best Member
 	var bestHash uint64
 	bestInDomain := false
-	for _, m := range members {
-		hash := xxhash.Sum64String(e.ID + m.Name)
-		switch inDomain := m.Domain == e.Domain; {
-		case inDomain && !bestInDomain, inDomain == bestInDomain && (hash > bestHash || hash == bestHash && m.Name > best.Name):
+	var pair [16]byte
+	binary.BigEndian.PutUint64(pair[:8], xxhash.Sum64String(e.ID))
+	for i, m := range members {
+		inDomain := m.Domain == e.Domain
+		if bestInDomain && !inDomain {
+			continue
+		}
+		binary.BigEndian.PutUint64(pair[8:], hashes[i])
+		hash := xxhash.Sum64(pair[:])
+		if inDomain && !bestInDomain || hash > bestHash || hash == bestHash && m.Name > best.Name {
 			best, bestHash, bestInDomain = m, hash, inDomain
 		}
 	}
@@ -103,7 +119,12 @@
 func (x *Exchange) Reserve(ctx context.Context, r fleet.Reservation) fleet.ReservationResult {
 	now := time.Now()
 	x.mu.Lock()
-	m := x.endpointHomes(now)[r.Endpoint]
+	m, known := x.endpointHomes(now)[r.Endpoint]
+	if !known {
+		// The endpoint was added after the homes were computed.
+		x.homes = nil
+		m = x.endpointHomes(now)[r.Endpoint]
+	}
 	if m.Address == x.Self.Address {
 		x.mu.Unlock()
 		return fleet.GrantAccepted
@@ -129,7 +150,7 @@
 		x.mu.Unlock()
 		return fleet.GrantNoAnswer
 	}
-	x.Balancer.SetHomeWork(x.unpackWork(grant.Work), time.Now())
+	x.Balancer.SetHomeWork(x.unpackWork(grant.Work, time.Now()), time.Now())
 	if grant.Granted {
 		return fleet.GrantAccepted
 	}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -5,8 +5,11 @@
 package peer
 
 import (
+	"encoding/binary"
 	"encoding/json"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/greengagestep/greengagestep/internal/admission"
 	"github.com/greengagestep/greengagestep/internal/placement"
 )
@@ -22,6 +25,11 @@
 	Start int64 `json:"i"`
 }
 
+// digest returns a hash that identifies one start of the instance.
+func (m Member) digest() uint64 {
+	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(m.Address+m.Name), uint64(m.Start)))
+}
+
 // wireMessage is the state that one instance sends to another.
 type wireMessage struct {
 	From Member `json:"f"`
@@ -41,6 +49,10 @@
 	CacheFills []placement.CacheFill `json:"r,omitempty"`
 	// Usage is the usage by customer at the sender; only full messages carry it.
 	Usage map[string]admission.Usage `json:"u,omitempty"`
-	// Members lists the live peers of the sender; only full messages carry it.
+	// Members lists the live peers of the sender; only full messages to a receiver that
+	// knows others carry it.
 	Members []Member `json:"m,omitempty"`
+	// MembersDigest identifies the set of instances that the sender knows to be live,
+	// itself included.
+	MembersDigest uint64 `json:"d,omitempty"`
 }
