--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -41,9 +41,12 @@
 	// response is read; a longer one may fill the send window of a connection
 	// that the endpoint does not read, and block.
 	maxInlineBodyBytes = 8 << 10
-	// maxDiscardBytes bounds the body of a response to another request that is
+	// maxDiscardBytes bounds the bodies of responses to other requests that are
 	// discarded to reach the expected response.
 	maxDiscardBytes = 1 << 20
+	// maxHeadBytes bounds the head of a response together with the informational
+	// responses before it.
+	maxHeadBytes = 64 << 10
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
 )
@@ -94,8 +97,27 @@
 	netConn    net.Conn
 	reader     *bufio.Reader
 	address    string
-	reused     bool
 	reuseUntil time.Time // end of the time in which it may be reused
+	// limited is set while bytes are read that no caller waits for, of which at most
+	// remaining more are read: an endpoint may send bytes that are no response without
+	// end.
+	limited   bool
+	remaining int
+}
+
+var errTooManyBytes = errors.New("endpoint sent too many bytes before the response")
+
+// Read reads from the connection.
+func (c *conn) Read(p []byte) (int, error) {
+	if !c.limited {
+		return c.netConn.Read(p)
+	}
+	if c.remaining <= 0 {
+		return 0, errTooManyBytes
+	}
+	n, err := c.netConn.Read(p[:min(len(p), c.remaining)])
+	c.remaining -= n
+	return n, err
 }
 
 // Answer is an endpoint's response to one request. The caller must call Close.
@@ -191,6 +213,8 @@
 // informational responses and discards responses to other requests.
 func (a *Answer) readHeader(r Request, id string) error {
 	req := &http.Request{Method: r.Method}
+	a.conn.limited, a.conn.remaining = true, maxHeadBytes+maxDiscardBytes
+	defer func() { a.conn.limited = false }()
 	for {
 		resp, err := http.ReadResponse(a.conn.reader, req)
 		if err != nil {
@@ -219,7 +243,7 @@
 // isInvalidResponse reports whether an error means that the response is malformed or
 // belongs to another request, rather than that the connection broke.
 func isInvalidResponse(err error) bool {
-	if errors.Is(err, errOtherRequest) {
+	if errors.Is(err, errOtherRequest) || errors.Is(err, errTooManyBytes) {
 		return true
 	}
 	var netErr net.Error
@@ -269,7 +293,6 @@
 		idleTimeout = defaultIdleTimeout
 	}
 	c.reuseUntil = time.Now().Add(max(idleTimeout-idleMargin, idleTimeout/2))
-	c.reused = true
 }
 
 func (p *Pool) put(c *conn) {
@@ -339,7 +362,9 @@
 	if t, ok := n.(*net.TCPConn); ok {
 		setUserTimeout(t)
 	}
-	return &conn{netConn: n, reader: bufio.NewReaderSize(n, readBufferBytes), address: address}, nil
+	c := &conn{netConn: n, address: address}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c, nil
 }
 
 // setUserTimeout makes the kernel close a connection whose peer no longer acknowledges
