--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/greengagestep/greengagestep/internal/placement"
+	"github.com/greengagestep/greengagestep/internal/service"
 	"github.com/greengagestep/greengagestep/internal/upstream"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
@@ -47,7 +48,7 @@
 	c.h.Balancer.RecordLoad(c.choice.Endpoint.ID, answer.Attrs, time.Now())
 	if answer.Attrs.NotRun {
 		run.End(placement.ResultRefused, time.Now())
-		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxBufferedResponseBytes))
+		discardBody(answer)
 		return outcome{kind: outcomeNotRun, reason: fleet.ReasonQueueFull, cause: fmt.Errorf("status %d", answer.StatusCode)}
 	}
 	c.runs++
@@ -60,6 +61,19 @@
 	return o
 }
 
+// discardTimeout is how long the body of a refusal may take to arrive, so that its connection
+// can be used again.
+const discardTimeout = 20 * time.Millisecond
+
+// discardBody reads a body that is not needed. It gives up a long one and one that does not
+// arrive at once: the request waits for its next attempt.
+func discardBody(a *upstream.Answer) {
+	timer := time.AfterFunc(discardTimeout, a.Abandon)
+	defer timer.Stop()
+	// An error closes the connection; the outcome of the attempt is known.
+	_, _ = io.Copy(io.Discard, io.LimitReader(a, maxBufferedResponseBytes))
+}
+
 const (
 	// crashProbeDelay is the delay between a broken connection and the probe that
 	// checks whether the endpoint still accepts connections.
@@ -74,7 +88,9 @@
 // when the endpoint began to respond or, without a response, when the connection broke.
 func (c *call) probeForCrash(started time.Time) {
 	h, endpoint, fingerprint, id := c.h, c.choice.Endpoint, c.fingerprint, c.attrs.ID
-	h.crashProbes.Go(func() {
+	h.crashProbes.Add(1)
+	service.Go(h.Logger, "crash probe", func() {
+		defer h.crashProbes.Done()
 		time.Sleep(crashProbeDelay)
 		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 		defer cancel()
--- /dev/null
+++ b/internal/gateway/stall_test.go
@@ -0,0 +1,132 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/greengagestep/greengagestep/pkg/arrangement"
+)
+
+func streamConfig() arrangement.Config {
+	return arrangement.Config{Routes: []arrangement.Route{{
+		Name: "r", Host: "h", Path: "/", Targets: []arrangement.Target{{Service: "portal", Weight: 1}}, Stream: true,
+		Repeat: arrangement.RepeatResume, Attempts: 2, TimeoutMillis: 60_000,
+	}}}
+}
+
+func (g *testGateway) stream(timeout time.Duration) (string, error) {
+	r, err := http.NewRequest(http.MethodPost, "http://h/", strings.NewReader("q"))
+	require.NoError(g.t, err)
+	r.Header.Set("Request-Id", "1")
+	r.Header.Set("Wait", fmt.Sprint(timeout.Milliseconds()))
+	resp, err := g.client.Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return string(data), err
+}
+
+func startStream(w io.Writer, r *http.Request) {
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Request-Id"))
+}
+
+// writeChunk writes a piece of a stream; an empty one ends it.
+func writeChunk(w io.Writer, piece string) error {
+	_, err := fmt.Fprintf(w, "%x\r\n%s\r\n", len(piece), piece)
+	return err
+}
+
+// A stalled stream that sends a byte or an empty comment now and then makes no progress: it must
+// be resumed at another endpoint as one that sends nothing is. A slow stream whose events keep
+// coming must not be cut.
+func TestStalledStreams(t *testing.T) {
+	const slowInterval = time.Second
+	// callerPatience is the pause in a stream after which callers leave.
+	const callerPatience = 2 * time.Second
+	for name, trickle := range map[string]string{"nothing": "", "a byte": "x", "a comment": ": still here\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				// The endpoints end by themselves.
+				defer time.Sleep(time.Minute)
+				g := newTestGateway(t, streamConfig())
+				stalled := func(w io.Writer, r *http.Request) bool {
+					startStream(w, r)
+					_ = writeChunk(w, "id: 1\ndata: a\n\n")
+					for range 40 {
+						time.Sleep(300 * time.Millisecond)
+						if trickle != "" && writeChunk(w, trickle) != nil {
+							break
+						}
+					}
+					return false
+				}
+				sound := func(w io.Writer, r *http.Request) bool {
+					startStream(w, r)
+					for n := 2; n <= 5; n++ {
+						time.Sleep(slowInterval)
+						_ = writeChunk(w, fmt.Sprintf("id: %d\ndata: b\n\n", n))
+					}
+					_ = writeChunk(w, "")
+					return false
+				}
+				serve := func(r *http.Request, _ string, w io.Writer) bool {
+					if r.Header.Get("After") == "" {
+						return stalled(w, r)
+					}
+					return sound(w, r)
+				}
+				g.addEndpoint("i-1", serve)
+				g.addEndpoint("i-2", serve)
+				started := time.Now()
+				body, err := g.stream(30 * time.Second)
+				require.NoError(t, err)
+				require.Less(t, time.Since(started), callerPatience+4*slowInterval)
+				require.Equal(t, 5, strings.Count(body, "data: "), body)
+				require.True(t, strings.HasSuffix(body, "id: 5\ndata: b\n\n"), body)
+			})
+		})
+	}
+}
+
+// An endpoint reports that it did not run a request, in a response whose body does not end: the
+// request must be sent to another endpoint without waiting for it.
+func TestRefusalWithoutEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(time.Minute)
+		g := newTestGateway(t, streamConfig())
+		refused := 0
+		serve := func(r *http.Request, _ string, w io.Writer) bool {
+			refused++
+			if refused > 1 {
+				startStream(w, r)
+				_ = writeChunk(w, "id: 1\ndata: a\n\n")
+				_ = writeChunk(w, "")
+				return false
+			}
+			fmt.Fprintf(w, "HTTP/1.1 503 X\r\nRequest-Id: 1\r\nNot-Run: 1\r\nContent-Length: 1000\r\n\r\n")
+			for range 1000 {
+				if _, err := io.WriteString(w, "x"); err != nil {
+					break
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			return false
+		}
+		g.addEndpoint("i-1", serve)
+		g.addEndpoint("i-2", serve)
+		started := time.Now()
+		body, err := g.stream(30 * time.Second)
+		require.NoError(t, err)
+		require.Equal(t, "id: 1\ndata: a\n\n", body)
+		require.Less(t, time.Since(started), time.Second)
+	})
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -45,9 +45,6 @@
 	for {
 		n, err := a.Read(buf[:])
 		run.RecordData(time.Now())
-		if timer != nil {
-			timer.Reset(stallTimeout)
-		}
 		pending = append(pending, buf[:n]...)
 		if len(pending) > maxEventBytes {
 			return broken(errEventTooLong)
@@ -59,10 +56,13 @@
 			if firstEventAt.IsZero() {
 				firstEventAt = now
 			} else {
-				events += bytes.Count(pending[:end], []byte("\n\n"))
+				events += bytes.Count(pending[:end], []byte("\n\n")) + bytes.Count(pending[:end], []byte("\r\n\r\n"))
 				c.longestGap = max(c.longestGap, now.Sub(lastEventAt))
 			}
 			lastEventAt = now
+			if timer != nil && hasData(pending[:end]) {
+				timer.Reset(stallTimeout)
+			}
 			if ferr := c.forward(a, pending[:end]); ferr != nil {
 				return broken(ferr)
 			}
@@ -81,7 +81,13 @@
 	}
 }
 
-// stallTimeout is the longest pause in a stream that another endpoint could resume. It is
+// hasData reports whether there is an event with data among complete ones: an endpoint that
+// sends only comments makes no progress.
+func hasData(events []byte) bool {
+	return bytes.HasPrefix(events, []byte("data:")) || bytes.Contains(events, []byte("\ndata:"))
+}
+
+// stallTimeout is the longest pause between two events of a stream that another endpoint could resume. It is
 // shorter than the pause after which callers give up, two seconds or more.
 const stallTimeout = 1200 * time.Millisecond
 
@@ -107,6 +113,17 @@
 	return 0
 }
 
+// firstEventEnd returns the offset after the first complete event, 0 if there is none.
+func firstEventEnd(p []byte) int {
+	end := 0
+	for _, separator := range []string{"\n\n", "\r\n\r\n"} {
+		if i := bytes.Index(p, []byte(separator)); i >= 0 && (end == 0 || i+len(separator) < end) {
+			end = i + len(separator)
+		}
+	}
+	return end
+}
+
 // forward writes complete events to the caller, without those that it already has. It
 // returns an error if the write fails or if events are missing after a resumption.
 func (c *call) forward(a *upstream.Answer, events []byte) error {
@@ -140,15 +157,12 @@
 		return events
 	}
 	for len(events) > 0 {
-		end := bytes.Index(events, []byte("\n\n"))
-		if end < 0 {
-			return events
-		}
-		id, _ := eventIDs(events[:end+2])
-		if n, ok := parseEventID(id); !ok || n > seen {
+		end := firstEventEnd(events)
+		id, _ := eventIDs(events[:end])
+		if n, ok := parseEventID(id); end == 0 || !ok || n > seen {
 			return events
 		}
-		events = events[end+2:]
+		events = events[end:]
 	}
 	return nil
 }
