--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -95,6 +95,9 @@
 	maxHeaderBytes = 16 << 10
 	// headerTimeout bounds how long a caller may take to send the headers.
 	headerTimeout = 5 * time.Second
+	// peerIdleTimeout is how long other instances may leave connections idle; they close
+	// theirs earlier, so that no message is sent on a connection that is being closed.
+	peerIdleTimeout = time.Minute
 	// callerFileShare is the fraction of the open files that callers' connections may
 	// take; the rest is for endpoints.
 	callerFileShare = 0.6
@@ -216,7 +219,7 @@
 func (i *Instance) Run(ctx context.Context) error {
 	i.initialize()
 	if i.Settings != nil {
-		go i.followSettings(ctx)
+		service.Go(i.logger, "settings", func() { i.followSettings(ctx) })
 	}
 	tree := suture.New("entry", suture.Spec{EventHook: func(e suture.Event) {
 		i.logger.Warn("supervisor", zap.String("event", e.String()))
@@ -226,20 +229,20 @@
 		ConnContext: i.idleConns.register, ConnState: i.idleConns.track, ErrorLog: zap.NewStdLog(i.logger),
 	}
 	tree.Add(&service.Server{Listener: i.Callers, HTTP: callers})
-	tree.Add(&service.Server{Listener: i.Ready, HTTP: &http.Server{Handler: http.HandlerFunc(i.serveReady), ReadHeaderTimeout: headerTimeout}})
+	tree.Add(&service.Server{Listener: i.Ready, HTTP: &http.Server{Handler: http.HandlerFunc(i.serveReady), ReadTimeout: headerTimeout}})
 	tree.Add(i.operators)
 	tree.Add(i.endpoints)
 	if i.Metrics != nil {
 		mux := http.NewServeMux()
 		mux.Handle("GET /metrics", i.handler.Metrics)
-		tree.Add(&service.Server{Listener: i.Metrics, HTTP: &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}})
+		tree.Add(&service.Server{Listener: i.Metrics, HTTP: &http.Server{Handler: mux, ReadTimeout: headerTimeout}})
 	}
 	tree.Add(i.Log)
 	tree.Add(i.lagMeter)
 	tree.Add(i.peers.Key)
 	tree.Add(i.peers)
 	tree.Add(&peer.Finder{Directory: i.Directory, Exchange: i.peers, Logger: i.logger})
-	tree.Add(&service.Server{Listener: i.Peers, HTTP: &http.Server{Handler: i.peerMux(), ReadHeaderTimeout: headerTimeout}})
+	tree.Add(&service.Server{Listener: i.Peers, HTTP: &http.Server{Handler: i.peerMux(), ReadTimeout: headerTimeout, IdleTimeout: peerIdleTimeout}})
 	tree.Add(&service.Loop{Name: "sweep", Interval: sweepInterval, Run: i.sweep})
 	tree.Add(&service.Loop{Name: "probe", Interval: probeInterval, Run: i.probe})
 	treeCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -301,9 +304,9 @@
 // no request waits for an attempt that may fail.
 func (i *Instance) probe(ctx context.Context) {
 	for _, e := range i.balancer.Probes(time.Now()) {
-		go func() {
+		service.Go(i.logger, "probe", func() {
 			err := i.pool.Probe(ctx, e.Address)
 			i.balancer.RecordProbe(e.ID, err == nil, time.Now())
-		}()
+		})
 	}
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -35,6 +35,9 @@
 	// Request is logged once for each request, with the outcome that its caller
 	// received.
 	Request = "request"
+	// Panic is logged with the stack when an unexpected error ended a background task
+	// of the instance.
+	Panic = "panic"
 	// Dropped reports how many lines were not written because there were too many
 	// or the reader of the log was too slow.
 	Dropped = "dropped"
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/greengagestep/greengagestep/internal/event"
 	"github.com/greengagestep/greengagestep/internal/placement"
 	"github.com/greengagestep/greengagestep/internal/quarantine"
+	"github.com/greengagestep/greengagestep/internal/service"
 	"github.com/greengagestep/greengagestep/internal/watch"
 )
 
@@ -176,7 +177,8 @@
 		if x.due(p, now) {
 			p.inFlight, p.lastSent = true, now
 			p.sent++
-			go x.send(ctx, p, x.compose(p, p.sent%fullMessagePeriod == 1, now))
+			m := x.compose(p, p.sent%fullMessagePeriod == 1, now)
+			service.Go(x.Logger, "message", func() { x.send(ctx, p, m) })
 		}
 	}
 }
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagestep/greengagestep/internal/event"
+	"github.com/greengagestep/greengagestep/internal/service"
 	"github.com/greengagestep/greengagestep/internal/watch"
 )
 
@@ -77,7 +78,7 @@
 		}
 		x.mu.Unlock()
 		if address != "" {
-			go x.fetchSnapshot(ctx, address, name, f)
+			service.Go(x.Logger, "snapshot", func() { x.fetchSnapshot(ctx, address, name, f) })
 		}
 	}
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"github.com/thejerf/suture/v4"
+	"go.uber.org/zap"
+
+	"github.com/greengagestep/greengagestep/internal/event"
 )
 
 // Server runs an HTTP server as a supervised service. It implements suture.Service.
@@ -35,6 +38,21 @@
 	return fmt.Errorf("%w: %w", suture.ErrTerminateSupervisorTree, err)
 }
 
+// Go runs a function in a goroutine of its own. A panic ends only that function and is logged:
+// an unexpected error in one message or request must not end the process.
+func Go(logger *zap.Logger, name string, run func()) {
+	go func() {
+		defer recoverPanic(logger, name)
+		run()
+	}()
+}
+
+func recoverPanic(logger *zap.Logger, name string) {
+	if reason := recover(); reason != nil {
+		logger.Error(event.Panic, zap.String("task", name), zap.Any("reason", reason), zap.Stack("stack"))
+	}
+}
+
 // Loop calls a function immediately and then at intervals. It implements suture.Service.
 type Loop struct {
 	Name     string
