--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -116,8 +116,11 @@
 	// which they take over, for at most maxRank of them. Records take up to standbyAge
 	// to reach all instances.
 	standbyAge = 300 * time.Millisecond
-	rankAge    = 300 * time.Millisecond
-	maxRank    = 3
+	// relayedStandbyAge takes the place of standbyAge in a large fleet, where records pass
+	// several instances on their way.
+	relayedStandbyAge = time.Second
+	rankAge           = 300 * time.Millisecond
+	maxRank           = 3
 	// feedTimeout bounds a read of records beyond the time that it waits for them.
 	feedTimeout = 600 * time.Millisecond
 	// operatorsWait is how long a read waits for a new configuration. A connection on
--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -18,7 +18,11 @@
 		if rank == 0 {
 			return age
 		}
-		return age + wait + standbyAge + time.Duration(min(rank, maxRank))*rankAge
+		delay := standbyAge
+		if i.peers.Sparse() {
+			delay = relayedStandbyAge
+		}
+		return age + wait + delay + time.Duration(min(rank, maxRank))*rankAge
 	}
 }
 
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -63,6 +63,8 @@
 	// from peers are rejected.
 	Key    *Key
 	Logger *zap.Logger
+	// Transport sends messages; nil means HTTP over TCP.
+	Transport http.RoundTripper
 
 	mu       sync.Mutex
 	peers    map[string]*peer // by address
@@ -71,6 +73,12 @@
 	homes    map[string]Member // home of each endpoint, by endpoint ID
 	ids      map[uint32]string // endpoint IDs by their hash in messages
 	homesAt  time.Time         // when homes and ids were computed
+	// sparse is set while there are more than meshPeers live peers; livePeers and
+	// neighborCount count them and the neighbors among them, as of neighborsAt.
+	sparse                   bool
+	livePeers, neighborCount int
+	neighborsAt              time.Time
+	source                   *peer // neighbor that sends the records of feeds; nil if none does
 	// unauthenticated counts requests whose signature was not made with the
 	// fleet key.
 	unauthenticated atomic.Int64
@@ -91,15 +99,24 @@
 	reserveAfter   time.Time        // earliest time of the next reservation request to it
 	lastErr        error            // of the last message sent to it
 	membersDigest  uint64           // of the live instances that it knows
+	ringHash       uint32           // position on the ring
+	neighbor       bool             // messages are exchanged with it at short intervals
+	neighborSince  time.Time
+	dataAt         time.Time // when its data of the endpoints' feed was current, by its last message
+	wantsRecords   bool      // it gets the records of feeds from this instance
 }
 
 func (x *Exchange) init() {
 	if x.peers == nil {
 		x.peers = map[string]*peer{}
-		x.client = &http.Client{Timeout: messageTimeout, Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: messageTimeout / 2, KeepAlive: time.Second}).DialContext,
-			MaxIdleConnsPerHost: maxIdleConnsPerPeer, IdleConnTimeout: lostPeerTTL, DisableCompression: true,
-		}}
+		transport := x.Transport
+		if transport == nil {
+			transport = &http.Transport{
+				DialContext:         (&net.Dialer{Timeout: messageTimeout / 2, KeepAlive: time.Second}).DialContext,
+				MaxIdleConnsPerHost: maxIdleConnsPerPeer, IdleConnTimeout: lostPeerTTL, DisableCompression: true,
+			}
+		}
+		x.client = &http.Client{Timeout: messageTimeout, Transport: transport}
 	}
 }
 
@@ -118,12 +135,12 @@
 	}
 	p := x.peers[m.Address]
 	if p == nil {
-		p = &peer{Member: m, lastAnnounced: now, positions: map[string]int64{}}
+		p = &peer{Member: m, lastAnnounced: now, positions: map[string]int64{}, ringHash: hashID(m.Name)}
 		x.peers[m.Address] = p
 	}
 	if m.Name != "" && (p.Name == "" || m.Start > p.Start) {
 		// State exchanged with an earlier start at this address is obsolete.
-		p.Member, p.sequence, p.cacheFillsSent = m, 0, 0
+		p.Member, p.sequence, p.cacheFillsSent, p.ringHash = m, 0, 0, hashID(m.Name)
 		clear(p.positions)
 		if x.Crashes != nil {
 			x.Crashes.Restarted(p.Address)
@@ -161,9 +178,13 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.refreshNeighbors(now)
+	if x.sparse {
+		x.selectSource(now)
+	}
 	for address, p := range x.peers {
 		silence := now.Sub(p.lastReceived)
-		if silence > silenceTimeout && !p.lost {
+		if silence > x.silenceLimit(p, now) && !p.lost {
 			p.lost = true
 			x.Balancer.ForgetInstance(p.Address, now)
 			if !p.lastReceived.IsZero() {
@@ -190,8 +211,8 @@
 	if p.inFlight {
 		return false
 	}
-	interval := sendInterval + time.Duration(len(x.peers))*sendIntervalPerPeer
-	if now.Sub(p.lastReceived) > silenceTimeout {
+	interval := x.interval(p)
+	if now.Sub(p.lastReceived) > x.silenceLimit(p, now) {
 		return now.Sub(p.lastSent) >= retryInterval
 	}
 	if x.Self.Address > p.Address {
@@ -205,9 +226,14 @@
 func (x *Exchange) compose(to *peer, full bool, now time.Time) wireMessage {
 	x.sequence++
 	m := wireMessage{From: x.Self, Sequence: x.sequence, Feeds: x.composeFeeds(to, now)}
+	m.WantRecords = to != nil && x.sparse && to == x.source
+	full = full || x.sparse && (to == nil || !to.neighbor)
 	m.Work, m.Partial = x.composeWork(to, full, now)
 	if to != nil {
 		m.CacheFills, to.cacheFillsSent = x.Balancer.CacheFillsSince(to.cacheFillsSent)
+		if excess := len(m.CacheFills) - maxBackgroundFills; x.sparse && !to.neighbor && excess > 0 {
+			m.CacheFills = m.CacheFills[excess:]
+		}
 		if x.Crashes != nil {
 			m.Crashes = x.Crashes.Compose(to.Address)
 		}
@@ -228,7 +254,7 @@
 func (x *Exchange) liveMembers(now time.Time) (members []Member, digest uint64) {
 	digest = x.Self.digest()
 	for _, p := range x.peers {
-		if p.Name != "" && now.Sub(p.lastReceived) < silenceTimeout {
+		if x.live(p, now) {
 			members = append(members, p.Member)
 			digest ^= p.digest()
 		}
@@ -283,7 +309,7 @@
 		x.Logger.Info(event.DependencyRecovered, zap.String("peer", m.From.Name), zap.String("address", m.From.Address))
 	}
 	p.sequence, p.lastReceived, p.lost = m.Sequence, now, false
-	p.membersDigest = m.MembersDigest
+	p.membersDigest, p.wantsRecords = m.MembersDigest, m.WantRecords
 	for _, other := range m.Members {
 		x.addPeer(other, now)
 	}
@@ -326,7 +352,7 @@
 	rank := 0
 	own := hashID(x.Self.Name)
 	for _, p := range x.peers {
-		if now.Sub(p.lastReceived) < silenceTimeout && hashID(p.Name) < own {
+		if x.live(p, now) && p.ringHash < own {
 			rank++
 		}
 	}
@@ -340,7 +366,7 @@
 	defer x.mu.Unlock()
 	n := 0
 	for _, p := range x.peers {
-		if now.Sub(p.lastReceived) < silenceTimeout {
+		if x.live(p, now) {
 			n++
 		}
 	}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -52,6 +52,9 @@
 	// Members lists the live peers of the sender; only full messages to a receiver that
 	// knows others carry it.
 	Members []Member `json:"m,omitempty"`
+	// WantRecords is set in a large fleet if the sender gets the records of feeds from
+	// the receiver.
+	WantRecords bool `json:"k,omitempty"`
 	// MembersDigest identifies the set of instances that the sender knows to be live,
 	// itself included.
 	MembersDigest uint64 `json:"d,omitempty"`
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -20,21 +20,28 @@
 	SnapshotPath = "/snapshot"
 	// feedParameter is the query parameter that holds the name of the feed.
 	feedParameter = "feed"
+	// sourceFeed is the feed by whose age the source of records is selected: it is the
+	// one that changes all the time.
+	sourceFeed = "endpoints"
 	// feedRecoveryInterval is the pause between two checks for peers that have read
 	// more of a feed while the platform does not respond.
 	feedRecoveryInterval = 250 * time.Millisecond
 )
 
-// composeFeeds returns the records that a peer lacks of each feed. The caller holds
-// the lock.
+// composeFeeds returns the records that a peer lacks of each feed. In a large fleet only
+// neighbors get any, and only those that want them from this instance, also records that came
+// from another one: the others get only the position. The caller holds the lock.
 func (x *Exchange) composeFeeds(to *peer, now time.Time) map[string]json.RawMessage {
+	if x.sparse && to != nil && !to.neighbor {
+		return nil
+	}
 	feeds := make(map[string]json.RawMessage, len(x.Feeds))
 	for name, f := range x.Feeds {
 		position := int64(0)
-		if to != nil {
+		if to != nil && (!x.sparse || to.wantsRecords) {
 			position = to.positions[name]
 		}
-		data, err := f.EncodeUpdate(position, now)
+		data, err := f.EncodeUpdate(position, x.sparse, now)
 		if err != nil {
 			x.Logger.Warn(event.InvalidData, zap.String("feed", name), zap.Error(err))
 			continue
@@ -46,18 +53,22 @@
 
 // receiveFeeds applies the records of feeds in a message from a peer.
 func (x *Exchange) receiveFeeds(p *peer, feeds map[string]json.RawMessage, now time.Time) {
+	relay := x.Sparse()
 	for name, data := range feeds {
 		f := x.Feeds[name]
 		if f == nil {
 			continue
 		}
-		position, err := f.Receive(data, now)
+		position, err := f.Receive(data, relay, now)
 		if err != nil {
 			x.Logger.Warn(event.InvalidData, zap.String("feed", name), zap.String("peer", p.Name), zap.Error(err))
 			continue
 		}
 		x.mu.Lock()
 		p.positions[name] = position.Next
+		if at := now.Add(-time.Duration(position.Age) * time.Millisecond); name == sourceFeed {
+			p.dataAt = at
+		}
 		x.mu.Unlock()
 	}
 }
@@ -72,7 +83,7 @@
 		x.mu.Lock()
 		address := ""
 		for _, p := range x.peers {
-			if now.Sub(p.lastReceived) < silenceTimeout && p.positions[name] > own {
+			if x.live(p, now) && p.positions[name] > own {
 				address = p.Address
 			}
 		}
@@ -101,7 +112,7 @@
 	if err != nil || resp.StatusCode != http.StatusOK || !x.Key.verify(purposeResponse+signature, data, resp.Header.Get(headerSignature)) {
 		return
 	}
-	if _, err := f.Receive(data, time.Now()); err != nil {
+	if _, err := f.Receive(data, false, time.Now()); err != nil {
 		x.Logger.Warn(event.InvalidData, zap.String("feed", name), zap.String("address", address), zap.Error(err))
 		return
 	}
--- /dev/null
+++ b/internal/peer/ring_test.go
@@ -0,0 +1,192 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/greengagestep/greengagestep/internal/peer"
+	"github.com/greengagestep/greengagestep/internal/placement"
+	"github.com/greengagestep/greengagestep/internal/watch"
+	"github.com/greengagestep/greengagestep/pkg/fleet"
+)
+
+// fleetInMemory is a fleet of exchanges that deliver messages to each other without a network.
+type fleetInMemory struct {
+	mu       sync.Mutex
+	handlers map[string]http.Handler
+	messages map[string]int // by the address of the sender
+	bytes    map[string]int
+	members  []*peer.Exchange
+	feeds    []*watch.Follower[string]
+	stops    []context.CancelFunc
+}
+
+// memberTransport delivers the messages of one member.
+type memberTransport struct {
+	fleet *fleetInMemory
+	from  string
+}
+
+func (m memberTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	f := m.fleet
+	f.mu.Lock()
+	h := f.handlers[r.URL.Host]
+	f.messages[m.from]++
+	f.bytes[m.from] += int(r.ContentLength)
+	f.mu.Unlock()
+	time.Sleep(time.Millisecond)
+	if h == nil {
+		return nil, errors.New("unreachable")
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+// silentFeed is a feed that cannot be read.
+type silentFeed struct{}
+
+func (silentFeed) Newest(context.Context) ([]fleet.KeyedRecord[string], int64, error) {
+	return nil, 1, nil
+}
+
+func (silentFeed) Changes(_ context.Context, from int64, _ time.Duration) ([]fleet.KeyedRecord[string], int64, error) {
+	return nil, from, nil
+}
+
+// countingFeed has a new record every 10 ms.
+type countingFeed struct{ start time.Time }
+
+func (c countingFeed) end() int64 { return 1 + time.Since(c.start).Milliseconds()/10 }
+
+func (c countingFeed) Newest(context.Context) ([]fleet.KeyedRecord[string], int64, error) {
+	return nil, c.end(), nil
+}
+
+func (c countingFeed) Changes(_ context.Context, from int64, _ time.Duration) ([]fleet.KeyedRecord[string], int64, error) {
+	var records []fleet.KeyedRecord[string]
+	next := c.end()
+	for n := from; n < next; n++ {
+		value := fmt.Sprint(n)
+		records = append(records, fleet.KeyedRecord[string]{Key: "k", Value: &value})
+	}
+	return records, next, nil
+}
+
+// newFleetInMemory starts n members of which the first reads the feed. All know the first three.
+func newFleetInMemory(t *testing.T, n int) *fleetInMemory {
+	f := &fleetInMemory{handlers: map[string]http.Handler{}, messages: map[string]int{}, bytes: map[string]int{}}
+	start := time.Now()
+	for i := range n {
+		x := newExchange("key")
+		x.Self = peer.Member{Name: fmt.Sprintf("front-%d", i), Domain: fmt.Sprint(i % 5), Address: fmt.Sprintf("10.0.%d.%d:80", i/200, 1+i%200), Start: 1}
+		x.Transport = memberTransport{f, x.Self.Address}
+		feed := &watch.Follower[string]{Name: "endpoints", Feed: silentFeed{}, OnBatch: func(watch.Batch[string]) {}, MaxAge: func() time.Duration { return time.Hour }}
+		if i == 0 {
+			feed.Feed, feed.MaxAge = countingFeed{start}, func() time.Duration { return 200 * time.Millisecond }
+		}
+		x.Feeds = map[string]watch.Relay{"endpoints": feed}
+		for seed := range min(3, i) {
+			x.AddPeer(peer.Member{Address: f.members[seed].Self.Address}, time.Now())
+		}
+		mux := http.NewServeMux()
+		mux.Handle("POST "+peer.Path, x)
+		mux.HandleFunc("POST "+peer.ReservePath, x.ServeReserve)
+		mux.HandleFunc("GET "+peer.SnapshotPath, x.ServeSnapshot)
+		f.handlers[x.Self.Address] = mux
+		f.members, f.feeds = append(f.members, x), append(f.feeds, feed)
+	}
+	for i, x := range f.members {
+		ctx, stop := context.WithCancel(t.Context())
+		f.stops = append(f.stops, stop)
+		go func() { _ = x.Serve(ctx) }()
+		go func() { _ = f.feeds[i].Serve(ctx) }()
+	}
+	return f
+}
+
+// kill stops a member without a trace.
+func (f *fleetInMemory) kill(i int) {
+	f.stops[i]()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.handlers, f.members[i].Self.Address)
+}
+
+// rate returns the mean number of messages and bytes that a member sends a second.
+func (f *fleetInMemory) rate(during time.Duration) (messages, bytes float64) {
+	f.mu.Lock()
+	clear(f.messages)
+	clear(f.bytes)
+	f.mu.Unlock()
+	time.Sleep(during)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.messages {
+		messages += float64(n)
+	}
+	for _, n := range f.bytes {
+		bytes += float64(n)
+	}
+	scale := during.Seconds() * float64(len(f.members))
+	return messages / scale, bytes / scale
+}
+
+// Hundreds of instances: what one sends to the others grows no faster than the logarithm of
+// their number, and yet all know each other, records reach all of them within two seconds, and
+// killed instances are noticed.
+func TestLargeFleetExchange(t *testing.T) {
+	const small, large = 34, 100
+	rates := map[int]float64{}
+	sizes := map[int]float64{}
+	for _, n := range []int{small, large} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleetInMemory(t, n)
+			time.Sleep(8 * time.Second)
+			for _, x := range f.members {
+				require.Equal(t, n-1, x.Peers(time.Now()), x.Self.Name)
+				require.True(t, x.Sparse())
+
+			}
+			rates[n], sizes[n] = f.rate(3 * time.Second)
+			for i, feed := range f.feeds {
+				lag := f.feeds[0].Position(time.Now()).Next - feed.Position(time.Now()).Next
+				require.Less(t, lag, int64(200), "%d is behind by that many records of 10 ms", i)
+			}
+			for i := range n / 10 {
+				f.kill(3 + 7*i)
+			}
+			time.Sleep(time.Duration(n)*75*time.Millisecond + 3*time.Second)
+			require.Equal(t, n-1-n/10, f.members[0].Peers(time.Now()))
+			for _, stop := range f.stops {
+				stop()
+			}
+			time.Sleep(time.Second)
+		})
+	}
+	growth := math.Log2(large) / math.Log2(small)
+	require.LessOrEqual(t, rates[large], 1.1*growth*rates[small])
+	require.LessOrEqual(t, sizes[large], 1.1*growth*sizes[small])
+}
+
+// In a large fleet an endpoint's home alone counts the requests that were granted: they must not
+// count for longer than they wait, though their senders report seldom.
+func TestGrantedTokensDrain(t *testing.T) {
+	b := &placement.Balancer{LocalDomain: "a"}
+	b.Put(placement.Endpoint{ID: "i-1", EndpointInfo: fleet.EndpointInfo{Service: "m", Address: "e", Domain: "a", Slots: 12}})
+	start := time.Unix(1_700_000_000, 0)
+	require.True(t, b.Grant("p", fleet.Reservation{Endpoint: "i-1", Tokens: 16000, MaxWait: 150 * time.Millisecond}, start))
+	short := fleet.Reservation{Endpoint: "i-1", Tokens: 500, MaxWait: 20 * time.Millisecond}
+	require.False(t, b.Grant("q", short, start.Add(50*time.Millisecond)))
+	require.True(t, b.Grant("q", short, start.Add(900*time.Millisecond)), "16000 tokens take 0.2 s")
+}
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -66,7 +66,7 @@
 			continue
 		}
 		others := s.othersWork(instance, now)
-		list[id] = Work{Runs: s.local.Runs + int(math.Round(b.remainingRuns(s, others, now))), Tokens: s.local.Tokens + int(others.tokens)}
+		list[id] = Work{Runs: s.local.Runs + int(math.Round(b.remainingRuns(s, others, now))), Tokens: s.local.Tokens + int(remainingTokens(others, now))}
 	}
 	return list
 }
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -15,8 +15,9 @@
 type workSum struct {
 	runs, tokens float64
 	// runsTime is the sum, over all runs, of the times at which they were
-	// reported, in seconds since epoch; it gives their mean age.
-	runsTime float64
+	// reported, in seconds since epoch; it gives their mean age. tokensTime is the same
+	// for tokens.
+	runsTime, tokensTime float64
 }
 
 // epoch is a recent time, so that sums of times since it stay small.
@@ -28,7 +29,9 @@
 	runs := factor * float64(w.Runs)
 	sum.runs += runs
 	sum.runsTime += runs * at
-	sum.tokens += factor * float64(w.Tokens)
+	tokens := factor * float64(w.Tokens)
+	sum.tokens += tokens
+	sum.tokensTime += tokens * at
 }
 
 // othersWork sums what was reported by all other instances except one, and the pending
@@ -46,9 +49,27 @@
 	return sum
 }
 
+const (
+	// freshTokensAge is the age up to which unprocessed tokens count as reported:
+	// subtracting those processed since then admits too many requests.
+	freshTokensAge = 300 * time.Millisecond
+	// tokensDecayTime is how long it then takes them to decay to a third (1/e). Requests
+	// wait for about that long at most.
+	tokensDecayTime = 200 * time.Millisecond
+)
+
+// remainingTokens estimates how many of the unprocessed tokens reported some time ago still
+// wait.
+func remainingTokens(reported workSum, now time.Time) float64 {
+	if reported.tokens <= 0 {
+		return 0
+	}
+	age := now.Sub(epoch).Seconds() - reported.tokensTime/reported.tokens - freshTokensAge.Seconds()
+	return reported.tokens * math.Exp(-max(age, 0)/tokensDecayTime.Seconds())
+}
+
 // remainingRuns estimates how many of the requests reported some time ago still run: they
-// decay exponentially with the mean duration of a request. Tokens count as reported:
-// subtracting those processed since then admits too many requests.
+// decay exponentially with the mean duration of a request.
 func (b *Balancer) remainingRuns(s *endpointState, reported workSum, now time.Time) float64 {
 	if reported.runs <= 0 {
 		return 0
@@ -63,12 +84,12 @@
 	if now.Sub(s.homeWork.at) < homeWorkLifetime {
 		var homeSum workSum
 		homeSum.add(s.homeWork, 1)
-		return float64(s.local.Runs) + b.remainingRuns(s, homeSum, now), float64(s.local.Tokens) + homeSum.tokens
+		return float64(s.local.Runs) + b.remainingRuns(s, homeSum, now), float64(s.local.Tokens) + remainingTokens(homeSum, now)
 	}
 	others := s.othersWork("", now)
 	runs = b.remainingRuns(s, others, now)
 	if age := now.Sub(s.reportedAt); age < reportDecayTime {
 		runs = max(runs, s.reportedRuns*(1-age.Seconds()/reportDecayTime.Seconds()))
 	}
-	return float64(s.local.Runs) + runs, float64(s.local.Tokens) + others.tokens
+	return float64(s.local.Runs) + runs, float64(s.local.Tokens) + remainingTokens(others, now)
 }
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -19,8 +19,7 @@
 		core, logs := observer.New(zap.ErrorLevel)
 		done := false
 		service.Go(zap.New(core), "message", func() {
-			var missing map[string]int
-			missing["x"] = 1
+			panic("malformed message")
 		})
 		service.Go(zap.New(core), "other", func() { done = true })
 		synctest.Wait()
--- a/internal/watch/follow.go
+++ b/internal/watch/follow.go
@@ -353,17 +353,19 @@
 
 // relayDelay is how long an instance does not pass on records that it got from another one:
 // the instance that read them sends them to every other, and large records sent by all
-// instances to all others take seconds.
+// instances to all others take seconds. It does not apply where each instance gets the records
+// from one other only.
 const relayDelay = 300 * time.Millisecond
 
 // UpdateFrom returns the records that are missing in an instance that has read up to an
-// offset, as far as they are still kept.
-func (f *Follower[T]) UpdateFrom(offset int64, now time.Time) Update[T] {
+// offset, as far as they are still kept. Records that came from another instance less than
+// relayDelay ago are included only if relay is set.
+func (f *Follower[T]) UpdateFrom(offset int64, relay bool, now time.Time) Update[T] {
 	u := Update[T]{Position: f.Position(now)}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	missing := f.next - offset
-	if !f.initialized || missing <= 0 || offset <= 0 || missing > int64(len(f.recent)) || now.Sub(f.relayedAt) < relayDelay {
+	if !f.initialized || missing <= 0 || offset <= 0 || missing > int64(len(f.recent)) || !relay && now.Sub(f.relayedAt) < relayDelay {
 		return u
 	}
 	records := f.recent[len(f.recent)-int(missing):]
--- a/internal/watch/follow_test.go
+++ b/internal/watch/follow_test.go
@@ -138,7 +138,7 @@
 			for {
 				select {
 				case <-time.After(100 * time.Millisecond):
-					second.Apply(first.UpdateFrom(second.Position(time.Now()).Next, time.Now()), time.Now())
+					second.Apply(first.UpdateFrom(second.Position(time.Now()).Next, false, time.Now()), time.Now())
 				case <-stop:
 					return
 				}
@@ -177,7 +177,7 @@
 			go func() {
 				for ctx.Err() == nil {
 					for _, to := range followers {
-						update := from.UpdateFrom(to.Position(time.Now()).Next, time.Now())
+						update := from.UpdateFrom(to.Position(time.Now()).Next, false, time.Now())
 						time.AfterFunc(transit, func() { to.Apply(update, time.Now()) })
 					}
 					time.Sleep(interval)
@@ -211,7 +211,7 @@
 			for _, update := range []watch.Update[int]{ahead, behind} {
 				data, err := json.Marshal(update)
 				require.NoError(t, err)
-				_, err = r.Receive(data, time.Now())
+				_, err = r.Receive(data, false, time.Now())
 				require.NoError(t, err)
 			}
 			time.Sleep(10 * time.Millisecond)
@@ -234,11 +234,11 @@
 	require.NoError(t, direct.ReadOnce(t.Context()))
 	now := time.Now()
 	offset := third.Position(now).Next
-	relayed.Apply(direct.UpdateFrom(offset, now), now)
+	relayed.Apply(direct.UpdateFrom(offset, false, now), now)
 	require.Equal(t, 2, relayed.value("a"))
-	require.Empty(t, relayed.UpdateFrom(offset, now).Records)
-	require.NotEmpty(t, relayed.UpdateFrom(offset, now.Add(400*time.Millisecond)).Records, "the instance that read the record may be gone")
-	require.NotEmpty(t, direct.UpdateFrom(offset, now).Records)
+	require.Empty(t, relayed.UpdateFrom(offset, false, now).Records)
+	require.NotEmpty(t, relayed.UpdateFrom(offset, false, now.Add(400*time.Millisecond)).Records, "the instance that read the record may be gone")
+	require.NotEmpty(t, direct.UpdateFrom(offset, false, now).Records)
 }
 
 // countingValue counts its encodings.
@@ -305,7 +305,7 @@
 	f.write("a", 2)
 	require.NoError(t, direct.ReadOnce(t.Context()))
 	now := time.Now()
-	relayed.Apply(direct.UpdateFrom(relayed.Position(now).Next, now), now)
+	relayed.Apply(direct.UpdateFrom(relayed.Position(now).Next, false, now), now)
 	require.Equal(t, []string{"reads back", "reads batch", "told back", "told batch"}, order)
 }
 
@@ -321,14 +321,14 @@
 		require.True(t, isolated.Unreachable())
 		data, err := connected.EncodeSnapshot(time.Now())
 		require.NoError(t, err)
-		_, err = isolated.Receive(data, time.Now())
+		_, err = isolated.Receive(data, false, time.Now())
 		require.NoError(t, err)
 		require.Equal(t, 2, isolated.value("b"))
 		f.write("b", 3)
 		time.Sleep(300 * time.Millisecond)
-		data, err = connected.EncodeUpdate(isolated.Position(time.Now()).Next, time.Now())
+		data, err = connected.EncodeUpdate(isolated.Position(time.Now()).Next, false, time.Now())
 		require.NoError(t, err)
-		_, err = isolated.Receive(data, time.Now())
+		_, err = isolated.Receive(data, false, time.Now())
 		require.NoError(t, err)
 		require.Equal(t, 3, isolated.value("b"))
 	})
@@ -354,7 +354,7 @@
 			case 2:
 				require.NoError(t, local.ReadOnce(ctx))
 			case 3:
-				data, err := peer.EncodeUpdate(local.Position(time.Now()).Next, time.Now())
+				data, err := peer.EncodeUpdate(local.Position(time.Now()).Next, false, time.Now())
 				require.NoError(t, err)
 				messages = append(messages, data)
 			case 4:
@@ -364,7 +364,7 @@
 			case 5:
 				if len(messages) > 0 {
 					i := rapid.IntRange(0, len(messages)-1).Draw(t, "letter")
-					_, err := local.Receive(messages[i], time.Now())
+					_, err := local.Receive(messages[i], false, time.Now())
 					require.NoError(t, err)
 				}
 			}
--- a/internal/watch/relay.go
+++ b/internal/watch/relay.go
@@ -13,18 +13,20 @@
 	// Unreachable reports whether the platform does not respond.
 	Unreachable() bool
 	// EncodeUpdate encodes the records that are missing in an instance that has read
-	// up to an offset.
-	EncodeUpdate(offset int64, now time.Time) (json.RawMessage, error)
+	// up to an offset. Relay is set if records that have just come from another
+	// instance are passed on at once.
+	EncodeUpdate(offset int64, relay bool, now time.Time) (json.RawMessage, error)
 	// EncodeSnapshot encodes the newest record of every key.
 	EncodeSnapshot(now time.Time) (json.RawMessage, error)
 	// Receive decodes and applies an update from another instance, and returns the
-	// position of that instance.
-	Receive(data json.RawMessage, now time.Time) (Position, error)
+	// position of that instance. Relay is set if records reach this instance along a
+	// chain of others.
+	Receive(data json.RawMessage, relay bool, now time.Time) (Position, error)
 }
 
 // EncodeUpdate implements Relay.
-func (f *Follower[T]) EncodeUpdate(offset int64, now time.Time) (json.RawMessage, error) {
-	return json.Marshal(f.UpdateFrom(offset, now))
+func (f *Follower[T]) EncodeUpdate(offset int64, relay bool, now time.Time) (json.RawMessage, error) {
+	return json.Marshal(f.UpdateFrom(offset, relay, now))
 }
 
 // EncodeSnapshot implements Relay.
@@ -34,29 +36,36 @@
 
 // Receive implements Relay. A follower that has been behind for longer than aheadTimeout
 // reads the feed at once.
-func (f *Follower[T]) Receive(data json.RawMessage, now time.Time) (Position, error) {
+func (f *Follower[T]) Receive(data json.RawMessage, relay bool, now time.Time) (Position, error) {
 	var u Update[T]
 	if err := json.Unmarshal(data, &u); err != nil {
 		return Position{}, fmt.Errorf("watch: update of feed %s cannot be decoded: %w", f.Name, err)
 	}
-	if f.Apply(u, now) && f.behindTooLong(u.Next, now) {
+	timeout := aheadTimeout
+	if relay {
+		timeout = relayedAheadTimeout
+	}
+	if f.Apply(u, now) && f.behindTooLong(u.Next, timeout, now) {
 		f.ReadNow()
 	}
 	return u.Position, nil
 }
 
-// behindTooLong reports whether another instance has been ahead for longer than
-// aheadTimeout. The records that it has read usually follow with its next message.
-func (f *Follower[T]) behindTooLong(next int64, now time.Time) bool {
+// behindTooLong reports whether another instance has been ahead for longer than a
+// timeout. The records that it has read usually follow with its next message.
+func (f *Follower[T]) behindTooLong(next int64, timeout time.Duration, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.aheadSince.IsZero() || f.next >= f.aheadNext {
 		f.aheadSince, f.aheadNext = now, next
 		return false
 	}
-	return now.Sub(f.aheadSince) > aheadTimeout
+	return now.Sub(f.aheadSince) > timeout
 }
 
 // aheadTimeout is how long a follower waits for records that another instance has read
 // before it reads the feed itself.
 const aheadTimeout = 400 * time.Millisecond
+
+// relayedAheadTimeout takes its place where records pass several instances on their way.
+const relayedAheadTimeout = 1500 * time.Millisecond
