--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -55,13 +55,18 @@
 type remoteUsage struct {
 	usage      map[string]Usage
 	reportedAt time.Time
+	validFor   time.Duration
 }
 
 const (
 	// fairShareTTL is how long a computed fair share stays valid.
 	fairShareTTL = 100 * time.Millisecond
-	// remoteUsageTTL is how long another instance's report stays valid.
-	remoteUsageTTL = 3 * time.Second
+	// remoteUsageTTL is how long another instance's report stays valid at least. In a large
+	// fleet reports come seldom: one stays valid for remoteUsageIntervals times the time
+	// since the report before it, but no longer than maxRemoteUsageTTL.
+	remoteUsageTTL       = 3 * time.Second
+	remoteUsageIntervals = 2.5
+	maxRemoteUsageTTL    = time.Minute
 	// minTokensPerS is the demand, in tokens per second, below which a customer
 	// is removed.
 	minTokensPerS = 1
@@ -71,25 +76,25 @@
 func (l *Ledger) RecordDemand(customer string, tokens float64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.demand == nil {
-		l.demand, l.served = map[string]*decayingRate{}, map[string]*decayingRate{}
-	}
-	add(l.demand, customer, tokens, now)
+	add(&l.demand, customer, tokens, now)
 }
 
-// RecordServed records that a customer is served tokens. RecordDemand must have been
-// called before.
+// RecordServed records that a customer is served tokens. They count only while there is also
+// demand of the customer.
 func (l *Ledger) RecordServed(customer string, tokens float64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	add(l.served, customer, tokens, now)
+	add(&l.served, customer, tokens, now)
 }
 
-func add(rates map[string]*decayingRate, customer string, tokens float64, now time.Time) {
-	d := rates[customer]
+func add(rates *map[string]*decayingRate, customer string, tokens float64, now time.Time) {
+	if *rates == nil {
+		*rates = map[string]*decayingRate{}
+	}
+	d := (*rates)[customer]
 	if d == nil {
 		d = &decayingRate{}
-		rates[customer] = d
+		(*rates)[customer] = d
 	}
 	d.add(tokens, now)
 }
@@ -125,7 +130,19 @@
 	if l.remote == nil {
 		l.remote = map[string]remoteUsage{}
 	}
-	l.remote[instance] = remoteUsage{usage, now}
+	validFor := remoteUsageTTL
+	if before, ok := l.remote[instance]; ok {
+		interval := float64(now.Sub(before.reportedAt))
+		validFor = min(max(time.Duration(remoteUsageIntervals*interval), remoteUsageTTL), maxRemoteUsageTTL)
+	}
+	l.remote[instance] = remoteUsage{usage, now, validFor}
+}
+
+// ForgetInstance drops the usage that another instance reported.
+func (l *Ledger) ForgetInstance(instance string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.remote, instance)
 }
 
 // FairShareRatio returns the rate at which a customer is served, divided by the fair
@@ -150,8 +167,11 @@
 	l.refreshedAt = now
 	l.usage = l.localUsage(now)
 	for instance, r := range l.remote {
-		if now.Sub(r.reportedAt) > remoteUsageTTL {
+		age := now.Sub(r.reportedAt)
+		if age > maxRemoteUsageTTL {
 			delete(l.remote, instance)
+		}
+		if age > r.validFor {
 			continue
 		}
 		for customer, u := range r.usage {
--- a/internal/admission/ledger_test.go
+++ b/internal/admission/ledger_test.go
@@ -153,3 +153,28 @@
 		require.GreaterOrEqual(t, delay, remaining/6)
 	})
 }
+
+// Tokens may be served before any demand was recorded, and reports of instances that are gone do
+// not count.
+func TestLedgerWithoutDemand(t *testing.T) {
+	l := &admission.Ledger{}
+	l.RecordServed("a", 100, start)
+	require.Empty(t, l.LocalUsage(start))
+	l.SetRemoteUsage("gone", map[string]admission.Usage{"a": {Demand: 900, Served: 900}, "b": {Demand: 100, Served: 100}}, start)
+	l.RecordDemand("a", 200, start)
+	require.Greater(t, l.FairShareRatio("a", start), 0.9)
+	l.ForgetInstance("gone")
+	later := start.Add(time.Second)
+	require.InDelta(t, 1, l.FairShareRatio("a", later), 0.01)
+}
+
+// In a large fleet an instance reports every few seconds: its report counts until the next one.
+func TestSeldomReportsCount(t *testing.T) {
+	l := &admission.Ledger{}
+	for i := range 4 {
+		l.SetRemoteUsage("far", map[string]admission.Usage{"a": {Demand: 900, Served: 900}}, start.Add(time.Duration(5*i)*time.Second))
+		l.FairShareRatio("a", start.Add(time.Duration(5*i+4)*time.Second))
+	}
+	require.Positive(t, l.FairShareRatio("a", start.Add(19900*time.Millisecond)))
+	require.Zero(t, l.FairShareRatio("a", start.Add(40*time.Second)))
+}
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -187,6 +187,7 @@
 		if silence > x.silenceLimit(p, now) && !p.lost {
 			p.lost = true
 			x.Balancer.ForgetInstance(p.Address, now)
+			x.Ledger.ForgetInstance(p.Address)
 			if !p.lastReceived.IsZero() {
 				x.Logger.Warn(event.DependencyLost, zap.String("peer", p.Name), zap.String("address", p.Address), zap.Error(p.lastErr))
 			}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -143,6 +143,10 @@
 // there is no response.
 func (p *Pool) Send(ctx context.Context, address string, r Request, id string) (*Answer, error) {
 	c, err := p.get(ctx, address)
+	if err != nil && ctx.Err() != nil {
+		// The request ended; this says nothing about the endpoint.
+		return nil, &Failure{Reason: fleet.ReasonCancelled, Cause: err}
+	}
 	if err != nil {
 		return nil, &Failure{Reason: fleet.ReasonUnreachable, Cause: err}
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -171,6 +171,24 @@
 	})
 }
 
+// A caller that leaves while a connection is being made does not make the endpoint
+// unreachable.
+func TestDialEndsWithContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &upstream.Pool{HeaderCodec: requestIDCodec{}, Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		_, err := p.Send(ctx, "e", upstream.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}, "1")
+		var f *upstream.Failure
+		require.ErrorAs(t, err, &f)
+		require.Equal(t, fleet.ReasonCancelled, f.Reason)
+		require.False(t, f.Reached)
+	})
+}
+
 // When the context of a request is done, its connection to the endpoint is closed at once.
 func TestContextDoneClosesConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
