--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -83,14 +83,27 @@
 	// that instances which do not know yet where its parts are cached choose alike.
 	firstPreferredFactor  = 0.75
 	secondPreferredFactor = 0.85
+	// manyInstances is the number of instances from which on they learn late what others
+	// sent, so that the parts of a key are most likely cached at its preferred endpoints
+	// though this instance does not know: these factors apply then.
+	manyInstances             = 33
+	firstPreferredFactorMany  = 0.3
+	secondPreferredFactorMany = 0.5
 )
 
-func affinityFactor(s, first, second *endpointState) float64 {
+// preference holds the two preferred endpoints of a request and the factors of their missing
+// tokens.
+type preference struct {
+	first, second             *endpointState
+	firstFactor, secondFactor float64
+}
+
+func (p preference) factor(s *endpointState) float64 {
 	switch s {
-	case first:
-		return firstPreferredFactor
-	case second:
-		return secondPreferredFactor
+	case p.first:
+		return p.firstFactor
+	case p.second:
+		return p.secondFactor
 	}
 	return 1
 }
@@ -108,7 +121,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	list := b.services[r.Service]
-	first, second := preferredEndpoints(list, r)
+	preferred := preference{firstFactor: firstPreferredFactor, secondFactor: secondPreferredFactor}
+	if instances >= manyInstances {
+		preferred.firstFactor, preferred.secondFactor = firstPreferredFactorMany, secondPreferredFactorMany
+	}
+	preferred.first, preferred.second = preferredEndpoints(list, r)
 	best, found := Choice{}, false
 	least := math.Inf(1)
 	usable := 0
@@ -118,11 +135,11 @@
 			continue
 		}
 		usable++
-		if found && s != first && s != second && !s.cachesAllShared(r, now) && rand.Float64() > probability {
+		if found && s != preferred.first && s != preferred.second && !s.cachesAllShared(r, now) && rand.Float64() > probability {
 			continue
 		}
 		c := b.estimate(s, r, now)
-		if cost := b.cost(s, c, r, affinityFactor(s, first, second), now); cost < least {
+		if cost := b.cost(s, c, r, preferred.factor(s), now); cost < least {
 			best, least, found = c, cost, true
 		}
 	}
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -212,3 +212,34 @@
 	require.True(t, ok)
 	require.Zero(t, c.Wait)
 }
+
+// Many instances get requests with the same affinity keys and do not learn of each other's in
+// time. Under moderate load they must choose the preferred endpoints of a key, so that few
+// endpoints process its parts.
+func TestManyInstancesChooseAlike(t *testing.T) {
+	const instances, keys = 100, 20
+	copies := map[uint64]map[string]bool{}
+	for i := range instances {
+		b := newBalancer(60)
+		b.Instances = func() int { return instances }
+		// Each instance sees some endpoints busy, not the same ones.
+		for e := range 60 {
+			if (e+i)%3 == 0 {
+				b.SetInstanceWork("peer", map[string]placement.Work{fmt.Sprintf("i-%d", e): {Runs: 4, Tokens: 9000}}, false, start)
+			}
+		}
+		for key := range uint64(keys) {
+			c, ok := b.Choose(newRequest(100+key), start)
+			require.True(t, ok)
+			if copies[key] == nil {
+				copies[key] = map[string]bool{}
+			}
+			copies[key][c.Endpoint.ID] = true
+		}
+	}
+	total := 0
+	for _, endpoints := range copies {
+		total += len(endpoints)
+	}
+	require.LessOrEqual(t, total, 2*keys+keys/2)
+}
