--- a/internal/gateway/outcome_test.go
+++ b/internal/gateway/outcome_test.go
@@ -205,6 +205,8 @@
 }
 
 func checkOutcome(t *testing.T, route arrangement.Route, script []behaviour, res callerResult, eps *scriptedEndpoints) {
+	eps.mu.Lock()
+	defer eps.mu.Unlock()
 	if route.Repeat == arrangement.RepeatNever {
 		require.LessOrEqual(t, eps.runs, 1, "%v ran twice", script)
 	}
@@ -257,7 +259,9 @@
 		case "caller":
 			synctest.Test(t, func(t *testing.T) {
 				res, eps := runScript(t, route, script)
+				eps.mu.Lock()
 				got := fmt.Sprintf("caller %d whole=%t runs=%d sends=%d", res.status, res.whole, eps.runs, eps.sends)
+				eps.mu.Unlock()
 				require.Equal(t, strings.Join(words, " "), got, "%v", script)
 			})
 		default:
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -103,10 +104,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		defer time.Sleep(time.Minute)
 		g := newTestGateway(t, streamConfig())
-		refused := 0
+		var attempts atomic.Int64
 		serve := func(r *http.Request, _ string, w io.Writer) bool {
-			refused++
-			if refused > 1 {
+			if attempts.Add(1) > 1 {
 				startStream(w, r)
 				_ = writeChunk(w, "id: 1\ndata: a\n\n")
 				_ = writeChunk(w, "")
