--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -78,6 +78,10 @@
 	// crossDomainCost is what an endpoint in another failure domain costs: the
 	// round trip and the bytes between domains.
 	crossDomainCost = 6 * time.Millisecond
+	// connectCost is what an endpoint costs less to which one of many instances has an idle
+	// connection: each sends few requests to any endpoint and would otherwise have to connect
+	// for almost every one.
+	connectCost = 8 * time.Millisecond
 	// firstPreferredFactor and secondPreferredFactor are the fractions of the missing
 	// tokens that count at the two preferred endpoints of an affinity key, so
 	// that instances which do not know yet where its parts are cached choose alike.
@@ -110,7 +114,8 @@
 
 // Choose returns the endpoint with the least cost for a request, or false if none is
 // usable. It compares the preferred endpoints of the request, those that have cached all
-// its shared parts, and a random sample of the others.
+// its shared parts, a random sample of the others and, in a large fleet, those to which there is
+// an idle connection.
 func (b *Balancer) Choose(r Request, now time.Time) (Choice, bool) {
 	instances := 1
 	if b.Instances != nil {
@@ -135,11 +140,16 @@
 			continue
 		}
 		usable++
-		if found && s != preferred.first && s != preferred.second && !s.cachesAllShared(r, now) && rand.Float64() > probability {
+		connected := instances >= manyInstances && b.Connected != nil && b.Connected(s.Address)
+		if found && !connected && s != preferred.first && s != preferred.second && !s.cachesAllShared(r, now) && rand.Float64() > probability {
 			continue
 		}
 		c := b.estimate(s, r, now)
-		if cost := b.cost(s, c, r, preferred.factor(s), now); cost < least {
+		cost := b.cost(s, c, r, preferred.factor(s), now)
+		if connected {
+			cost -= ms(connectCost)
+		}
+		if cost < least {
 			best, least, found = c, cost, true
 		}
 	}
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -243,3 +243,24 @@
 	}
 	require.LessOrEqual(t, total, 2*keys+keys/2)
 }
+
+// One of many instances sends few requests to each of many endpoints: short requests must go
+// where it is connected, or it makes a connection for almost every one.
+func TestManyInstancesReuseConnections(t *testing.T) {
+	b := newBalancer(100)
+	b.Instances = func() int { return 100 }
+	connected := map[string]bool{}
+	b.Connected = func(address string) bool { return connected[address] }
+	r := newRequest(0)
+	r.Shared, r.Tokens = nil, 600
+	dials := 0
+	for range 400 {
+		c, run := send(t, b, r, start)
+		if !connected[c.Endpoint.Address] {
+			dials++
+		}
+		connected[c.Endpoint.Address] = true
+		run.End(placement.ResultAnswered, start)
+	}
+	require.LessOrEqual(t, dials, 20)
+}
