--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -66,8 +66,8 @@
 		}
 		x.mu.Lock()
 		p.positions[name] = position.Next
-		if at := now.Add(-time.Duration(position.Age) * time.Millisecond); name == sourceFeed {
-			p.dataAt = at
+		if name == sourceFeed {
+			p.dataAt = now.Add(-time.Duration(position.Age) * time.Millisecond)
 		}
 		x.mu.Unlock()
 	}
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -212,13 +212,6 @@
 	return list
 }
 
-// IDs returns the IDs of all endpoints, in no order.
-func (b *Balancer) IDs() []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return slices.Collect(maps.Keys(b.byID))
-}
-
 // RecordLoad records the load that an endpoint reported in the headers of a response.
 // Responses without a report and unknown endpoints are ignored.
 func (b *Balancer) RecordLoad(id string, r fleet.ResponseAttrs, now time.Time) {
