--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -159,8 +159,8 @@
 	}
 	i.stopping = make(chan struct{})
 	i.graceNanos.Store(int64(i.Grace))
+	i.balancer = &placement.Balancer{LocalDomain: i.Domain, OnChange: i.endpointChanged}
 	i.pool = &upstream.Pool{HeaderCodec: i.HeaderCodec, Dial: i.Dial}
-	i.balancer = &placement.Balancer{LocalDomain: i.Domain, OnChange: i.endpointChanged, Connected: i.pool.HasIdle}
 	i.tracker = &watch.EndpointTracker{Balancer: i.balancer, OnInvalid: func(key string, fault error) {
 		i.logger.Warn(event.InvalidData, zap.String("key", key), zap.Error(fault))
 	}}
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -73,12 +73,12 @@
 	homes    map[string]Member // home of each endpoint, by endpoint ID
 	ids      map[uint32]string // endpoint IDs by their hash in messages
 	homesAt  time.Time         // when homes and ids were computed
-	// sparse is set while there are more than meshPeers live peers; livePeers counts them,
-	// as of neighborsAt.
-	sparse      bool
-	livePeers   int
-	neighborsAt time.Time
-	source      *peer // neighbor that sends the records of feeds; nil if none does
+	// sparse is set while there are more than meshPeers live peers; livePeers and
+	// neighborCount count them and the neighbors among them, as of neighborsAt.
+	sparse                   bool
+	livePeers, neighborCount int
+	neighborsAt              time.Time
+	source                   *peer // neighbor that sends the records of feeds; nil if none does
 	// unauthenticated counts requests whose signature was not made with the
 	// fleet key.
 	unauthenticated atomic.Int64
--- a/internal/peer/ring.go
+++ b/internal/peer/ring.go
@@ -11,13 +11,10 @@
 	// with all of them at short intervals. In a larger fleet it does so with its
 	// neighbors only, whose number grows with the logarithm of the fleet's size.
 	meshPeers = 32
-	// neighborInterval is the interval of messages to a neighbor: records pass a few
-	// neighbors on their way and must reach all instances within a second or two.
-	neighborInterval = 300 * time.Millisecond
 	// backgroundInterval is multiplied by the number of live peers: the interval of
 	// messages to those that are no neighbors, so that their rate does not grow with
 	// the fleet.
-	backgroundInterval = 60 * time.Millisecond
+	backgroundInterval = 30 * time.Millisecond
 	// silentIntervals is after how many such intervals without a message a peer that is
 	// no neighbor counts as silent.
 	silentIntervals = 2.5
@@ -58,6 +55,7 @@
 			near[ring[(max(first, 0)+offset-1)%len(ring)]] = true
 		}
 	}
+	x.neighborCount = len(near)
 	for _, p := range x.peers {
 		isNear := near[p] || !x.sparse
 		if isNear && !p.neighbor {
@@ -102,7 +100,7 @@
 		return sendInterval + time.Duration(len(x.peers))*sendIntervalPerPeer
 	}
 	if p.neighbor {
-		return neighborInterval
+		return sendInterval + time.Duration(x.neighborCount)*sendIntervalPerPeer
 	}
 	return time.Duration(x.livePeers) * backgroundInterval
 }
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -31,9 +31,6 @@
 	// Instances returns how many instances send to the endpoints; nil means
 	// that only this one does.
 	Instances func() int
-	// Connected reports whether an idle connection to an address exists; nil means that
-	// this is not known. It is called with the balancer locked.
-	Connected func(address string) bool
 	// OnChange is called, with the balancer locked, when the condition of an
 	// endpoint changes; nil is allowed.
 	OnChange func(c Change)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -78,44 +78,26 @@
 	// crossDomainCost is what an endpoint in another failure domain costs: the
 	// round trip and the bytes between domains.
 	crossDomainCost = 6 * time.Millisecond
-	// connectCost is what an endpoint costs less to which one of many instances has an idle
-	// connection: each sends few requests to any endpoint and would otherwise have to connect
-	// for almost every one.
-	connectCost = 8 * time.Millisecond
 	// firstPreferredFactor and secondPreferredFactor are the fractions of the missing
 	// tokens that count at the two preferred endpoints of an affinity key, so
 	// that instances which do not know yet where its parts are cached choose alike.
 	firstPreferredFactor  = 0.75
 	secondPreferredFactor = 0.85
-	// manyInstances is the number of instances from which on they learn late what others
-	// sent, so that the parts of a key are most likely cached at its preferred endpoints
-	// though this instance does not know: these factors apply then.
-	manyInstances             = 33
-	firstPreferredFactorMany  = 0.3
-	secondPreferredFactorMany = 0.5
 )
 
-// preference holds the two preferred endpoints of a request and the factors of their missing
-// tokens.
-type preference struct {
-	first, second             *endpointState
-	firstFactor, secondFactor float64
-}
-
-func (p preference) factor(s *endpointState) float64 {
+func affinityFactor(s, first, second *endpointState) float64 {
 	switch s {
-	case p.first:
-		return p.firstFactor
-	case p.second:
-		return p.secondFactor
+	case first:
+		return firstPreferredFactor
+	case second:
+		return secondPreferredFactor
 	}
 	return 1
 }
 
 // Choose returns the endpoint with the least cost for a request, or false if none is
 // usable. It compares the preferred endpoints of the request, those that have cached all
-// its shared parts, a random sample of the others and, in a large fleet, those to which there is
-// an idle connection.
+// its shared parts, and a random sample of the others.
 func (b *Balancer) Choose(r Request, now time.Time) (Choice, bool) {
 	instances := 1
 	if b.Instances != nil {
@@ -126,11 +108,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	list := b.services[r.Service]
-	preferred := preference{firstFactor: firstPreferredFactor, secondFactor: secondPreferredFactor}
-	if instances >= manyInstances {
-		preferred.firstFactor, preferred.secondFactor = firstPreferredFactorMany, secondPreferredFactorMany
-	}
-	preferred.first, preferred.second = preferredEndpoints(list, r)
+	first, second := preferredEndpoints(list, r)
 	best, found := Choice{}, false
 	least := math.Inf(1)
 	usable := 0
@@ -140,16 +118,11 @@
 			continue
 		}
 		usable++
-		connected := instances >= manyInstances && b.Connected != nil && b.Connected(s.Address)
-		if found && !connected && s != preferred.first && s != preferred.second && !s.cachesAllShared(r, now) && rand.Float64() > probability {
+		if found && s != first && s != second && !s.cachesAllShared(r, now) && rand.Float64() > probability {
 			continue
 		}
 		c := b.estimate(s, r, now)
-		cost := b.cost(s, c, r, preferred.factor(s), now)
-		if connected {
-			cost -= ms(connectCost)
-		}
-		if cost < least {
+		if cost := b.cost(s, c, r, affinityFactor(s, first, second), now); cost < least {
 			best, least, found = c, cost, true
 		}
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -335,13 +335,6 @@
 	return c
 }
 
-// HasIdle reports whether there is an idle connection to an address.
-func (p *Pool) HasIdle(address string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.idle[address]) > 0
-}
-
 // Probe checks that a connection can be established, and keeps it in the pool for a
 // request.
 func (p *Pool) Probe(ctx context.Context, address string) error {
