--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -87,8 +87,8 @@
 	return bytes.HasPrefix(events, []byte("data:")) || bytes.Contains(events, []byte("\ndata:"))
 }
 
-// stallTimeout is the longest pause between two events of a stream that another endpoint could resume. It is
-// shorter than the pause after which callers give up, two seconds or more.
+// stallTimeout is the longest pause between two events of a stream that another endpoint could
+// resume. It is shorter than the pause after which callers give up, two seconds or more.
 const stallTimeout = 1200 * time.Millisecond
 
 // stallTimer returns a timer that abandons a stalled stream. It returns nil if no other
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -228,6 +229,7 @@
 	x.sequence++
 	m := wireMessage{From: x.Self, Sequence: x.sequence, Feeds: x.composeFeeds(to, now)}
 	m.WantRecords = to != nil && x.sparse && to == x.source
+	// Peers that are no neighbors get few messages, so each carries everything.
 	full = full || x.sparse && (to == nil || !to.neighbor)
 	m.Work, m.Partial = x.composeWork(to, full, now)
 	if to != nil {
@@ -263,12 +265,19 @@
 	return members, digest
 }
 
+// errUnexpected is the error of a message that ended with a panic.
+var errUnexpected = errors.New("peer: message ended unexpectedly")
+
 func (x *Exchange) send(ctx context.Context, p *peer, m wireMessage) {
 	var reply wireMessage
-	err := x.postSigned(ctx, p.Address, Path, purposeMessage, m, &reply)
-	x.mu.Lock()
-	p.inFlight, p.lastErr = false, err
-	x.mu.Unlock()
+	err := errUnexpected
+	// Deferred, since a panic must not end all messages to this peer.
+	defer func() {
+		x.mu.Lock()
+		p.inFlight, p.lastErr = false, err
+		x.mu.Unlock()
+	}()
+	err = x.postSigned(ctx, p.Address, Path, purposeMessage, m, &reply)
 	if x.Crashes != nil {
 		x.Crashes.Sent(p.Address, err == nil)
 	}
