--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/greengagestep/greengagestep/internal/admission"
 	"github.com/greengagestep/greengagestep/internal/event"
@@ -127,7 +128,7 @@
 func (c *call) logFailedAttempt(o outcome) {
 	c.h.Metrics.Count(gauge.Name("attempts_failed_total", "outcome", string(o.kind), "reason", string(o.reason)))
 	c.h.Logger.Info(event.Attempt, append(c.logFields(), zap.String("outcome", string(o.kind)),
-		zap.String("reason", string(o.reason)), zap.Error(o.cause))...)
+		zap.String("reason", string(o.reason)), zap.Bool("begun", c.begun), zap.Int("events", c.events), zap.Error(o.cause))...)
 }
 
 // logFields returns the log fields that hold the inputs of the routing, admission and
@@ -145,6 +146,9 @@
 		fields = append(fields, zap.String("route", c.route.Name), zap.String("service", c.service),
 			zap.String("customer", c.customer), zap.Duration("patience", c.attrs.Timeout), zap.Bool("late", c.pastTarget))
 	}
+	if shared := c.attrs.SharedParts(); len(shared) > 0 {
+		fields = append(fields, zap.Array("prompt", promptPath(shared)))
+	}
 	if c.choice.Endpoint.ID != "" {
 		fields = append(fields, zap.String("endpoint", c.choice.Endpoint.ID), zap.Duration("expected", c.choice.Expected),
 			zap.Duration("wait", c.choice.Wait), zap.Float64("runs", c.choice.Runs), zap.Int("missing", c.choice.MissingTokens),
@@ -153,5 +157,16 @@
 	return fields
 }
 
+// promptPath encodes the IDs of the shared parts of a prompt for a log line.
+type promptPath []fleet.PromptPart
+
+// MarshalLogArray implements zapcore.ArrayMarshaler.
+func (p promptPath) MarshalLogArray(enc zapcore.ArrayEncoder) error {
+	for _, part := range p {
+		enc.AppendString(strconv.FormatUint(part.ID, 16))
+	}
+	return nil
+}
+
 // typicalLogFields is the usual number of fields of a log line.
 const typicalLogFields = 24
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -38,6 +38,7 @@
 
 // attempt sends the request to the chosen endpoint and relays the response.
 func (c *call) attempt(ctx context.Context) outcome {
+	c.begun, c.events = false, 0
 	run := c.h.Balancer.Begin(c.choice, c.placementRequest(), time.Now())
 	answer, err := c.h.Pool.Send(ctx, c.choice.Endpoint.Address, c.endpointRequest(), c.attrs.ID)
 	if err != nil {
@@ -52,6 +53,7 @@
 		return outcome{kind: outcomeNotRun, reason: fleet.ReasonQueueFull, cause: fmt.Errorf("status %d", answer.StatusCode)}
 	}
 	c.runs++
+	c.begun = true
 	started := time.Now()
 	o := c.relay(answer, run)
 	run.End(placementResult(ctx, o), time.Now())
@@ -252,9 +254,10 @@
 	}
 }
 
-// recordFirst records the time of the first event of a stream, or of the response of a
+// recordFirst counts complete events and records the time of the first one, or of the response of a
 // service without streams.
 func (c *call) recordFirst(run *placement.Run) {
+	c.events++
 	now := time.Now()
 	run.RecordFirst(now)
 	if c.timeToFirst == 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,6 +97,8 @@
 	choice      placement.Choice
 	timeToFirst time.Duration // from arrival to the first event or the response; zero until then
 	longestGap  time.Duration // longest time between two relayed parts of a stream
+	begun       bool          // the endpoint of the last attempt began to respond
+	events      int           // events or responses received in the last attempt
 	headersSent bool          // response headers were written to the caller
 	lastEventID string        // ID of the last event written to the caller; empty if none
 }
