internal/quarantine, internal/gateway: find what crashing requests have in common

Cause: the quarantine identified a request by its customer, target and body. Requests that share the part differ in all of these, so each was new and crashed two endpoints before it was refused: a key too narrow for the class of fault, query-of-death by content that requests share.

Fix: a request has signatures, hashes of the shared parts of its prompt and of itself. When an endpoint crashes, the requests that it had are suspects, those to which it had begun to respond before all others. A set of signatures common to the suspects of two crashes or more, without an answer since (four where there were answers before), is quarantined; requests that have only a part of the set go through and tell which it is. Requests in progress at the same time count once, so that outages say nothing. Retries wait for the probe of the endpoint (100 ms at most, before its first event only), requests that wait at an endpoint are ended when they become quarantined. Peers exchange suspects and answers with ages instead of times; a peer that starts gets all of it; in fleets with neighbors these relay it.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/greengagestep/greengagestep/internal/claim"
 	"github.com/greengagestep/greengagestep/internal/dispatch"
 	"github.com/greengagestep/greengagestep/internal/endpoint"
+	"github.com/greengagestep/greengagestep/internal/quarantine"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
@@ -36,7 +37,9 @@
 	if !ok {
 		return &endpoint.Failure{Endpoint: slot.Endpoint, Reason: fleet.ReasonUnreachable, Cause: errors.New("it left the instance list")}
 	}
-	started := time.Now()
+	c.tried = quarantine.Attempt{
+		Quarantine: c.h.Quarantine, Endpoint: slot.Endpoint, Request: c.id, Signatures: c.signatures, Sent: time.Now(),
+	}
 	req := c.newRequest(ctx, address)
 	resp, err := c.h.EndpointClient.Call(ctx, slot.Endpoint, req, c.idempotent)
 	if err != nil {
@@ -44,20 +47,23 @@
 		if !errors.As(err, &failure) {
 			failure = &endpoint.Failure{Endpoint: slot.Endpoint, Reason: fleet.ReasonEndpointFailed, Reached: true, Cause: err}
 		}
-		return c.recordFailure(ctx, failure, started)
+		return c.recordFailure(ctx, failure)
 	}
 	defer resp.Body.Close()
+	c.tried.Begun = true
 	if failure := c.forwardResponse(resp, slot); failure != nil {
-		return c.recordFailure(ctx, failure, started)
+		return c.recordFailure(ctx, failure)
 	}
 	c.h.RecordResult(slot.Endpoint, true)
+	c.tried.Complete()
 	c.finish()
 	return nil
 }
 
 // recordFailure counts a failure against the endpoint, unless the request was
 // cancelled or its deadline passed.
-func (c *call) recordFailure(ctx context.Context, f *endpoint.Failure, started time.Time) *endpoint.Failure {
+func (c *call) recordFailure(ctx context.Context, f *endpoint.Failure) *endpoint.Failure {
+	broken := time.Now()
 	c.recordStep("attempt failed", f.Error())
 	c.reached = c.reached || f.Reached
 	if ctx.Err() != nil {
@@ -67,7 +73,7 @@
 	c.h.RecordResult(f.Endpoint, false)
 	if f.Reached && f.Reason == fleet.ReasonEndpointFailed && c.h.Quarantine != nil && c.h.Crashed(ctx, f.Endpoint) {
 		c.suspect = true
-		c.h.Quarantine.Crashed(c.fingerprint, f.Endpoint, c.id, started)
+		c.h.Quarantine.Crashed(c.tried.Suspect(broken))
 	}
 	return f
 }
@@ -119,6 +125,7 @@
 			tokens := 0
 			data, tokens = s.process(data, err == io.EOF)
 			c.eventsSent += tokens
+			c.tried.AddEvents(tokens)
 			slot.Charge(float64(tokens))
 		}
 		if len(data) > 0 {
--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -84,6 +85,16 @@
 	return xxhash.Sum64(b.head[:min(len(b.head), prefixBytes)])
 }
 
+// signatures returns hashes that identify what the request shares with others and, last, the
+// request itself by its fingerprint.
+func (b *body) signatures(service, fingerprint string) []uint64 {
+	own := xxhash.Sum64String(fingerprint)
+	if prefix := b.prefixHash(); prefix != 0 {
+		return []uint64{xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(service), prefix)), own}
+	}
+	return []uint64{own}
+}
+
 // fingerprint returns a hash of the service, the method, the path, the length of the
 // body and its first headBytes bytes.
 func (b *body) fingerprint(service, method, path string) string {
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -19,6 +19,7 @@
 	"github.com/greengagestep/greengagestep/internal/claim"
 	"github.com/greengagestep/greengagestep/internal/dispatch"
 	"github.com/greengagestep/greengagestep/internal/endpoint"
+	"github.com/greengagestep/greengagestep/internal/quarantine"
 	"github.com/greengagestep/greengagestep/internal/queue"
 	"github.com/greengagestep/greengagestep/internal/share"
 	"github.com/greengagestep/greengagestep/pkg/arrangement"
@@ -86,6 +87,7 @@
 	path        string
 	body        *body
 	fingerprint string
+	signatures  []uint64 // of the beginning of the prompt, if any, then of the request itself
 	idempotent  bool
 	arrived     time.Time
 	deadline    time.Time
@@ -99,6 +101,7 @@
 	reached bool
 	// eventsSent counts the server-sent events that were sent to the caller.
 	eventsSent int
+	tried      quarantine.Attempt // the last attempt
 	recorder   *recorder
 }
 
@@ -186,8 +189,9 @@
 	}
 	c.body = b
 	c.fingerprint = b.fingerprint(c.service.Name, c.r.Method, c.path)
-	if c.h.Quarantine != nil && c.h.Quarantine.Contains(c.fingerprint) {
-		c.refuse(http.StatusUnprocessableEntity, fleet.ReasonQuarantine, "this request crashed two endpoints")
+	c.signatures = b.signatures(c.service.Name, c.fingerprint)
+	if c.h.Quarantine != nil && c.h.Quarantine.Contains(c.signatures) {
+		c.refuse(http.StatusUnprocessableEntity, fleet.ReasonQuarantine, "requests like this one crashed endpoints")
 		return false
 	}
 	return true
--- a/internal/caller/retry.go
+++ b/internal/caller/retry.go
@@ -36,7 +36,7 @@
 		c.giveUp(f, fleet.ReasonRetryBudget)
 		return false
 	}
-	if c.h.Quarantine != nil && c.h.Quarantine.Contains(c.fingerprint) {
+	if c.h.Quarantine != nil && c.h.Quarantine.Contains(c.signatures) {
 		c.giveUp(f, fleet.ReasonQuarantine)
 		return false
 	}
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -113,20 +113,23 @@
 	return true
 }
 
-// quarantined refuses a request that has crashed endpoints before, and reports whether
-// it did. It sets the fingerprint by which crashes are attributed to the request.
+// quarantined refuses a request like others that crashed endpoints, and reports whether it
+// did. It sets the signatures by which crashes are attributed to the request.
 func (c *call) quarantined() bool {
 	if c.h.Quarantine == nil {
 		return false
 	}
+	for _, part := range c.attrs.SharedParts() {
+		c.signatures = append(c.signatures, xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(c.service), part.ID)))
+	}
 	d := xxhash.New()
 	for _, part := range []string{c.customer, c.r.Method, c.r.Host, c.r.RequestURI} {
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
 	_, _ = d.Write(c.body)
-	c.fingerprint = strconv.FormatUint(d.Sum64(), 16)
-	if !c.h.Quarantine.Contains(c.fingerprint) {
+	c.signatures = append(c.signatures, d.Sum64())
+	if !c.h.Quarantine.Contains(c.signatures) {
 		return false
 	}
 	c.refuse(fleet.ReasonQuarantine)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/greengagestep/greengagestep/internal/placement"
-	"github.com/greengagestep/greengagestep/internal/service"
+	"github.com/greengagestep/greengagestep/internal/quarantine"
 	"github.com/greengagestep/greengagestep/internal/upstream"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
@@ -36,9 +36,33 @@
 // copyBuffers holds buffers for reading responses, of type *[copyBufferBytes]byte.
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
-// attempt sends the request to the chosen endpoint and relays the response.
+// attempt sends the request to the chosen endpoint and relays the response, unless the
+// request becomes quarantined meanwhile.
 func (c *call) attempt(ctx context.Context) outcome {
-	c.begun, c.events = false, 0
+	c.crashProbe = nil
+	c.tried = quarantine.Attempt{
+		Quarantine: c.h.Quarantine, Endpoint: c.choice.Endpoint.ID, Request: c.attrs.ID, Signatures: c.signatures, Sent: time.Now(),
+	}
+	if c.h.Quarantine != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = c.watchQuarantine(ctx)
+		defer cancel()
+		if c.h.Quarantine.Contains(c.signatures) {
+			return outcome{kind: outcomeUnsent, reason: fleet.ReasonQuarantine, cause: errQuarantined}
+		}
+	}
+	o := c.exchange(ctx)
+	switch {
+	case o.kind == outcomeDone:
+		c.tried.Complete()
+	case errors.Is(context.Cause(ctx), errQuarantined):
+		o.reason, o.cause = fleet.ReasonQuarantine, errQuarantined
+	}
+	return o
+}
+
+// exchange sends the request to the chosen endpoint and relays the response.
+func (c *call) exchange(ctx context.Context) outcome {
 	run := c.h.Balancer.Begin(c.choice, c.placementRequest(), time.Now())
 	answer, err := c.h.Pool.Send(ctx, c.choice.Endpoint.Address, c.endpointRequest(), c.attrs.ID)
 	if err != nil {
@@ -53,12 +77,11 @@
 		return outcome{kind: outcomeNotRun, reason: fleet.ReasonQueueFull, cause: fmt.Errorf("status %d", answer.StatusCode)}
 	}
 	c.runs++
-	c.begun = true
-	started := time.Now()
+	c.tried.Begun = true
 	o := c.relay(answer, run)
 	run.End(placementResult(ctx, o), time.Now())
 	if o.kind == outcomeUnknown && ctx.Err() == nil {
-		c.probeForCrash(started)
+		c.probeForCrash()
 	}
 	return o
 }
@@ -76,36 +99,6 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(a, maxBufferedResponseBytes))
 }
 
-const (
-	// crashProbeDelay is the delay between a broken connection and the probe that
-	// checks whether the endpoint still accepts connections.
-	crashProbeDelay = 30 * time.Millisecond
-	// crashProbeTimeout is the time limit of that probe.
-	crashProbeTimeout = 500 * time.Millisecond
-)
-
-// probeForCrash checks in the background whether the endpoint whose connection broke has
-// crashed, since a broken connection alone does not prove it. A failed probe is reported
-// to the balancer and, with the fingerprint of the request, to the quarantine. Started is
-// when the endpoint began to respond or, without a response, when the connection broke.
-func (c *call) probeForCrash(started time.Time) {
-	h, endpoint, fingerprint, id := c.h, c.choice.Endpoint, c.fingerprint, c.attrs.ID
-	h.crashProbes.Add(1)
-	service.Go(h.Logger, "crash probe", func() {
-		defer h.crashProbes.Done()
-		time.Sleep(crashProbeDelay)
-		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
-		defer cancel()
-		if h.Pool.Probe(ctx, endpoint.Address) == nil {
-			return
-		}
-		h.Balancer.RecordProbe(endpoint.ID, false, time.Now())
-		if h.Quarantine != nil {
-			h.Quarantine.Crashed(fingerprint, endpoint.ID, id, started)
-		}
-	})
-}
-
 func placementResult(ctx context.Context, o outcome) placement.Result {
 	switch {
 	case ctx.Err() != nil:
@@ -131,7 +124,7 @@
 		c.runs++
 	}
 	if f.Reached && f.Reason == fleet.ReasonEndpointFailed && ctx.Err() == nil {
-		c.probeForCrash(time.Now())
+		c.probeForCrash()
 	}
 	r := placement.ResultUnreachable
 	switch {
@@ -257,7 +250,10 @@
 // recordFirst counts complete events and records the time of the first one, or of the response of a
 // service without streams.
 func (c *call) recordFirst(run *placement.Run) {
-	c.events++
+	c.tried.AddEvents(1)
+	if c.stopWatch != nil && c.tried.Running() {
+		c.stopWatch()
+	}
 	now := time.Now()
 	run.RecordFirst(now)
 	if c.timeToFirst == 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/greengagestep/greengagestep/internal/gauge"
 	"github.com/greengagestep/greengagestep/internal/overload"
 	"github.com/greengagestep/greengagestep/internal/placement"
+	"github.com/greengagestep/greengagestep/internal/quarantine"
 	"github.com/greengagestep/greengagestep/internal/upstream"
 	"github.com/greengagestep/greengagestep/pkg/arrangement"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
@@ -41,7 +42,7 @@
 	Overload *overload.Meter
 	// Budget bounds the retries of this instance.
 	Budget *budget.Budget
-	// Quarantine tracks requests that crash endpoints, so that they are refused;
+	// Quarantine finds out which requests crash endpoints, so that they are refused;
 	// nil means that no request is quarantined.
 	Quarantine fleet.Quarantine
 	// Metrics receives the counters and latencies of requests, reservations and
@@ -75,19 +76,19 @@
 
 // call is the state of one request of a caller.
 type call struct {
-	h           *Handler
-	w           http.ResponseWriter
-	r           *http.Request
-	arrived     time.Time
-	config      *activeConfig
-	attrs       fleet.RequestAttrs
-	route       arrangement.Route
-	service     string
-	customer    string
-	body        []byte
-	fingerprint string    // hash of customer, method, host, target and body; empty without a quarantine
-	pastTarget  bool      // retry whose target latency has already passed
-	deadline    time.Time // for the complete response; zero means no deadline
+	h          *Handler
+	w          http.ResponseWriter
+	r          *http.Request
+	arrived    time.Time
+	config     *activeConfig
+	attrs      fleet.RequestAttrs
+	route      arrangement.Route
+	service    string
+	customer   string
+	body       []byte
+	signatures []uint64  // of the shared parts of the prompt, then of the request itself; nil without a quarantine
+	pastTarget bool      // retry whose target latency has already passed
+	deadline   time.Time // for the complete response; zero means no deadline
 
 	sends       int                     // attempts that may have reached an endpoint
 	runs        int                     // attempts that an endpoint may have run
@@ -95,12 +96,13 @@
 	refusedBy   []string                // endpoints whose home instance refused a reservation
 	grant       fleet.ReservationResult // result of the last reservation; empty if none was requested
 	choice      placement.Choice
-	timeToFirst time.Duration // from arrival to the first event or the response; zero until then
-	longestGap  time.Duration // longest time between two relayed parts of a stream
-	begun       bool          // the endpoint of the last attempt began to respond
-	events      int           // events or responses received in the last attempt
-	headersSent bool          // response headers were written to the caller
-	lastEventID string        // ID of the last event written to the caller; empty if none
+	timeToFirst time.Duration      // from arrival to the first event or the response; zero until then
+	longestGap  time.Duration      // longest time between two relayed parts of a stream
+	tried       quarantine.Attempt // the last attempt
+	stopWatch   func()             // ends the watch of the quarantine in the last attempt; nil without a quarantine
+	crashProbe  chan struct{}      // closed when the endpoint of the last attempt was probed for a crash; nil if it is not
+	headersSent bool               // response headers were written to the caller
+	lastEventID string             // ID of the last event written to the caller; empty if none
 }
 
 // ServeHTTP implements http.Handler.
@@ -172,6 +174,11 @@
 			c.fail(o)
 			return
 		}
+		if c.mayCrashNext(ctx) {
+			o.reason = fleet.ReasonQuarantine
+			c.fail(o)
+			return
+		}
 	}
 }
 
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -57,8 +57,8 @@
 	Ledger   *admission.Ledger
 	// Feeds are the feeds that instances relay to each other, by name.
 	Feeds map[string]watch.Relay
-	// Crashes composes and receives reports of requests that crash endpoints; nil
-	// disables this.
+	// Crashes composes and receives reports of crashed endpoints and the requests that
+	// they had; nil disables this.
 	Crashes *quarantine.List
 	// Key signs messages. Until it is known, no messages are sent and requests
 	// from peers are rejected.
@@ -237,8 +237,9 @@
 		if excess := len(m.CacheFills) - maxBackgroundFills; x.sparse && !to.neighbor && excess > 0 {
 			m.CacheFills = m.CacheFills[excess:]
 		}
-		if x.Crashes != nil {
-			m.Crashes = x.Crashes.Compose(to.Address)
+		if x.Crashes != nil && (!x.sparse || to.neighbor) {
+			// In a large fleet neighbors relay what they learn.
+			m.Crashes, m.crashesPosition = x.Crashes.Compose(to.Address, x.sparse)
 		}
 	}
 	var members []Member
@@ -278,12 +279,12 @@
 		x.mu.Unlock()
 	}()
 	err = x.postSigned(ctx, p.Address, Path, purposeMessage, m, &reply)
-	if x.Crashes != nil {
-		x.Crashes.Sent(p.Address, err == nil)
-	}
 	if err != nil {
 		return
 	}
+	if x.Crashes != nil {
+		x.Crashes.Delivered(p.Address, m.crashesPosition)
+	}
 	x.receive(reply, time.Now())
 }
 
@@ -300,9 +301,8 @@
 	x.mu.Lock()
 	reply := x.compose(x.peers[m.From.Address], m.Usage != nil, now)
 	x.mu.Unlock()
-	sent := x.writeSigned(w, signature, reply)
-	if x.Crashes != nil {
-		x.Crashes.Sent(m.From.Address, sent)
+	if x.writeSigned(w, signature, reply) && x.Crashes != nil {
+		x.Crashes.Delivered(m.From.Address, reply.crashesPosition)
 	}
 }
 
@@ -331,7 +331,7 @@
 	}
 	x.receiveFeeds(p, m.Feeds, now)
 	if x.Crashes != nil && m.Crashes != nil {
-		if err := x.Crashes.Receive(m.From.Name, m.Crashes); err != nil {
+		if err := x.Crashes.Receive(m.Crashes); err != nil {
 			x.Logger.Warn(event.InvalidData, zap.String("peer", m.From.Name), zap.Error(err))
 		}
 	}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -42,8 +42,10 @@
 	// Partial is set when Work covers only the endpoints whose home is the
 	// receiver, including those without work.
 	Partial bool `json:"p,omitempty"`
-	// Crashes reports requests that crashed an endpoint, as observed by the sender.
-	Crashes json.RawMessage `json:"c,omitempty"`
+	// Crashes reports crashed endpoints and the requests that they had.
+	Crashes json.RawMessage `json:"s,omitempty"`
+	// crashesPosition is the position of these reports at the sender.
+	crashesPosition int
 	// CacheFills lists the shared prompt parts that endpoints added to their caches for
 	// requests of the sender.
 	CacheFills []placement.CacheFill `json:"r,omitempty"`
--- /dev/null
+++ b/internal/quarantine/evidence.go
@@ -0,0 +1,145 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/greengagestep/greengagestep/pkg/fleet"
+)
+
+const (
+	// crashSpread is how far apart broken connections of the same crash are noticed: a
+	// host that went silent shows only after unacknowledged bytes.
+	crashSpread = 2 * time.Second
+	// recoveryWindow is how long an endpoint may still be down after a crash. A request
+	// sent within that time that got no response may have reached no endpoint at all.
+	recoveryWindow = 30 * time.Second
+	// maxCrashes bounds the crashes that are remembered, maxSuspects the suspects of each.
+	maxCrashes  = 64
+	maxSuspects = 32
+	// maxSignatures bounds the signatures of a request that are kept.
+	maxSignatures = 64
+)
+
+// crash is one crash of an endpoint.
+type crash struct {
+	endpoint string
+	at       time.Time // when the first connection broke
+	suspects []fleet.Suspect
+}
+
+// evidence holds the crashes that are remembered. It reads no clock.
+type evidence struct {
+	crashes []*crash // oldest first
+	// answers holds the time of the last answer to a request with the signature, zero for
+	// none, for each signature of a suspect.
+	answers map[uint64]time.Time
+}
+
+// add adds a suspect to the crash of its endpoint. It reports whether the suspect was added,
+// and whether it is the first one of the crash. lastAnswer returns when a request with a
+// signature was last answered, zero for never.
+func (e *evidence) add(s fleet.Suspect, lastAnswer func(signature uint64) time.Time, now time.Time) (added, first bool) {
+	if now.Sub(s.Broken) > crashRetention || e.sentAfterCrash(s) {
+		return false, false
+	}
+	c := e.find(s.Endpoint, s.Broken)
+	if c == nil {
+		first = true
+		c = &crash{endpoint: s.Endpoint, at: s.Broken}
+		e.crashes = append(e.crashes, c)
+	}
+	if slices.ContainsFunc(c.suspects, func(other fleet.Suspect) bool {
+		return other.Request == s.Request && slices.Equal(other.Signatures, s.Signatures)
+	}) {
+		return false, false
+	}
+	c.suspects = append(c.suspects, s)
+	slices.SortStableFunc(c.suspects, func(a, b fleet.Suspect) int {
+		return cmp.Or(cmp.Compare(suspicion[b.Progress], suspicion[a.Progress]), a.Sent.Compare(b.Sent))
+	})
+	if len(c.suspects) > maxSuspects {
+		least := c.suspects[maxSuspects]
+		c.suspects = c.suspects[:maxSuspects]
+		if least.Request == s.Request {
+			return false, false
+		}
+	}
+	if s.Broken.Before(c.at) {
+		c.at = s.Broken
+	}
+	if e.answers == nil {
+		e.answers = map[uint64]time.Time{}
+	}
+	for _, signature := range s.Signatures {
+		if _, known := e.answers[signature]; !known {
+			e.answers[signature] = lastAnswer(signature)
+		}
+	}
+	slices.SortStableFunc(e.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
+	if len(e.crashes) > maxCrashes {
+		e.crashes = slices.Delete(e.crashes, 0, len(e.crashes)-maxCrashes)
+		e.forgetAnswers()
+	}
+	return true, first
+}
+
+// suspicion orders suspects. Endpoints crash when they begin to respond, and process requests
+// in the order of arrival.
+var suspicion = map[fleet.Progress]int{fleet.ProgressBegun: 2, fleet.ProgressWaiting: 1, fleet.ProgressRunning: 0}
+
+// find returns the crash of an endpoint at about the given time, nil if there is none.
+func (e *evidence) find(endpoint string, at time.Time) *crash {
+	for _, c := range e.crashes {
+		if c.endpoint == endpoint && c.at.Sub(at).Abs() <= crashSpread {
+			return c
+		}
+	}
+	return nil
+}
+
+// sentAfterCrash reports whether the endpoint had already crashed when it was sent the
+// request, so that the request is not the cause.
+func (e *evidence) sentAfterCrash(s fleet.Suspect) bool {
+	return s.Progress == fleet.ProgressWaiting && slices.ContainsFunc(e.crashes, func(c *crash) bool {
+		return c.endpoint == s.Endpoint && s.Sent.After(c.at) && s.Sent.Sub(c.at) < recoveryWindow
+	})
+}
+
+// answer records that a request with a signature was answered. It reports whether that clears
+// the signature of a crash.
+func (e *evidence) answer(signature uint64, at time.Time) bool {
+	before, suspected := e.answers[signature]
+	if !suspected || !at.After(before) {
+		return false
+	}
+	e.answers[signature] = at
+	return slices.ContainsFunc(e.crashes, func(c *crash) bool {
+		return before.Before(c.at) && !at.Before(c.at) && slices.ContainsFunc(c.suspects, func(s fleet.Suspect) bool {
+			return slices.Contains(s.Signatures, signature)
+		})
+	})
+}
+
+// expire removes crashes that are too old.
+func (e *evidence) expire(now time.Time) {
+	before := len(e.crashes)
+	e.crashes = slices.DeleteFunc(e.crashes, func(c *crash) bool { return now.Sub(c.at) > crashRetention })
+	if len(e.crashes) < before {
+		e.forgetAnswers()
+	}
+}
+
+// forgetAnswers removes the answers of signatures that no suspect has.
+func (e *evidence) forgetAnswers() {
+	answers := map[uint64]time.Time{}
+	for _, c := range e.crashes {
+		for _, s := range c.suspects {
+			for _, signature := range s.Signatures {
+				answers[signature] = e.answers[signature]
+			}
+		}
+	}
+	e.answers = answers
+}
--- /dev/null
+++ b/internal/quarantine/exchange.go
@@ -0,0 +1,176 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/greengagestep/greengagestep/pkg/fleet"
+)
+
+const (
+	// maxReports bounds the reports that are kept for peers, maxReportsPerMessage those in
+	// one message.
+	maxReports           = 1024
+	maxReportsPerMessage = 64
+)
+
+// report tells peers of a suspect, or of signatures with which requests were answered.
+type report struct {
+	suspect  fleet.Suspect // without an endpoint if the report is about answers
+	answered []uint64
+	at       time.Time // of the crash or the answers
+	own      bool      // observed by this instance, rather than learned from a peer
+}
+
+// outbox keeps reports for peers, in the order in which they were added.
+type outbox struct {
+	reports []report
+	removed int // number of reports removed from the front
+	peers   map[string]*delivery
+}
+
+// delivery is what one peer has received.
+type delivery struct {
+	// delivered is the number of reports up to the newest one that it has received.
+	delivered int
+	// behind is set while it lacks reports that this instance learned from peers: since it
+	// has just started, its other peers may have sent them to it before.
+	behind bool
+}
+
+// wireReport is a report in a message. Times are durations, since clocks of instances differ.
+type wireReport struct {
+	Endpoint   string         `json:"endpoint,omitempty"`
+	Request    string         `json:"request,omitempty"`
+	Progress   fleet.Progress `json:"progress,omitempty"`
+	Signatures []uint64       `json:"signatures"`
+	// Age is the time since the crash or the answers, Sent the time since the request was
+	// sent to the endpoint.
+	Age  time.Duration `json:"age"`
+	Sent time.Duration `json:"sent,omitempty"`
+}
+
+func (o *outbox) add(r report) {
+	o.reports = append(o.reports, r)
+	if excess := len(o.reports) - maxReports; excess > 0 {
+		o.reports = slices.Delete(o.reports, 0, excess)
+		o.removed += excess
+	}
+}
+
+func (o *outbox) delivery(peer string) *delivery {
+	if o.peers == nil {
+		o.peers = map[string]*delivery{}
+	}
+	d := o.peers[peer]
+	if d == nil {
+		d = &delivery{behind: true}
+		o.peers[peer] = d
+	}
+	return d
+}
+
+// Compose returns the encoded reports that the peer has not received, or nil if there are
+// none, and the position to pass to Delivered once they have arrived. Reports that this
+// instance learned from others are included if relay is set or the peer has just started.
+func (l *List) Compose(peer string, relay bool) (data json.RawMessage, position int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := l.outbox.delivery(peer)
+	position = max(d.delivered, l.outbox.removed)
+	now := time.Now()
+	var unsent []wireReport
+	for _, r := range l.outbox.reports[position-l.outbox.removed:] {
+		if len(unsent) == maxReportsPerMessage {
+			break
+		}
+		position++
+		if (r.own || relay || d.behind) && now.Sub(r.at) < crashRetention {
+			unsent = append(unsent, r.encode(now))
+		}
+	}
+	if len(unsent) == 0 {
+		return nil, position
+	}
+	data, err := json.Marshal(unsent)
+	if err != nil {
+		panic(err) // strings, numbers and durations can be encoded
+	}
+	return data, position
+}
+
+func (r report) encode(now time.Time) wireReport {
+	if r.suspect.Endpoint == "" {
+		return wireReport{Signatures: r.answered, Age: now.Sub(r.at)}
+	}
+	s := r.suspect
+	return wireReport{
+		Endpoint: s.Endpoint, Request: s.Request, Progress: s.Progress, Signatures: s.Signatures,
+		Age: now.Sub(s.Broken), Sent: now.Sub(s.Sent),
+	}
+}
+
+// Delivered records that a peer has received the reports up to a position.
+func (l *List) Delivered(peer string, position int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := l.outbox.delivery(peer)
+	d.delivered = max(d.delivered, position)
+	if d.delivered >= l.outbox.removed+len(l.outbox.reports) {
+		d.behind = false
+	}
+}
+
+// Restarted records that a peer has restarted and lost its state: the next messages to it
+// carry everything that this instance knows.
+func (l *List) Restarted(peer string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	*l.outbox.delivery(peer) = delivery{behind: true}
+}
+
+// Receive adds the crashes and answers that a peer reports. It returns an error if they
+// cannot be decoded.
+func (l *List) Receive(data json.RawMessage) error {
+	var reports []wireReport
+	if err := json.Unmarshal(data, &reports); err != nil {
+		return fmt.Errorf("quarantine: unreadable crashes: %w", err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for _, r := range reports {
+		if r.Age < 0 || r.Age > crashRetention || r.Sent < 0 || len(r.Signatures) == 0 || len(r.Signatures) > maxSignatures {
+			continue
+		}
+		at := now.Add(-r.Age)
+		if r.Endpoint == "" {
+			l.receiveAnswers(r.Signatures, at)
+			continue
+		}
+		l.addSuspect(fleet.Suspect{
+			Endpoint: r.Endpoint, Request: r.Request, Signatures: r.Signatures, Progress: r.Progress,
+			Sent: now.Add(-r.Sent), Broken: at,
+		}, false)
+	}
+	return nil
+}
+
+// receiveAnswers records that another instance saw answers to requests with the signatures.
+func (l *List) receiveAnswers(signatures []uint64, at time.Time) {
+	var cleared []uint64
+	for _, s := range signatures {
+		if l.lastAnswer(s).Before(at) {
+			l.answered.Add(s, at)
+		}
+		if l.evidence.answer(s, at) {
+			cleared = append(cleared, s)
+		}
+	}
+	if len(cleared) > 0 {
+		l.outbox.add(report{answered: cleared, at: at})
+		l.review(time.Now())
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,199 +1,187 @@
-// Package quarantine stops requests that crash endpoints from reaching further
-// endpoints. A request that was running on two endpoints when they crashed is rejected
-// from then on, at every instance.
+// Package quarantine finds out what the requests that crash endpoints have in common, and
+// stops further requests of that kind at every instance.
+//
+// Each request has signatures: hashes of the parts of its prompt that others share, and of
+// the request itself. When an endpoint crashes, all requests that it had are suspects. A set
+// of signatures that the suspects of several crashes share, and with which no request has
+// been answered since, is taken for the cause.
 package quarantine
 
 import (
-	"encoding/json"
 	"fmt"
+	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"github.com/greengagestep/greengagestep/internal/audit"
+	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
 const (
-	// crashesToQuarantine is how many endpoints must have crashed while they ran a
-	// request before it is quarantined.
-	crashesToQuarantine = 2
-	// crashRetention is how long a crash is remembered, and so how long a request
-	// stays quarantined.
+	// crashRetention is how long a crash is remembered, and so how long requests stay
+	// quarantined.
 	crashRetention = 10 * time.Minute
-	// maxCrashTimes bounds the crash times that are kept for one endpoint.
-	maxCrashTimes = 64
-	// maxFingerprints bounds the request fingerprints that are kept.
-	maxFingerprints = 4096
+	// maxAnswered bounds the signatures whose last answer is remembered.
+	maxAnswered = 8192
 )
 
-// crash reports that an endpoint crashed while it ran a request.
-type crash struct {
-	Fingerprint string    `json:"p"`
-	Endpoint    string    `json:"e"`
-	Request     string    `json:"r"`
-	Started     time.Time `json:"s"`
-	At          time.Time `json:"t"`
-}
-
-// recoveryWindow is how long an endpoint may still be down after a crash. A request
-// that was started within that time reached an endpoint that had already crashed and
-// did not cause the crash.
-const recoveryWindow = 30 * time.Second
-
-// List is the quarantine of one instance. Exported fields are set before the
-// first call. It is safe for concurrent use.
+// List is the quarantine of one instance. Exported fields are set before the first call. It
+// is safe for concurrent use. It implements fleet.Quarantine.
 type List struct {
 	Trail *audit.Trail
-	// OnCrash is called for each endpoint that crashed, whether this instance or
-	// a peer detected it. It is called with the list locked; nil is allowed.
+	// OnCrash is called for each endpoint that crashed, whether this instance or a peer
+	// detected it. It is called with the list locked; nil is allowed.
 	OnCrash func(endpoint string)
 
-	mu         sync.Mutex
-	crashes    map[string]map[string]crash // by fingerprint and endpoint
-	crashTimes map[string][]time.Time      // by endpoint
-	ownCrashes []crash                     // detected by this instance, in order
-	delivered  map[string]int              // by peer: number of own crashes that it has received
-	inFlight   map[string]int              // by peer: delivered, once the message being sent arrives
+	mu       sync.Mutex
+	evidence evidence
+	answered *simplelru.LRU[uint64, time.Time] // by signature: time of the last answer
+	rules    []rule
+	reviewAt time.Time // when the first of the crashes behind the rules expires; zero without rules
+	watchers map[*watcher]bool
+	outbox   outbox
+}
+
+// watcher is a request that waits for the response of an endpoint.
+type watcher struct {
+	signatures  []uint64
+	quarantined func()
 }
 
 // New returns an empty quarantine.
 func New(trail *audit.Trail) *List {
-	return &List{Trail: trail, crashes: map[string]map[string]crash{}, crashTimes: map[string][]time.Time{}, delivered: map[string]int{}, inFlight: map[string]int{}}
+	answered, err := simplelru.NewLRU[uint64, time.Time](maxAnswered, nil)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	return &List{Trail: trail, answered: answered, watchers: map[*watcher]bool{}}
 }
 
-// Contains reports whether requests with a fingerprint are quarantined.
-func (l *List) Contains(fingerprint string) bool {
+// Contains implements fleet.Quarantine.
+func (l *List) Contains(signatures []uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.countCrashedEndpoints(fingerprint) >= crashesToQuarantine
+	if now := time.Now(); !l.reviewAt.IsZero() && now.After(l.reviewAt) {
+		l.review(now)
+	}
+	return slices.ContainsFunc(l.rules, func(r rule) bool { return r.matches(signatures) })
 }
 
-func (l *List) countCrashedEndpoints(fingerprint string) int {
-	n := 0
-	for _, c := range l.crashes[fingerprint] {
-		if time.Since(c.At) < crashRetention && !l.startedAfterCrash(c) {
-			n++
-		}
+// Size returns how many rules are in force.
+func (l *List) Size() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.rules)
+}
+
+// Watch implements fleet.Quarantine.
+func (l *List) Watch(signatures []uint64, quarantined func()) (stop func()) {
+	w := &watcher{signatures: signatures, quarantined: quarantined}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.watchers[w] = true
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.watchers, w)
 	}
-	return n
 }
 
-// startedAfterCrash reports whether the endpoint had crashed before the request was
-// started there, so that the request is not the cause.
-func (l *List) startedAfterCrash(c crash) bool {
-	for _, at := range l.crashTimes[c.Endpoint] {
-		if at.Before(c.Started) && c.Started.Sub(at) < recoveryWindow {
-			return true
+// Answered implements fleet.Quarantine.
+func (l *List) Answered(signatures []uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	var cleared []uint64
+	for _, s := range mostSpecific(signatures) {
+		l.answered.Add(s, now)
+		if l.evidence.answer(s, now) {
+			cleared = append(cleared, s)
 		}
 	}
-	return false
+	if len(cleared) > 0 {
+		l.outbox.add(report{answered: cleared, at: now, own: true})
+		l.review(now)
+	}
 }
 
-// Crashed records that an endpoint crashed while it ran a request. started is the time
-// at which the request was started there.
-func (l *List) Crashed(fingerprint, endpoint, request string, started time.Time) {
+// Crashed implements fleet.Quarantine.
+func (l *List) Crashed(s fleet.Suspect) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := crash{Fingerprint: fingerprint, Endpoint: endpoint, Request: request, Started: started, At: time.Now()}
-	if l.add(c) {
-		l.ownCrashes = append(l.ownCrashes, c)
-	}
+	s.Signatures = mostSpecific(s.Signatures)
+	l.addSuspect(s, true)
 }
 
-func (l *List) add(c crash) bool {
-	endpoints := l.crashes[c.Fingerprint]
-	if endpoints == nil {
-		l.evict()
-		endpoints = map[string]crash{}
-		l.crashes[c.Fingerprint] = endpoints
-	}
-	if _, known := endpoints[c.Endpoint]; known {
-		return false
-	}
-	endpoints[c.Endpoint] = c
-	l.crashTimes[c.Endpoint] = append(l.crashTimes[c.Endpoint], c.At)
-	if len(l.crashTimes[c.Endpoint]) > maxCrashTimes {
-		l.crashTimes[c.Endpoint] = l.crashTimes[c.Endpoint][1:]
-	}
-	if l.OnCrash != nil && !l.startedAfterCrash(c) {
-		l.OnCrash(c.Endpoint)
-	}
-	if l.countCrashedEndpoints(c.Fingerprint) == crashesToQuarantine {
-		l.Trail.Add(audit.Entry{
-			Type: audit.EventQuarantine, Subject: "request " + c.Request, Change: "quarantined",
-			Cause: fmt.Sprintf("fingerprint %s was running on %d endpoints that broke off, last on %s", c.Fingerprint, crashesToQuarantine, c.Endpoint),
-		})
-	}
-	return true
+// mostSpecific returns the last signatures, as many as are kept.
+func mostSpecific(signatures []uint64) []uint64 {
+	return signatures[max(0, len(signatures)-maxSignatures):]
 }
 
-// evict makes room for a new fingerprint. It removes fingerprints without a crash that
-// counts, and the one with the oldest crash if there are still too many.
-func (l *List) evict() {
-	if len(l.crashes) < maxFingerprints {
+// addSuspect adds a request that an endpoint had when it crashed. own is set if this instance
+// sent the request.
+func (l *List) addSuspect(s fleet.Suspect, own bool) {
+	now := time.Now()
+	added, first := l.evidence.add(s, l.lastAnswer, now)
+	if !added {
 		return
 	}
-	oldest, oldestAt := "", time.Now()
-	for fingerprint, endpoints := range l.crashes {
-		if l.countCrashedEndpoints(fingerprint) == 0 {
-			delete(l.crashes, fingerprint)
-			continue
-		}
-		for _, c := range endpoints {
-			if c.At.Before(oldestAt) {
-				oldest, oldestAt = fingerprint, c.At
-			}
-		}
-	}
-	if len(l.crashes) >= maxFingerprints {
-		delete(l.crashes, oldest)
+	l.outbox.add(report{suspect: s, at: s.Broken, own: own})
+	if first && l.OnCrash != nil {
+		l.OnCrash(s.Endpoint)
 	}
+	l.review(now)
 }
 
-// Compose returns the encoded crashes that this instance detected and the peer has not
-// received, or nil if there are none.
-func (l *List) Compose(peer string) json.RawMessage {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.inFlight[peer] = len(l.ownCrashes)
-	unsent := l.ownCrashes[min(l.delivered[peer], len(l.ownCrashes)):]
-	if len(unsent) == 0 {
-		return nil
-	}
-	data, err := json.Marshal(unsent)
-	if err != nil {
-		return nil
-	}
-	return data
+// lastAnswer returns when a request with a signature was last answered, zero for never.
+func (l *List) lastAnswer(signature uint64) time.Time {
+	at, _ := l.answered.Peek(signature)
+	return at
 }
 
-// Sent records whether the last composed message reached the peer.
-func (l *List) Sent(peer string, ok bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if ok {
-		l.delivered[peer] = l.inFlight[peer]
+// review derives the rules from the crashes that are remembered, and logs what changed.
+func (l *List) review(now time.Time) {
+	l.evidence.expire(now)
+	before := l.rules
+	l.rules = l.evidence.explain()
+	l.reviewAt = time.Time{}
+	for _, r := range l.rules {
+		if end := r.since.Add(crashRetention); l.reviewAt.IsZero() || end.Before(l.reviewAt) {
+			l.reviewAt = end
+		}
+		if !slices.ContainsFunc(before, r.equal) {
+			l.log(r, "quarantined", fmt.Sprintf("%d endpoints crashed with such requests and none was answered since, last on %s", r.crashes, r.endpoint))
+			l.notify(r)
+		}
+	}
+	for _, r := range before {
+		if !slices.ContainsFunc(l.rules, r.equal) {
+			l.log(r, "released", "answered, expired or explained otherwise")
+		}
 	}
 }
 
-// Restarted records that a peer has restarted and lost its state: the next message to
-// it carries all crashes that this instance detected.
-func (l *List) Restarted(peer string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.delivered, peer)
+func (l *List) log(r rule, change, cause string) {
+	names := make([]string, len(r.signatures))
+	for i, s := range r.signatures {
+		names[i] = strconv.FormatUint(s, 16)
+	}
+	l.Trail.Add(audit.Entry{
+		Type: audit.EventQuarantine, Subject: "requests with " + strings.Join(names, "+"), Change: change,
+		Cause: cause + ", request " + r.request,
+	})
 }
 
-// Receive adds the crashes that a peer detected. It returns an error if they cannot be
-// decoded.
-func (l *List) Receive(_ string, data json.RawMessage) error {
-	var received []crash
-	if err := json.Unmarshal(data, &received); err != nil {
-		return fmt.Errorf("quarantine: unreadable crashes: %w", err)
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, c := range received {
-		l.add(c)
+// notify tells the requests in progress that a new rule matches.
+func (l *List) notify(r rule) {
+	for w := range l.watchers {
+		if r.matches(w.signatures) {
+			delete(l.watchers, w)
+			w.quarantined()
+		}
 	}
-	return nil
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -1,62 +1,188 @@
 package quarantine_test
 
 import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/greengagestep/greengagestep/internal/audit"
 	"github.com/greengagestep/greengagestep/internal/quarantine"
 )
 
-func newList() *quarantine.List { return quarantine.New(&audit.Trail{}) }
-
-func TestRequestThatCrashesTwoEndpointsIsQuarantined(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		l := newList()
-		l.Crashed("print", "m0", "r1", time.Now())
-		l.Crashed("print", "m0", "r2", time.Now())
-		require.False(t, l.Contains("print"), "two crashes of one endpoint count once")
-		l.Crashed("print", "m1", "r3", time.Now())
-		require.True(t, l.Contains("print"))
-		time.Sleep(11 * time.Minute)
-		require.False(t, l.Contains("print"))
-	})
+// play runs the commands of a script, one a line:
+//
+//	instances A B...                 starts instances
+//	send A R E SIGNATURE...          instance A sends request R to endpoint E, unless it is refused
+//	begin R, events R N, finish R    the response of R begins, N more events arrive, it is whole
+//	crash E                          endpoint E crashes with the requests that it has
+//	crash E A...                     the same, noticed at these instances only
+//	exchange                         all instances send each other what they have to say
+//	exchange A B                     only A to B; exchange A B lost: the message is lost
+//	relay A B                        A sends B what it learned from others as well
+//	restart A                        instance A loses its state
+//	sleep D
+//	refused A SIGNATURE..., served A SIGNATURE...   what A does with such requests
+//	rules A N                        A has N rules
+//	canceled R, running R            whether R was ended because it became quarantined
+type play struct {
+	t         *testing.T
+	instances map[string]*quarantine.List
+	names     []string
+	requests  map[string]*request
 }
 
-func TestRequestSentToACrashedEndpointIsNotCounted(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		l := newList()
-		started := time.Now()
-		time.Sleep(time.Second)
-		l.Crashed("fault", "m0", "r1", started)
-		l.Crashed("fault", "m1", "r1", started)
-		time.Sleep(time.Second)
-		l.Crashed("late", "m0", "r2", time.Now())
-		l.Crashed("late", "m1", "r2", time.Now())
-		require.True(t, l.Contains("fault"))
-		require.False(t, l.Contains("late"))
-	})
+type request struct {
+	instance string
+	attempt  quarantine.Attempt
+	canceled bool
+	stop     func()
+	ended    bool
 }
 
-func TestPeersExchangeCrashes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		a, b := newList(), newList()
-		a.Crashed("print", "m0", "r1", time.Now())
-		b.Crashed("print", "m1", "r2", time.Now())
-		message := a.Compose("b")
-		a.Sent("b", false)
-		require.Equal(t, message, a.Compose("b"), "a message that did not arrive is sent again")
-		a.Sent("b", true)
-		require.Nil(t, a.Compose("b"))
-		require.NoError(t, b.Receive("a", message))
-		require.True(t, b.Contains("print"))
-	})
+// Each script holds a pattern of crashes that was, or could be, attributed to the wrong requests.
+func TestScript(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		require.NoError(t, err)
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := &play{t: t, instances: map[string]*quarantine.List{}, requests: map[string]*request{}}
+				for n, line := range strings.Split(string(data), "\n") {
+					line, _, _ = strings.Cut(line, "#")
+					if f := strings.Fields(line); len(f) > 0 {
+						p.command(file+":"+strconv.Itoa(n+1)+": "+line, f[0], f[1:])
+					}
+				}
+			})
+		})
+	}
+}
+
+func signatures(names []string) []uint64 {
+	var list []uint64
+	for _, name := range names {
+		list = append(list, xxhash.Sum64String(name))
+	}
+	return list
+}
+
+func (p *play) command(line, verb string, args []string) {
+	t := p.t
+	switch verb {
+	case "instances":
+		p.names = args
+		for _, name := range args {
+			p.instances[name] = quarantine.New(&audit.Trail{})
+		}
+	case "restart":
+		p.instances[args[0]] = quarantine.New(&audit.Trail{})
+		for _, name := range p.names {
+			p.instances[name].Restarted(args[0])
+		}
+	case "send":
+		p.send(args[0], args[1], args[2], signatures(args[3:]))
+	case "begin":
+		p.requests[args[0]].attempt.Begun = true
+	case "events":
+		n, err := strconv.Atoi(args[1])
+		require.NoError(t, err, line)
+		p.requests[args[0]].attempt.Begun = true
+		p.requests[args[0]].attempt.AddEvents(n)
+	case "finish":
+		r := p.requests[args[0]]
+		r.attempt.Complete()
+		r.end()
+	case "crash":
+		p.crash(args[0], args[1:])
+	case "exchange":
+		p.exchange(args)
+	case "relay":
+		p.deliver(args[0], args[1], true, false)
+	case "sleep":
+		d, err := time.ParseDuration(args[0])
+		require.NoError(t, err, line)
+		time.Sleep(d)
+	case "refused", "served":
+		require.Equal(t, verb == "refused", p.instances[args[0]].Contains(signatures(args[1:])), line)
+	case "rules":
+		require.Equal(t, args[1], strconv.Itoa(p.instances[args[0]].Size()), line)
+	case "canceled", "running":
+		require.Equal(t, verb == "canceled", p.requests[args[0]].canceled, line)
+	default:
+		require.Fail(t, "unknown command", line)
+	}
+}
+
+func (r *request) end() {
+	r.stop()
+	r.ended = true
 }
 
+func (p *play) send(instance, id, endpoint string, s []uint64) {
+	list := p.instances[instance]
+	if list.Contains(s) {
+		return
+	}
+	r := &request{instance: instance, attempt: quarantine.Attempt{Quarantine: list, Endpoint: endpoint, Request: id, Signatures: s, Sent: time.Now()}}
+	r.stop = list.Watch(s, func() { r.canceled = true })
+	p.requests[id] = r
+}
+
+func (p *play) crash(endpoint string, noticedAt []string) {
+	for _, r := range p.requests {
+		if r.ended || r.attempt.Endpoint != endpoint || len(noticedAt) > 0 && !slices.Contains(noticedAt, r.instance) {
+			continue
+		}
+		p.instances[r.instance].Crashed(r.attempt.Suspect(time.Now()))
+		r.end()
+	}
+}
+
+func (p *play) exchange(args []string) {
+	if len(args) > 0 {
+		p.deliver(args[0], args[1], false, len(args) > 2)
+		return
+	}
+	for _, from := range p.names {
+		for _, to := range p.names {
+			if from != to {
+				p.deliver(from, to, false, false)
+			}
+		}
+	}
+}
+
+func (p *play) deliver(from, to string, relay, lost bool) {
+	data, position := p.instances[from].Compose(to, relay)
+	if lost {
+		return
+	}
+	if data != nil {
+		require.NoError(p.t, p.instances[to].Receive(data))
+	}
+	p.instances[from].Delivered(to, position)
+}
+
+// A message that cannot be decoded, or whose fields make no sense, must not end the process.
 func FuzzReceive(f *testing.F) {
-	f.Add([]byte(`[{"p":"a","e":"m0","r":"r"}]`))
-	f.Fuzz(func(_ *testing.T, data []byte) { _ = newList().Receive("a", data) })
+	f.Add([]byte(`[{"endpoint":"m0","request":"r","progress":"begun","signatures":[1,2],"age":5,"sent":10}]`))
+	f.Add([]byte(`[{"signatures":[18446744073709551615],"age":0}]`))
+	f.Add([]byte(`[{"endpoint":"m0","signatures":[1],"age":-5,"sent":-1}]`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		l := quarantine.New(&audit.Trail{})
+		_ = l.Receive(data)
+		l.Contains([]uint64{1, 2})
+		l.Compose("a", true)
+	})
 }
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -179,15 +179,33 @@
 	return names
 }
 
-// quarantinePart sends peers the crashes that this instance detected.
+// quarantinePart sends peers the crashes that this instance detected. It is safe for
+// concurrent use.
 type quarantinePart struct {
 	list *quarantine.List
+
+	mu        sync.Mutex
+	positions map[string]int // by peer: position of the reports in the message being sent
 }
 
-func (quarantinePart) key() string                           { return "q" }
-func (q quarantinePart) compose(peer string) json.RawMessage { return q.list.Compose(peer) }
-func (q quarantinePart) sent(peer string, ok bool)           { q.list.Sent(peer, ok) }
+func (*quarantinePart) key() string { return "s" }
+
+func (q *quarantinePart) compose(peer string) json.RawMessage {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	data, position := q.list.Compose(peer, false)
+	q.positions[peer] = position
+	return data
+}
+
+func (q *quarantinePart) sent(peer string, ok bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if ok {
+		q.list.Delivered(peer, q.positions[peer])
+	}
+}
 
-func (q quarantinePart) receive(from member.Member, data json.RawMessage) error {
-	return q.list.Receive(from.Name, data)
+func (q *quarantinePart) receive(_ member.Member, data json.RawMessage) error {
+	return q.list.Receive(data)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -154,7 +154,7 @@
 		Address: r.address, RecordResult: r.recordResult, Crashed: r.isCrashed, Claims: r.claims, Trail: r.trail,
 		Ready: r.serviceReady, Quarantine: r.quarantine, Budget: &budget.Budget{Slack: retryBudgetSlack}, Metrics: r.metrics,
 	}
-	r.parts = []messagePart{configPart{r, &deliveryTracker{}}, endpointsPart{r, &deliveryTracker{}}, quarantinePart{r.quarantine}, drainPart{r}}
+	r.parts = []messagePart{configPart{r, &deliveryTracker{}}, endpointsPart{r, &deliveryTracker{}}, &quarantinePart{list: r.quarantine, positions: map[string]int{}}, drainPart{r}}
 }
 
 func (r *Router) buildScheduler() {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -123,13 +123,44 @@
 	Read(ctx context.Context, stream string, from int64, limit int) (Page, error)
 }
 
-// Quarantine records which requests crash endpoints, so that they are not run again.
-// Requests are identified by a fingerprint. Implementations are safe for concurrent
-// use.
+// Quarantine finds out which requests crash endpoints, so that they are not sent to further
+// ones. What requests have in common is identified by signatures: hashes that equal requests,
+// or requests that share a part, have in common. Implementations are safe for concurrent use.
 type Quarantine interface {
-	// Contains reports whether a fingerprint is quarantined.
-	Contains(fingerprint string) bool
-	// Crashed records that an endpoint failed while it ran a request. started is
-	// the time at which the request was sent to the endpoint.
-	Crashed(fingerprint, endpoint, request string, started time.Time)
+	// Contains reports whether requests with these signatures are quarantined.
+	Contains(signatures []uint64) bool
+	// Watch calls a function, at most once, when a request with these signatures becomes
+	// quarantined, until stop is called. The function must not block.
+	Watch(signatures []uint64, quarantined func()) (stop func())
+	// Answered records that an endpoint responded to a request with these signatures and
+	// did not crash.
+	Answered(signatures []uint64)
+	// Crashed records that an endpoint crashed while it had a request.
+	Crashed(s Suspect)
 }
+
+// Suspect is a request that an endpoint had when it crashed.
+type Suspect struct {
+	Endpoint string
+	// Request is the ID of the request, for logs.
+	Request string
+	// Signatures are those by which the request may have caused the crash.
+	Signatures []uint64
+	Progress   Progress
+	// Sent is when the request was sent to the endpoint, Broken when its connection broke.
+	Sent, Broken time.Time
+}
+
+// Progress is how far the response to a request had come.
+type Progress string
+
+// The stages of a response.
+const (
+	// ProgressWaiting means that nothing of the response had arrived.
+	ProgressWaiting Progress = "waiting"
+	// ProgressBegun means that the response had begun, but may not have come further than
+	// its first event.
+	ProgressBegun Progress = "begun"
+	// ProgressRunning means that the response had gone on after its first event.
+	ProgressRunning Progress = "running"
+)
