internal/gateway: a stream that ends with its connection before an event is no answer

Cause: the end of the connection was taken for the end of the response in any place outside an event. Fix: before the first event it is a broken stream; after the first one it is delivered, but is no evidence against a crash, and the endpoint is probed in the background. An unframed stream that a crash ends between later events cannot be told from a complete one.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -52,10 +52,7 @@
 		}
 	}
 	o := c.exchange(ctx)
-	switch {
-	case o.kind == outcomeDone:
-		c.tried.Complete()
-	case errors.Is(context.Cause(ctx), errQuarantined):
+	if o.kind != outcomeDone && errors.Is(context.Cause(ctx), errQuarantined) {
 		o.reason, o.cause = fleet.ReasonQuarantine, errQuarantined
 	}
 	return o
@@ -261,7 +258,14 @@
 	}
 }
 
+// finish records a response that was relayed to its end. One that ends with its connection
+// may have been ended by a crash.
 func (c *call) finish(a *upstream.Answer) outcome {
+	if a.Framed || c.tried.Running() {
+		c.tried.Complete()
+	} else {
+		c.probeForCrash()
+	}
 	c.recordEnd(a.StatusCode, "answer", "")
 	var cause error
 	if a.StatusCode >= 500 {
--- a/internal/gateway/outcome_test.go
+++ b/internal/gateway/outcome_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -35,10 +36,16 @@
 	behaveEncoded  behaviour = "encoded" // sends a body with a Content-Encoding, so not the one that the endpoint produced
 	behaveGarbage  behaviour = "noise"   // sends bytes that are not an HTTP response
 	behaveHang     behaviour = "hang"    // runs the request and never responds
+
+	// The following responses have neither a length nor chunks and end with their connection.
+	behaveUnframed      behaviour = "unframed"       // sends a complete response
+	behaveUnframedEmpty behaviour = "unframed-empty" // ends a stream before its first event
+	behaveUnframedCut   behaviour = "unframed-cut"   // ends a stream within an event
 )
 
 var behaviours = []behaviour{
 	behaveComplete, behaveRefuse, behaveDrop, behaveFail, behaveShed, behaveTruncate, behaveMismatch, behaveUnsealed, behaveEncoded, behaveGarbage, behaveHang,
+	behaveUnframed, behaveUnframedEmpty, behaveUnframedCut,
 }
 
 // streamEvents is the number of events in a complete stream.
@@ -102,9 +109,18 @@
 	case behaveMismatch:
 		fmt.Fprint(w, "HTTP/1.1 200 X\r\nRequest-Id: other\r\nSeal: o\r\nContent-Length: 5\r\n\r\nother")
 	}
+	unframed := slices.Contains([]behaviour{behaveUnframed, behaveUnframedEmpty, behaveUnframedCut}, b)
+	if eps.stream && unframed {
+		eps.writeUnframedStream(r, w, b)
+		return false
+	}
 	if eps.stream {
 		return eps.writeStream(r, w, b == behaveTruncate)
 	}
+	if unframed {
+		head(200, "Seal: s\r\n\r\nwhole")
+		return false
+	}
 	if b == behaveTruncate {
 		head(200, "Seal: s\r\nContent-Length: 10\r\n\r\nwhole")
 		return false
@@ -132,6 +148,24 @@
 	return true
 }
 
+// writeUnframedStream sends the events after the last one that the caller has, or only a part
+// of them, without saying where the stream ends.
+func (eps *scriptedEndpoints) writeUnframedStream(r *http.Request, w io.Writer, b behaviour) {
+	fmt.Fprintf(w, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n", r.Header.Get("Request-Id"))
+	if b == behaveUnframedEmpty {
+		return
+	}
+	after, _ := strconv.Atoi(r.Header.Get("After"))
+	for n := after + 1; n <= streamEvents; n++ {
+		event := fmt.Sprintf("id: %d\ndata: d%d\n\n", n, n)
+		if b == behaveUnframedCut && n == after+2 {
+			fmt.Fprint(w, event[:8])
+			return
+		}
+		fmt.Fprint(w, event)
+	}
+}
+
 // callerResult is what the caller received.
 type callerResult struct {
 	status int // 0 if the connection was closed without a response
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -20,6 +20,7 @@
 	errEventTooLong    = errors.New("stream event exceeds the maximum size")
 	errEventOrder      = errors.New("stream events are missing or out of order")
 	errIncompleteEvent = errors.New("stream ended within an event")
+	errNoEvent         = errors.New("stream ended with its connection before the first event")
 )
 
 // relayStream copies an event stream to the caller, complete events only. If the
@@ -71,6 +72,9 @@
 		if err == io.EOF && len(pending) > 0 {
 			return broken(errIncompleteEvent)
 		}
+		if err == io.EOF && !a.Framed && firstEventAt.IsZero() {
+			return broken(errNoEvent)
+		}
 		if err == io.EOF {
 			c.sendHeaders(a)
 			return c.finish(a)
