internal/caller, internal/standin: streams of the product's own path that end with their connection

Now it is resumed where the service allows it, or the caller's connection is closed. The stand-in of engines can end streams with their connections.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -123,7 +123,7 @@
 		data := buf[:n]
 		if isEventStream {
 			tokens := 0
-			data, tokens = s.process(data, err == io.EOF)
+			data, tokens = s.process(data)
 			c.eventsSent += tokens
 			c.tried.AddEvents(tokens)
 			slot.Charge(float64(tokens))
@@ -136,6 +136,11 @@
 				_ = flusher.Flush()
 			}
 		}
+		if err == io.EOF && isEventStream {
+			if broken := s.checkEnd(isFramed(resp)); broken != nil {
+				err = broken
+			}
+		}
 		if err == io.EOF {
 			if !isEventStream {
 				slot.Charge(reportedTokens(resp))
@@ -148,6 +153,12 @@
 	}
 }
 
+// isFramed reports whether a response states where its body ends; otherwise it ends with its
+// connection.
+func isFramed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // writeHeader sends the status and the headers to the caller if no earlier attempt
 // has sent them.
 func (c *call) writeHeader(resp *http.Response) {
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -1,6 +1,9 @@
 package caller
 
-import "strings"
+import (
+	"errors"
+	"strings"
+)
 
 // eventStream parses server-sent events that arrive in chunks, which may end
 // anywhere. An event ends with an empty line. An event with data and without a name
@@ -10,22 +13,21 @@
 	// connection breaks can be resumed after the last complete event.
 	completeOnly bool
 
-	linePrefix []byte
-	hasName    bool
-	hasData    bool
-	incomplete []byte
+	linePrefix  []byte
+	hasName     bool
+	hasData     bool
+	withinEvent bool
+	received    bool // an event has ended
+	incomplete  []byte
 }
 
 // process parses a chunk. It returns the bytes that may be sent to the caller and the
 // number of tokens in them. The bytes are valid until the next call.
-func (s *eventStream) process(p []byte, last bool) ([]byte, int) {
+func (s *eventStream) process(p []byte) ([]byte, int) {
 	tokens, end := s.scan(p)
 	if !s.completeOnly {
 		return p, tokens
 	}
-	if last {
-		end = len(p)
-	}
 	if len(s.incomplete) == 0 && end == len(p) {
 		return p, tokens
 	}
@@ -46,6 +48,7 @@
 			continue
 		}
 		if b != '\n' {
+			s.withinEvent = true
 			if len(s.linePrefix) < len("event:") {
 				s.linePrefix = append(s.linePrefix, b)
 			}
@@ -53,6 +56,8 @@
 		}
 		if len(s.linePrefix) == 0 {
 			end = i + 1
+			s.received = s.received || s.withinEvent
+			s.withinEvent = false
 			if s.hasData && !s.hasName {
 				tokens++
 			}
@@ -64,3 +69,20 @@
 	}
 	return tokens, end
 }
+
+var (
+	errIncompleteEvent = errors.New("stream ended within an event")
+	errNoEvent         = errors.New("stream ended with its connection before the first event")
+)
+
+// checkEnd returns an error if the stream was broken off where it ended. framed is set if the
+// response stated where its body ends.
+func (s *eventStream) checkEnd(framed bool) error {
+	switch {
+	case s.withinEvent:
+		return errIncompleteEvent
+	case !framed && !s.received:
+		return errNoEvent
+	}
+	return nil
+}
--- a/internal/demo/scenario_test.go
+++ b/internal/demo/scenario_test.go
@@ -227,7 +227,7 @@
 	}
 }
 
-// engine NAME|all up|down|break=N|poison=TEXT|leave|reset replaces the faults of model
+// engine NAME|all up|down|break=N|poison=TEXT|unframed|leave|reset replaces the faults of model
 // engines; leave makes them report that they are leaving, reset unloads their models.
 func cmdEngine(ts *testscript.TestScript, _ bool, args []string) {
 	for _, e := range scenarioOf(ts).site.ModelEngines {
@@ -238,6 +238,7 @@
 		f := standin.EngineFaults{Break: intArg(ts, named, "break", 0), Poison: named["poison"]}
 		for _, arg := range rest {
 			f.Down = f.Down || arg == "down"
+			f.Unframed = f.Unframed || arg == "unframed"
 			if arg == "leave" {
 				e.SetLeaving()
 			}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -72,6 +72,9 @@
 	// Poison is a text that crashes the engine if a prompt contains it; an empty
 	// text matches no prompt.
 	Poison string `json:"poison"`
+	// Unframed makes streams end with their connections, with neither a length nor
+	// chunks. Those that Break or Poison ends are cut within an event or before the first.
+	Unframed bool `json:"unframed"`
 }
 
 // Prompt is the JSON body of a generation request.
@@ -265,7 +268,19 @@
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-ID"))
 	breakAt := e.startRequest(r, p, from)
 	w.Header().Set("Content-Type", "text/event-stream")
+	e.mu.Lock()
+	unframed := e.faults.Unframed
+	e.mu.Unlock()
+	if unframed {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	for i := from + 1; i <= p.Tokens; i++ {
+		if i == breakAt && unframed {
+			if i > from+1 {
+				fmt.Fprintf(w, "id: %d\nda", i)
+			}
+			return
+		}
 		if i == breakAt {
 			panic(http.ErrAbortHandler)
 		}
