internal/router, internal/quarantine: a restarted instance of run learns of crashes again

Same cause looked for elsewhere: what an instance knows of crashing requests must reach every other one. A message that was under way to the earlier start of a peer can no longer mark reports as delivered to the next one.

--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -239,7 +239,7 @@
 		}
 		if x.Crashes != nil && (!x.sparse || to.neighbor) {
 			// In a large fleet neighbors relay what they learn.
-			m.Crashes, m.crashesPosition = x.Crashes.Compose(to.Address, x.sparse)
+			m.Crashes, m.crashesDelivered = x.Crashes.Compose(to.Address, x.sparse)
 		}
 	}
 	var members []Member
@@ -282,8 +282,8 @@
 	if err != nil {
 		return
 	}
-	if x.Crashes != nil {
-		x.Crashes.Delivered(p.Address, m.crashesPosition)
+	if m.crashesDelivered != nil {
+		m.crashesDelivered()
 	}
 	x.receive(reply, time.Now())
 }
@@ -301,8 +301,8 @@
 	x.mu.Lock()
 	reply := x.compose(x.peers[m.From.Address], m.Usage != nil, now)
 	x.mu.Unlock()
-	if x.writeSigned(w, signature, reply) && x.Crashes != nil {
-		x.Crashes.Delivered(m.From.Address, reply.crashesPosition)
+	if x.writeSigned(w, signature, reply) && reply.crashesDelivered != nil {
+		reply.crashesDelivered()
 	}
 }
 
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -44,8 +44,8 @@
 	Partial bool `json:"p,omitempty"`
 	// Crashes reports crashed endpoints and the requests that they had.
 	Crashes json.RawMessage `json:"s,omitempty"`
-	// crashesPosition is the position of these reports at the sender.
-	crashesPosition int
+	// crashesDelivered is called once the message has arrived; nil without a quarantine.
+	crashesDelivered func()
 	// CacheFills lists the shared prompt parts that endpoints added to their caches for
 	// requests of the sender.
 	CacheFills []placement.CacheFill `json:"r,omitempty"`
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -73,13 +73,13 @@
 }
 
 // Compose returns the encoded reports that the peer has not received, or nil if there are
-// none, and the position to pass to Delivered once they have arrived. Reports that this
-// instance learned from others are included if relay is set or the peer has just started.
-func (l *List) Compose(peer string, relay bool) (data json.RawMessage, position int) {
+// none, and a function to call once they have arrived. Reports that this instance learned from
+// others are included if relay is set or the peer has just started.
+func (l *List) Compose(peer string, relay bool) (data json.RawMessage, delivered func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	d := l.outbox.delivery(peer)
-	position = max(d.delivered, l.outbox.removed)
+	position := max(d.delivered, l.outbox.removed)
 	now := time.Now()
 	var unsent []wireReport
 	for _, r := range l.outbox.reports[position-l.outbox.removed:] {
@@ -91,14 +91,25 @@
 			unsent = append(unsent, r.encode(now))
 		}
 	}
+	delivered = func() { l.recordDelivery(d, position) }
 	if len(unsent) == 0 {
-		return nil, position
+		return nil, delivered
 	}
 	data, err := json.Marshal(unsent)
 	if err != nil {
 		panic(err) // strings, numbers and durations can be encoded
 	}
-	return data, position
+	return data, delivered
+}
+
+// recordDelivery records that a peer has received the reports up to a position.
+func (l *List) recordDelivery(d *delivery, position int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d.delivered = max(d.delivered, position)
+	if d.delivered >= l.outbox.removed+len(l.outbox.reports) {
+		d.behind = false
+	}
 }
 
 func (r report) encode(now time.Time) wireReport {
@@ -112,23 +123,12 @@
 	}
 }
 
-// Delivered records that a peer has received the reports up to a position.
-func (l *List) Delivered(peer string, position int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	d := l.outbox.delivery(peer)
-	d.delivered = max(d.delivered, position)
-	if d.delivered >= l.outbox.removed+len(l.outbox.reports) {
-		d.behind = false
-	}
-}
-
 // Restarted records that a peer has restarted and lost its state: the next messages to it
 // carry everything that this instance knows.
 func (l *List) Restarted(peer string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	*l.outbox.delivery(peer) = delivery{behind: true}
+	delete(l.outbox.peers, peer)
 }
 
 // Receive adds the crashes and answers that a peer reports. It returns an error if they
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -164,14 +164,14 @@
 }
 
 func (p *play) deliver(from, to string, relay, lost bool) {
-	data, position := p.instances[from].Compose(to, relay)
+	data, delivered := p.instances[from].Compose(to, relay)
 	if lost {
 		return
 	}
 	if data != nil {
 		require.NoError(p.t, p.instances[to].Receive(data))
 	}
-	p.instances[from].Delivered(to, position)
+	delivered()
 }
 
 // A message that cannot be decoded, or whose fields make no sense, must not end the process.
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -185,7 +185,7 @@
 	list *quarantine.List
 
 	mu        sync.Mutex
-	positions map[string]int // by peer: position of the reports in the message being sent
+	delivered map[string]func() // by peer: to call once the message being sent has arrived
 }
 
 func (*quarantinePart) key() string { return "s" }
@@ -193,17 +193,18 @@
 func (q *quarantinePart) compose(peer string) json.RawMessage {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	data, position := q.list.Compose(peer, false)
-	q.positions[peer] = position
+	var data json.RawMessage
+	data, q.delivered[peer] = q.list.Compose(peer, false)
 	return data
 }
 
 func (q *quarantinePart) sent(peer string, ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if ok {
-		q.list.Delivered(peer, q.positions[peer])
+	if delivered := q.delivered[peer]; ok && delivered != nil {
+		delivered()
 	}
+	delete(q.delivered, peer)
 }
 
 func (q *quarantinePart) receive(_ member.Member, data json.RawMessage) error {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -154,7 +154,7 @@
 		Address: r.address, RecordResult: r.recordResult, Crashed: r.isCrashed, Claims: r.claims, Trail: r.trail,
 		Ready: r.serviceReady, Quarantine: r.quarantine, Budget: &budget.Budget{Slack: retryBudgetSlack}, Metrics: r.metrics,
 	}
-	r.parts = []messagePart{configPart{r, &deliveryTracker{}}, endpointsPart{r, &deliveryTracker{}}, &quarantinePart{list: r.quarantine, positions: map[string]int{}}, drainPart{r}}
+	r.parts = []messagePart{configPart{r, &deliveryTracker{}}, endpointsPart{r, &deliveryTracker{}}, &quarantinePart{list: r.quarantine, delivered: map[string]func(){}}, drainPart{r}}
 }
 
 func (r *Router) buildScheduler() {
@@ -172,6 +172,7 @@
 	switch {
 	case c.Restarted:
 		cause = "restarted: new incarnation"
+		r.quarantine.Restarted(c.Member.Name)
 	case c.To == member.StateGone:
 		cause = "silent for 2 s"
 	case c.From == member.StateGone:
