internal/quarantine, internal/entry: bound the work of a crash, metrics

Found by reading, not by a failure: rules were derived again for each suspect in a message and each answer; with 64 crashes of 32 suspects that takes 1.0 ms each (BenchmarkCrash). Now once a message and once before they are used. An outage of more endpoints than are remembered made an instance forget the crashes behind its rules (script evict, failed without the change). Metrics greengagestep_endpoint_crashes_total and greengagestep_quarantine_rules; the line that releases a rule says why.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -176,6 +176,7 @@
 			Instances: func() int { return 1 + i.peers.Peers(time.Now()) },
 		},
 	}
+	crashQuarantine.OnCrash = func(string) { i.handler.Metrics.Count("endpoint_crashes_total") }
 	i.operators = &watch.Follower[watch.VersionedConfiguration]{
 		Name: "operators", Feed: i.Operators, Wait: operatorsWait, MaxRecent: configurationsKept, Timeout: feedTimeout, MaxAge: i.maxAge(operatorsMaxAge, operatorsWait),
 		OnBatch: i.applyConfigurations, OnUnreachable: i.logUnreachable("operators"), OnReachable: i.logReachable("operators"),
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -18,6 +18,7 @@
 		"log_lines_dropped":     float64(i.Log.DroppedLines()),
 		"caller_connections":    float64(i.idleConns.openCount()),
 		"platform_calls_away":   0,
+		"quarantine_rules":      float64(i.peers.Crashes.Size()),
 	}
 	for name, f := range map[string]watch.Relay{"operators": i.operators, "endpoints": i.endpoints} {
 		values[gauge.Name("feed_age_milliseconds", "feed", name)] = float64(f.Position(now).Age)
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -27,6 +27,8 @@
 	endpoint string
 	at       time.Time // when the first connection broke
 	suspects []fleet.Suspect
+	// explained is set while a rule explains the crash.
+	explained bool
 }
 
 // evidence holds the crashes that are remembered. It reads no clock.
@@ -79,12 +81,18 @@
 	}
 	slices.SortStableFunc(e.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
 	if len(e.crashes) > maxCrashes {
-		e.crashes = slices.Delete(e.crashes, 0, len(e.crashes)-maxCrashes)
-		e.forgetAnswers()
+		e.evict()
 	}
 	return true, first
 }
 
+// evict removes the oldest crash, rather one that no rule explains.
+func (e *evidence) evict() {
+	oldest := max(slices.IndexFunc(e.crashes, func(c *crash) bool { return !c.explained }), 0)
+	e.crashes = slices.Delete(e.crashes, oldest, oldest+1)
+	e.forgetAnswers()
+}
+
 // suspicion orders suspects. Endpoints crash when they begin to respond, and process requests
 // in the order of arrival.
 var suspicion = map[fleet.Progress]int{fleet.ProgressBegun: 2, fleet.ProgressWaiting: 1, fleet.ProgressRunning: 0}
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -153,8 +153,9 @@
 		l.addSuspect(fleet.Suspect{
 			Endpoint: r.Endpoint, Request: r.Request, Signatures: r.Signatures, Progress: r.Progress,
 			Sent: now.Add(-r.Sent), Broken: at,
-		}, false)
+		}, false, now)
 	}
+	l.review(now)
 	return nil
 }
 
@@ -171,6 +172,6 @@
 	}
 	if len(cleared) > 0 {
 		l.outbox.add(report{answered: cleared, at: at})
-		l.review(time.Now())
+		l.changed = true
 	}
 }
--- a/internal/quarantine/explain.go
+++ b/internal/quarantine/explain.go
@@ -20,7 +20,8 @@
 type rule struct {
 	signatures []uint64  // sorted, at least one
 	crashes    int       // that it explains
-	since      time.Time // of the first of these crashes
+	first      time.Time // of these crashes
+	last       time.Time // of these crashes
 	endpoint   string    // that crashed last
 	request    string    // ID of a request that it had
 }
@@ -52,7 +53,8 @@
 		r := newRule(*signature, open)
 		rules = append(rules, r)
 		open = slices.DeleteFunc(open, func(c openCrash) bool {
-			return slices.ContainsFunc(c.suspects, func(s fleet.Suspect) bool { return r.matches(s.Signatures) })
+			c.crash.explained = slices.ContainsFunc(c.suspects, func(s fleet.Suspect) bool { return r.matches(s.Signatures) })
+			return c.crash.explained
 		})
 	}
 }
@@ -63,6 +65,7 @@
 func (e *evidence) openCrashes() []openCrash {
 	var crashes []openCrash
 	for _, c := range e.crashes {
+		c.explained = false
 		begun := slices.ContainsFunc(c.suspects, func(s fleet.Suspect) bool { return s.Progress == fleet.ProgressBegun })
 		open := openCrash{crash: c}
 		for _, s := range c.suspects {
@@ -163,11 +166,11 @@
 			}
 			if r.signatures == nil {
 				r.signatures = slices.Clone(s.Signatures)
-				r.since = c.crash.at
+				r.first = c.crash.at
 			}
 			r.signatures = slices.DeleteFunc(r.signatures, func(other uint64) bool { return !slices.Contains(s.Signatures, other) })
 			explained = true
-			r.endpoint, r.request = c.crash.endpoint, s.Request
+			r.last, r.endpoint, r.request = c.crash.at, c.crash.endpoint, s.Request
 		}
 		if explained {
 			r.crashes++
@@ -177,3 +180,14 @@
 	r.signatures = slices.Compact(r.signatures)
 	return r
 }
+
+// releaseCause returns why a rule is no longer in force.
+func (e *evidence) releaseCause(r rule, now time.Time) string {
+	switch {
+	case slices.ContainsFunc(r.signatures, func(s uint64) bool { return !e.answers[s].Before(r.last) }):
+		return "a request with one of the signatures was answered"
+	case now.Sub(r.first) > crashRetention:
+		return "the crashes are too old"
+	}
+	return "other signatures explain the crashes better"
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -41,6 +41,7 @@
 	evidence evidence
 	answered *simplelru.LRU[uint64, time.Time] // by signature: time of the last answer
 	rules    []rule
+	changed  bool      // the evidence has changed since the rules were derived
 	reviewAt time.Time // when the first of the crashes behind the rules expires; zero without rules
 	watchers map[*watcher]bool
 	outbox   outbox
@@ -65,9 +66,7 @@
 func (l *List) Contains(signatures []uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now := time.Now(); !l.reviewAt.IsZero() && now.After(l.reviewAt) {
-		l.review(now)
-	}
+	l.review(time.Now())
 	return slices.ContainsFunc(l.rules, func(r rule) bool { return r.matches(signatures) })
 }
 
@@ -75,6 +74,7 @@
 func (l *List) Size() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.review(time.Now())
 	return len(l.rules)
 }
 
@@ -105,7 +105,7 @@
 	}
 	if len(cleared) > 0 {
 		l.outbox.add(report{answered: cleared, at: now, own: true})
-		l.review(now)
+		l.changed = true
 	}
 }
 
@@ -114,7 +114,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s.Signatures = mostSpecific(s.Signatures)
-	l.addSuspect(s, true)
+	now := time.Now()
+	l.addSuspect(s, true, now)
+	l.review(now)
 }
 
 // mostSpecific returns the last signatures, as many as are kept.
@@ -124,8 +126,7 @@
 
 // addSuspect adds a request that an endpoint had when it crashed. own is set if this instance
 // sent the request.
-func (l *List) addSuspect(s fleet.Suspect, own bool) {
-	now := time.Now()
+func (l *List) addSuspect(s fleet.Suspect, own bool, now time.Time) {
 	added, first := l.evidence.add(s, l.lastAnswer, now)
 	if !added {
 		return
@@ -134,7 +135,7 @@
 	if first && l.OnCrash != nil {
 		l.OnCrash(s.Endpoint)
 	}
-	l.review(now)
+	l.changed = true
 }
 
 // lastAnswer returns when a request with a signature was last answered, zero for never.
@@ -143,24 +144,30 @@
 	return at
 }
 
-// review derives the rules from the crashes that are remembered, and logs what changed.
+// review derives the rules from the crashes that are remembered if these have changed, and
+// logs what changed.
 func (l *List) review(now time.Time) {
+	expired := !l.reviewAt.IsZero() && now.After(l.reviewAt)
+	if !l.changed && !expired {
+		return
+	}
+	l.changed = false
 	l.evidence.expire(now)
 	before := l.rules
 	l.rules = l.evidence.explain()
 	l.reviewAt = time.Time{}
 	for _, r := range l.rules {
-		if end := r.since.Add(crashRetention); l.reviewAt.IsZero() || end.Before(l.reviewAt) {
+		if end := r.first.Add(crashRetention); l.reviewAt.IsZero() || end.Before(l.reviewAt) {
 			l.reviewAt = end
 		}
 		if !slices.ContainsFunc(before, r.equal) {
-			l.log(r, "quarantined", fmt.Sprintf("%d endpoints crashed with such requests and none was answered since, last on %s", r.crashes, r.endpoint))
+			l.log(r, "quarantined", fmt.Sprintf("%d endpoints crashed with such requests and none was answered since, last %s", r.crashes, r.endpoint))
 			l.notify(r)
 		}
 	}
 	for _, r := range before {
 		if !slices.ContainsFunc(l.rules, r.equal) {
-			l.log(r, "released", "answered, expired or explained otherwise")
+			l.log(r, "released", l.evidence.releaseCause(r, now))
 		}
 	}
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/greengagestep/greengagestep/internal/audit"
 	"github.com/greengagestep/greengagestep/internal/quarantine"
+	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
 // play runs the commands of a script, one a line:
@@ -24,6 +25,7 @@
 //	begin R, events R N, finish R    the response of R begins, N more events arrive, it is whole
 //	crash E                          endpoint E crashes with the requests that it has
 //	crash E A...                     the same, noticed at these instances only
+//	outage A N SIGNATURE...          N endpoints with a request of A each crash at the same time
 //	exchange                         all instances send each other what they have to say
 //	exchange A B                     only A to B; exchange A B lost: the message is lost
 //	relay A B                        A sends B what it learned from others as well
@@ -105,6 +107,10 @@
 		r.end()
 	case "crash":
 		p.crash(args[0], args[1:])
+	case "outage":
+		n, err := strconv.Atoi(args[1])
+		require.NoError(t, err, line)
+		p.outage(args[0], n, signatures(args[2:]))
 	case "exchange":
 		p.exchange(args)
 	case "relay":
@@ -149,6 +155,16 @@
 	}
 }
 
+func (p *play) outage(instance string, n int, s []uint64) {
+	for k := range n {
+		p.send(instance, "outage"+strconv.Itoa(k), "down"+strconv.Itoa(k), append(s[:len(s):len(s)], xxhash.Sum64String("own")+uint64(k)))
+	}
+	time.Sleep(10 * time.Millisecond)
+	for k := range n {
+		p.crash("down"+strconv.Itoa(k), nil)
+	}
+}
+
 func (p *play) exchange(args []string) {
 	if len(args) > 0 {
 		p.deliver(args[0], args[1], false, len(args) > 2)
@@ -186,3 +202,26 @@
 		l.Compose("a", true)
 	})
 }
+
+// The cost of one more crash for an instance that remembers as many crashes as it can, each
+// with as many suspects as it keeps.
+func BenchmarkCrash(b *testing.B) {
+	l := quarantine.New(&audit.Trail{})
+	now := time.Now()
+	crash := func(endpoint, request int) {
+		s := []uint64{uint64(request % 3), uint64(10 + request%100), uint64(1000 + endpoint*100 + request)}
+		l.Crashed(fleet.Suspect{
+			Endpoint: strconv.Itoa(endpoint), Request: strconv.Itoa(request), Signatures: s, Progress: fleet.ProgressWaiting,
+			Sent: now.Add(-time.Second), Broken: now,
+		})
+	}
+	for endpoint := range 64 {
+		for request := range 32 {
+			crash(endpoint, request)
+		}
+	}
+	b.ResetTimer()
+	for n := range b.N {
+		crash(1000+n, n)
+	}
+}
