--- a/internal/peer/ring_test.go
+++ b/internal/peer/ring_test.go
@@ -1,9 +1,12 @@
 package peer_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"net/http"
 	"net/http/httptest"
@@ -14,8 +17,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/greengagestep/greengagestep/internal/audit"
 	"github.com/greengagestep/greengagestep/internal/peer"
 	"github.com/greengagestep/greengagestep/internal/placement"
+	"github.com/greengagestep/greengagestep/internal/quarantine"
 	"github.com/greengagestep/greengagestep/internal/watch"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
@@ -26,9 +31,11 @@
 	handlers map[string]http.Handler
 	messages map[string]int // by the address of the sender
 	bytes    map[string]int
-	members  []*peer.Exchange
-	feeds    []*watch.Follower[string]
-	stops    []context.CancelFunc
+	// crashBytes is the size of all reports of crashes, in messages and responses.
+	crashBytes int
+	members    []*peer.Exchange
+	feeds      []*watch.Follower[string]
+	stops      []context.CancelFunc
 }
 
 // memberTransport delivers the messages of one member.
@@ -48,11 +55,37 @@
 	if h == nil {
 		return nil, errors.New("unreachable")
 	}
+	sent, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	r.Body = io.NopCloser(bytes.NewReader(sent))
 	w := httptest.NewRecorder()
 	h.ServeHTTP(w, r)
+	f.countCrashBytes(sent)
+	f.countCrashBytes(w.Body.Bytes())
 	return w.Result(), nil
 }
 
+func (f *fleetInMemory) countCrashBytes(message []byte) {
+	var m struct {
+		Crashes json.RawMessage `json:"s"`
+	}
+	if json.Unmarshal(message, &m) != nil {
+		// Snapshots are no messages.
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashBytes += len(m.Crashes)
+}
+
+func (f *fleetInMemory) crashBytesPerMember() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return float64(f.crashBytes) / float64(len(f.members))
+}
+
 // silentFeed is a feed that cannot be read.
 type silentFeed struct{}
 
@@ -91,6 +124,7 @@
 		x := newExchange("key")
 		x.Self = peer.Member{Name: fmt.Sprintf("front-%d", i), Domain: fmt.Sprint(i % 5), Address: fmt.Sprintf("10.0.%d.%d:80", i/200, 1+i%200), Start: 1}
 		x.Transport = memberTransport{f, x.Self.Address}
+		x.Crashes = quarantine.New(&audit.Trail{})
 		feed := &watch.Follower[string]{Name: "endpoints", Feed: silentFeed{}, OnBatch: func(watch.Batch[string]) {}, MaxAge: func() time.Duration { return time.Hour }}
 		if i == 0 {
 			feed.Feed, feed.MaxAge = countingFeed{start}, func() time.Duration { return 200 * time.Millisecond }
@@ -179,6 +213,47 @@
 	require.LessOrEqual(t, sizes[large], 1.1*growth*sizes[small])
 }
 
+// Two instances of many each had one endpoint crash with a request of the same kind. All others
+// must refuse such requests before the users' bound, though most exchange no messages with either
+// of the two, and what each of them sends for that grows no faster than the logarithm of their
+// number. One that restarts must learn it again.
+func TestCrashesReachLargeFleet(t *testing.T) {
+	const stableBound = 3 * time.Second
+	const small, large = 34, 100
+	sizes := map[int]float64{}
+	for _, n := range []int{small, large} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleetInMemory(t, n)
+			time.Sleep(8 * time.Second)
+			for i := range 2 {
+				f.members[3+i].Crashes.Crashed(fleet.Suspect{
+					Endpoint: fmt.Sprint("m", i), Request: fmt.Sprint("r", i), Signatures: []uint64{1, uint64(10 + i)},
+					Progress: fleet.ProgressBegun, Sent: time.Now().Add(-100 * time.Millisecond), Broken: time.Now(),
+				})
+				time.Sleep(200 * time.Millisecond)
+			}
+			time.Sleep(stableBound)
+			sizes[n] = f.crashBytesPerMember()
+			for _, x := range f.members {
+				require.True(t, x.Crashes.Contains([]uint64{1, 99}), x.Self.Name)
+				require.False(t, x.Crashes.Contains([]uint64{10, 99}), x.Self.Name)
+			}
+			restarted := f.members[n-1]
+			restarted.Crashes = quarantine.New(&audit.Trail{})
+			restarted.Self.Start++
+			time.Sleep(stableBound)
+			require.True(t, restarted.Crashes.Contains([]uint64{1, 99}))
+			for _, stop := range f.stops {
+				stop()
+			}
+			time.Sleep(time.Second)
+		})
+	}
+	growth := math.Log2(large) / math.Log2(small)
+	require.Positive(t, sizes[small])
+	require.LessOrEqual(t, sizes[large], 1.1*growth*sizes[small])
+}
+
 // In a large fleet an endpoint's home alone counts the requests that were granted: they must not
 // count for longer than they wait, though their senders report seldom.
 func TestGrantedTokensDrain(t *testing.T) {
