internal/quarantine: requests that waited stay suspects beside those that had begun

Found by a further case of TestPromptPartThatCrashesEndpointsIsQuarantined, endpoints that crash before they send anything ("chunked without a head", failed before): sound requests on the same subject were always beside the one at fault, had begun to be answered, and thus ruled it out as the cause; the subject they share was quarantined instead of the part, and sound requests on it were refused.

Now all suspects count.

--- a/internal/gateway/deadly_part_test.go
+++ b/internal/gateway/deadly_part_test.go
@@ -29,6 +29,7 @@
 const (
 	framingChunked       framing = "chunked"
 	framingUnframed      framing = "unframed"                 // streams end with their connections
+	framingNoHead        framing = "chunked without a head"   // nothing is sent before the crash
 	framingUnframedEvent framing = "unframed after one event" // the same; one event is sent before the crash
 )
 
@@ -56,7 +57,9 @@
 		if !f.sleep(id, 80*time.Millisecond) {
 			return false
 		}
-		f.begin(w, r)
+		if !bad || f.framing != framingNoHead {
+			f.begin(w, r)
+		}
 		if bad {
 			if f.framing == framingUnframedEvent {
 				f.event(w, 1)
@@ -71,15 +74,19 @@
 				return false
 			}
 		}
-		if f.framing == framingChunked {
+		if f.chunked() {
 			_ = writeChunk(w, "")
 		}
-		return f.framing == framingChunked
+		return f.chunked()
 	})
 }
 
+func (f *crashingFleet) chunked() bool {
+	return f.framing == framingChunked || f.framing == framingNoHead
+}
+
 func (f *crashingFleet) begin(w io.Writer, r *http.Request) {
-	if f.framing == framingChunked {
+	if f.chunked() {
 		startStream(w, r)
 		return
 	}
@@ -88,7 +95,7 @@
 
 func (f *crashingFleet) event(w io.Writer, n int) {
 	event := fmt.Sprintf("id: %d\ndata: b\n\n", n)
-	if f.framing == framingChunked {
+	if f.chunked() {
 		_ = writeChunk(w, event)
 		return
 	}
@@ -123,7 +130,7 @@
 // crash one after the other until none is left, and requests that share the other parts must
 // be served.
 func TestPromptPartThatCrashesEndpointsIsQuarantined(t *testing.T) {
-	for _, framing := range []framing{framingChunked, framingUnframed, framingUnframedEvent} {
+	for _, framing := range []framing{framingChunked, framingNoHead, framingUnframed, framingUnframedEvent} {
 		t.Run(string(framing), func(t *testing.T) { testDeadlyPart(t, framing) })
 	}
 }
--- a/internal/quarantine/explain.go
+++ b/internal/quarantine/explain.go
@@ -46,11 +46,11 @@
 	open := e.openCrashes()
 	var rules []rule
 	for {
-		signature := e.likeliest(open)
-		if signature == nil {
+		candidates := e.candidates(open)
+		if len(candidates) == 0 {
 			return rules
 		}
-		r := newRule(*signature, open)
+		r := likeliest(candidates, open)
 		rules = append(rules, r)
 		open = slices.DeleteFunc(open, func(c openCrash) bool {
 			c.crash.explained = slices.ContainsFunc(c.suspects, func(s fleet.Suspect) bool { return r.matches(s.Signatures) })
@@ -59,17 +59,14 @@
 	}
 }
 
-// openCrashes returns the crashes with the suspects that count. An endpoint crashes when it
-// begins to respond: if there are requests to which it had begun to respond, the others did
-// not cause the crash.
+// openCrashes returns the crashes with their suspects.
 func (e *evidence) openCrashes() []openCrash {
 	var crashes []openCrash
 	for _, c := range e.crashes {
 		c.explained = false
-		begun := slices.ContainsFunc(c.suspects, func(s fleet.Suspect) bool { return s.Progress == fleet.ProgressBegun })
 		open := openCrash{crash: c}
 		for _, s := range c.suspects {
-			if begun && s.Progress != fleet.ProgressBegun || s.Sent.After(c.at) {
+			if s.Sent.After(c.at) {
 				continue
 			}
 			s.Signatures = slices.DeleteFunc(slices.Clone(s.Signatures), func(signature uint64) bool {
@@ -86,71 +83,98 @@
 	return crashes
 }
 
-// likeliest returns the signature that explains the most crashes, nil if none explains
-// enough. Of several it is the one whose requests are the most suspect, and rather one with
-// which no request was ever answered.
-func (e *evidence) likeliest(crashes []openCrash) *uint64 {
-	type candidate struct {
-		signature uint64
-		crashes   int
-		suspicion int
-		lastCrash time.Time
-	}
+// candidate is a signature that may be the cause of crashes.
+type candidate struct {
+	signature uint64
+	crashes   int       // that it explains
+	suspicion int       // sum over these crashes
+	lastCrash time.Time // of these crashes
+	answered  bool      // requests with it were answered before
+}
+
+// candidates returns the signatures that explain the most crashes, none if no signature
+// explains enough.
+func (e *evidence) candidates(crashes []openCrash) []*candidate {
 	candidates := map[uint64]*candidate{}
 	for _, c := range crashes {
-		for signature, last := range lastSuspects(c) {
+		for signature, s := range worstSuspects(c) {
 			k := candidates[signature]
 			if k == nil {
-				k = &candidate{signature: signature}
+				k = &candidate{signature: signature, answered: !e.answers[signature].IsZero()}
 				candidates[signature] = k
 			}
 			// Requests that were in progress at the same time count once: an outage of
 			// several endpoints at once says little about what they all had.
-			if k.crashes == 0 || !last.Sent.Before(k.lastCrash) {
+			if k.crashes == 0 || !s.Sent.Before(k.lastCrash) {
 				k.crashes++
-				k.suspicion += suspicion[last.Progress]
+				k.suspicion += suspicion[s.Progress]
 				k.lastCrash = c.crash.at
 			}
 		}
 	}
-	var best *candidate
+	var most []*candidate
 	for _, k := range candidates {
-		if k.crashes < e.crashesNeeded(k.signature) {
+		if k.crashes < k.crashesNeeded() || len(most) > 0 && k.crashes < most[0].crashes {
 			continue
 		}
-		if best == nil || cmp.Or(
-			cmp.Compare(k.crashes, best.crashes),
-			cmp.Compare(k.suspicion, best.suspicion),
-			cmp.Compare(e.crashesNeeded(best.signature), e.crashesNeeded(k.signature)),
-			cmp.Compare(best.signature, k.signature),
-		) > 0 {
-			best = k
+		if len(most) > 0 && k.crashes > most[0].crashes {
+			most = most[:0]
 		}
+		most = append(most, k)
 	}
-	if best == nil {
-		return nil
+	return most
+}
+
+// crashesNeeded returns how many crashes the candidate must explain.
+func (k *candidate) crashesNeeded() int {
+	if k.answered {
+		return crashesDespiteAnswers
 	}
-	return &best.signature
+	return crashesToQuarantine
 }
 
-// lastSuspects returns, by signature, the suspect with it that was sent last.
-func lastSuspects(c openCrash) map[uint64]fleet.Suspect {
-	last := map[uint64]fleet.Suspect{}
+// worstSuspects returns, for each signature, the suspect with it that was sent last, with the
+// progress of the most suspect one.
+func worstSuspects(c openCrash) map[uint64]fleet.Suspect {
+	worst := map[uint64]fleet.Suspect{}
 	for _, s := range c.suspects {
 		for _, signature := range s.Signatures {
-			if s.Sent.After(last[signature].Sent) {
-				last[signature] = s
+			w, known := worst[signature]
+			if !known {
+				worst[signature] = s
+				continue
+			}
+			if suspicion[s.Progress] > suspicion[w.Progress] {
+				w.Progress = s.Progress
 			}
+			if s.Sent.After(w.Sent) {
+				w.Sent = s.Sent
+			}
+			worst[signature] = w
 		}
 	}
-	return last
+	return worst
 }
 
-func (e *evidence) crashesNeeded(signature uint64) int {
-	if e.answers[signature].IsZero() {
-		return crashesToQuarantine
+// likeliest returns the rule for one of the candidates, which explain equally many crashes: the
+// one whose requests are the most suspect, and rather one with which no request was ever
+// answered. If that rule covers the one for another candidate, which quarantines fewer
+// requests, it is the latter.
+func likeliest(candidates []*candidate, crashes []openCrash) rule {
+	slices.SortFunc(candidates, func(a, b *candidate) int {
+		return cmp.Or(
+			cmp.Compare(b.suspicion, a.suspicion),
+			cmp.Compare(a.crashesNeeded(), b.crashesNeeded()),
+			cmp.Compare(a.signature, b.signature),
+		)
+	})
+	best := newRule(candidates[0].signature, crashes)
+	for _, k := range candidates[1:] {
+		if r := newRule(k.signature, crashes); len(r.signatures) > len(best.signatures) && best.matches(r.signatures) {
+			best = r
+		}
 	}
-	return crashesDespiteAnswers
+	return best
 }
 
 // newRule returns the rule for the crashes that a signature explains. It has all signatures
