--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -37,7 +37,7 @@
 	if !ok {
 		return &endpoint.Failure{Endpoint: slot.Endpoint, Reason: fleet.ReasonUnreachable, Cause: errors.New("it left the instance list")}
 	}
-	c.tried = quarantine.Attempt{
+	c.lastAttempt = quarantine.Attempt{
 		Quarantine: c.h.Quarantine, Endpoint: slot.Endpoint, Request: c.id, Signatures: c.signatures, Sent: time.Now(),
 	}
 	req := c.newRequest(ctx, address)
@@ -50,12 +50,12 @@
 		return c.recordFailure(ctx, failure)
 	}
 	defer resp.Body.Close()
-	c.tried.Begun = true
+	c.lastAttempt.Begun = true
 	if failure := c.forwardResponse(resp, slot); failure != nil {
 		return c.recordFailure(ctx, failure)
 	}
 	c.h.RecordResult(slot.Endpoint, true)
-	c.tried.Complete()
+	c.lastAttempt.Complete()
 	c.finish()
 	return nil
 }
@@ -73,7 +73,7 @@
 	c.h.RecordResult(f.Endpoint, false)
 	if f.Reached && f.Reason == fleet.ReasonEndpointFailed && c.h.Quarantine != nil && c.h.Crashed(ctx, f.Endpoint) {
 		c.suspect = true
-		c.h.Quarantine.Crashed(c.tried.Suspect(broken))
+		c.h.Quarantine.Crashed(c.lastAttempt.Suspect(broken))
 	}
 	return f
 }
@@ -125,7 +125,7 @@
 			tokens := 0
 			data, tokens = s.process(data)
 			c.eventsSent += tokens
-			c.tried.AddEvents(tokens)
+			c.lastAttempt.AddEvents(tokens)
 			slot.Charge(float64(tokens))
 		}
 		if len(data) > 0 {
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -100,9 +100,9 @@
 	// that the endpoint may have executed it.
 	reached bool
 	// eventsSent counts the server-sent events that were sent to the caller.
-	eventsSent int
-	tried      quarantine.Attempt // the last attempt
-	recorder   *recorder
+	eventsSent  int
+	lastAttempt quarantine.Attempt
+	recorder    *recorder
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -128,7 +128,7 @@
 func (c *call) logFailedAttempt(o outcome) {
 	c.h.Metrics.Count(gauge.Name("attempts_failed_total", "outcome", string(o.kind), "reason", string(o.reason)))
 	c.h.Logger.Info(event.Attempt, append(c.logFields(), zap.String("outcome", string(o.kind)),
-		zap.String("reason", string(o.reason)), zap.Bool("begun", c.tried.Begun), zap.Int("events", c.tried.Events()), zap.Error(o.cause))...)
+		zap.String("reason", string(o.reason)), zap.Bool("begun", c.lastAttempt.Begun), zap.Int("events", c.lastAttempt.Events()), zap.Error(o.cause))...)
 }
 
 // logFields returns the log fields that hold the inputs of the routing, admission and
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -40,7 +40,7 @@
 // request becomes quarantined meanwhile.
 func (c *call) attempt(ctx context.Context) outcome {
 	c.crashProbe = nil
-	c.tried = quarantine.Attempt{
+	c.lastAttempt = quarantine.Attempt{
 		Quarantine: c.h.Quarantine, Endpoint: c.choice.Endpoint.ID, Request: c.attrs.ID, Signatures: c.signatures, Sent: time.Now(),
 	}
 	if c.h.Quarantine != nil {
@@ -74,7 +74,7 @@
 		return outcome{kind: outcomeNotRun, reason: fleet.ReasonQueueFull, cause: fmt.Errorf("status %d", answer.StatusCode)}
 	}
 	c.runs++
-	c.tried.Begun = true
+	c.lastAttempt.Begun = true
 	o := c.relay(answer, run)
 	run.End(placementResult(ctx, o), time.Now())
 	if o.kind == outcomeUnknown && ctx.Err() == nil {
@@ -247,8 +247,8 @@
 // recordFirst counts complete events and records the time of the first one, or of the response of a
 // service without streams.
 func (c *call) recordFirst(run *placement.Run) {
-	c.tried.AddEvents(1)
-	if c.stopWatch != nil && c.tried.Running() {
+	c.lastAttempt.AddEvents(1)
+	if c.stopWatch != nil && c.lastAttempt.Running() {
 		c.stopWatch()
 	}
 	now := time.Now()
@@ -261,8 +261,8 @@
 // finish records a response that was relayed to its end. One that ends with its connection
 // may have been ended by a crash.
 func (c *call) finish(a *upstream.Answer) outcome {
-	if a.Framed || c.tried.Running() {
-		c.tried.Complete()
+	if a.Framed || c.lastAttempt.Running() {
+		c.lastAttempt.Complete()
 	} else {
 		c.probeForCrash()
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -39,7 +39,7 @@
 	h, endpoint := c.h, c.choice.Endpoint
 	var suspect fleet.Suspect
 	if h.Quarantine != nil {
-		suspect = c.tried.Suspect(time.Now())
+		suspect = c.lastAttempt.Suspect(time.Now())
 	}
 	done := make(chan struct{})
 	c.crashProbe = done
@@ -66,7 +66,7 @@
 	if c.h.Quarantine == nil {
 		return false
 	}
-	if c.crashProbe != nil && !c.tried.Running() {
+	if c.crashProbe != nil && !c.lastAttempt.Running() {
 		select {
 		case <-c.crashProbe:
 		case <-time.After(crashProbeWait):
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,13 +96,13 @@
 	refusedBy   []string                // endpoints whose home instance refused a reservation
 	grant       fleet.ReservationResult // result of the last reservation; empty if none was requested
 	choice      placement.Choice
-	timeToFirst time.Duration      // from arrival to the first event or the response; zero until then
-	longestGap  time.Duration      // longest time between two relayed parts of a stream
-	tried       quarantine.Attempt // the last attempt
-	stopWatch   func()             // ends the watch of the quarantine in the last attempt; nil without a quarantine
-	crashProbe  chan struct{}      // closed when the endpoint of the last attempt was probed for a crash; nil if it is not
-	headersSent bool               // response headers were written to the caller
-	lastEventID string             // ID of the last event written to the caller; empty if none
+	timeToFirst time.Duration // from arrival to the first event or the response; zero until then
+	longestGap  time.Duration // longest time between two relayed parts of a stream
+	lastAttempt quarantine.Attempt
+	stopWatch   func()        // ends the watch of the quarantine in the last attempt; nil without a quarantine
+	crashProbe  chan struct{} // closed when the endpoint of the last attempt was probed for a crash; nil if it is not
+	headersSent bool          // response headers were written to the caller
+	lastEventID string        // ID of the last event written to the caller; empty if none
 }
 
 // ServeHTTP implements http.Handler.
