--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -28,6 +28,7 @@
 //	outage A N SIGNATURE...          N endpoints with a request of A each crash at the same time
 //	exchange                         all instances send each other what they have to say
 //	exchange A B                     only A to B; exchange A B lost: the message is lost
+//	silent A B                       A has nothing to send to B
 //	relay A B                        A sends B what it learned from others as well
 //	restart A                        instance A loses its state
 //	sleep D
@@ -113,6 +114,9 @@
 		p.outage(args[0], n, signatures(args[2:]))
 	case "exchange":
 		p.exchange(args)
+	case "silent":
+		data, _ := p.instances[args[0]].Compose(args[1], false)
+		require.Nil(t, data, line)
 	case "relay":
 		p.deliver(args[0], args[1], true, false)
 	case "sleep":
