--- a/pkg/fleet/request.go
+++ b/pkg/fleet/request.go
@@ -97,6 +97,12 @@
 	// IdleTimeout is how long the endpoint keeps an idle connection open; zero
 	// means unknown.
 	IdleTimeout time.Duration
+	// Leaving is set when the endpoint says that it leaves: it wants no further
+	// requests, and ends once those that it runs have ended.
+	Leaving bool
+	// QuietFor is how long the endpoint wants no requests from this instance, from
+	// the arrival of the response on; zero means that it did not ask for that.
+	QuietFor time.Duration
 }
 
 // HeaderCodec converts between HTTP headers and the attributes of requests and
