placement, gateway: an endpoint that says that it leaves gets no further request

An endpoint that leaves says so in its answers. The instance that read such an answer went on sending requests there until the record in the platform's store said draining, and while the store was away for as long as that lasted.

What the record, the endpoint's answers and failed connections say was spread over the record, the fault state and the moment of choice. It is now merged in one type, placement.availability, with one order of precedence on its fields, and endpointState.unavailability decides for first attempts, retries, resumptions, grants and probes. Balancer.Begin asks it again, and the pool asks once more when a connection is ready (upstream.Request.Permit), so that a request that waited for a grant or a connection is placed anew; it costs no retry budget, since nothing was sent. An answer counts from the arrival of its head (Request.OnHead), also if it is informational, belongs to another request or breaks off. Connections to a leaving endpoint are closed.

The endpoint's own word sticks to its incarnation: to ID, start, service and address.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -213,7 +213,8 @@
 func (i *Instance) endpointChanged(c placement.Change) {
 	i.logger.Info(event.Endpoint, zap.String("endpoint", c.Endpoint), zap.String("service", c.Service),
 		zap.String("address", c.Address), zap.String("to", string(c.To)), zap.String("cause", c.Cause))
-	if c.To == placement.ConditionGone || c.To == placement.ConditionRestarted {
+	switch c.To {
+	case placement.ConditionGone, placement.ConditionRestarted, placement.ConditionLeaving:
 		i.pool.CloseIdle(c.Address)
 	}
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -22,6 +22,9 @@
 const (
 	// outcomeDone means that the response was relayed to the caller.
 	outcomeDone outcomeKind = "done"
+	// outcomeUnavailable means that the request was not sent because the endpoint became
+	// unavailable after it was chosen.
+	outcomeUnavailable outcomeKind = "unavailable"
 	// outcomeUnsent means that no byte of the request was sent to the endpoint.
 	outcomeUnsent outcomeKind = "unsent"
 	// outcomeNotRun means that the endpoint reports that it did not run the request.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -60,12 +60,28 @@
 
 // exchange sends the request to the chosen endpoint and relays the response.
 func (c *call) exchange(ctx context.Context) outcome {
-	run := c.h.Balancer.Begin(c.choice, c.placementRequest(), time.Now())
-	answer, err := c.h.Pool.Send(ctx, c.choice.Endpoint.Address, c.endpointRequest(), c.attrs.ID)
+	run, unavailable := c.h.Balancer.Begin(c.choice, c.placementRequest(), time.Now())
+	if unavailable != "" {
+		return outcome{kind: outcomeUnavailable, reason: fleet.ReasonNoEndpoint, cause: unavailableError(unavailable)}
+	}
+	c.run = run
+	request := c.endpointRequest()
+	request.OnHead = func(a fleet.ResponseAttrs) { run.RecordHead(a, time.Now()) }
+	request.Permit = func() error {
+		// A connection that is ready shows that the endpoint is not down.
+		if reason := run.Unavailability(); reason != "" && reason != placement.UnavailableDown {
+			return unavailableError(reason)
+		}
+		return nil
+	}
+	answer, err := c.h.Pool.Send(ctx, c.choice.Endpoint.Address, request, c.attrs.ID)
 	if err != nil {
 		return c.sendFailed(ctx, run, err)
 	}
-	defer answer.Close()
+	defer func() {
+		answer.CloseConn = answer.CloseConn || run.Unavailability().Leaving()
+		answer.Close()
+	}()
 	c.sends++
 	c.h.Balancer.RecordLoad(c.choice.Endpoint.ID, answer.Attrs, time.Now())
 	if answer.Attrs.NotRun {
@@ -83,6 +99,13 @@
 	return o
 }
 
+// unavailableError is the error of an attempt whose endpoint became unavailable after it was
+// chosen.
+type unavailableError placement.Unavailability
+
+// Error implements error.
+func (e unavailableError) Error() string { return "endpoint became unavailable: " + string(e) }
+
 // discardTimeout is how long the body of a refusal may take to arrive, so that its connection
 // can be used again.
 const discardTimeout = 20 * time.Millisecond
@@ -124,7 +147,10 @@
 		c.probeForCrash()
 	}
 	r := placement.ResultUnreachable
+	var unavailable unavailableError
 	switch {
+	case errors.As(err, &unavailable):
+		o.kind, r = outcomeUnavailable, placement.ResultRefused
 	case ctx.Err() != nil:
 		r = placement.ResultCanceled
 	case f.Reached:
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -34,9 +34,9 @@
 
 // probeForCrash checks in the background whether the endpoint whose connection broke has
 // crashed, since a broken connection alone does not prove it. A failed probe is reported
-// to the balancer and to the quarantine.
+// to the balancer and to the quarantine. An endpoint that wants no requests is not probed.
 func (c *call) probeForCrash() {
-	h, endpoint := c.h, c.choice.Endpoint
+	h, run, endpoint := c.h, c.run, c.choice.Endpoint
 	var suspect fleet.Suspect
 	if h.Quarantine != nil {
 		suspect = c.lastAttempt.Suspect(time.Now())
@@ -50,7 +50,7 @@
 		time.Sleep(crashProbeDelay)
 		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 		defer cancel()
-		if h.Pool.Probe(ctx, endpoint.Address) == nil {
+		if !run.MayProbe() || h.Pool.Probe(ctx, endpoint.Address) == nil {
 			return
 		}
 		h.Balancer.RecordProbe(endpoint.ID, false, time.Now())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,8 +96,9 @@
 	refusedBy   []string                // endpoints whose home instance refused a reservation
 	grant       fleet.ReservationResult // result of the last reservation; empty if none was requested
 	choice      placement.Choice
-	timeToFirst time.Duration // from arrival to the first event or the response; zero until then
-	longestGap  time.Duration // longest time between two relayed parts of a stream
+	run         *placement.Run // of the last attempt that was begun
+	timeToFirst time.Duration  // from arrival to the first event or the response; zero until then
+	longestGap  time.Duration  // longest time between two relayed parts of a stream
 	lastAttempt quarantine.Attempt
 	stopWatch   func()        // ends the watch of the quarantine in the last attempt; nil without a quarantine
 	crashProbe  chan struct{} // closed when the endpoint of the last attempt was probed for a crash; nil if it is not
@@ -165,6 +166,10 @@
 			return
 		}
 		c.logFailedAttempt(o)
+		if o.kind == outcomeUnavailable {
+			// The endpoint is not chosen again.
+			continue
+		}
 		c.avoid = append(c.avoid, c.choice.Endpoint.ID)
 		if ctx.Err() != nil {
 			c.endExpired()
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -54,7 +54,11 @@
 }
 
 func (plainHeaderCodec) DecodeResponse(_ int, h http.Header) fleet.ResponseAttrs {
-	return fleet.ResponseAttrs{ID: h.Get("Request-Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != ""}
+	quiet, _ := strconv.Atoi(h.Get("Quiet-Millis"))
+	return fleet.ResponseAttrs{
+		ID: h.Get("Request-Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "",
+		Leaving: h.Get("Leaving") != "", QuietFor: time.Duration(quiet) * time.Millisecond,
+	}
 }
 
 // endpointFunc simulates an endpoint: it gets each request, its body and the connection
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -38,6 +38,7 @@
 	mu            sync.Mutex
 	services      map[string][]*endpointState
 	byID          map[string]*endpointState
+	former        formerEndpoints
 	latencyModels map[string]*latencyModel
 	fills         []CacheFill // the newest fills by requests of this instance, oldest first
 	fillCount     int64       // number of all fills by requests of this instance
@@ -117,8 +118,8 @@
 // endpointState is what this instance knows of one endpoint.
 type endpointState struct {
 	Endpoint
+	availability
 	hash      uint64
-	removed   bool
 	local     Work                  // of requests sent by this instance
 	remote    map[string]remoteWork // of requests sent by other instances, by their address
 	remoteSum workSum               // of all in remote
@@ -171,15 +172,15 @@
 		s = nil
 	}
 	if s == nil {
-		s = &endpointState{Endpoint: e, hash: xxhash.Sum64String(e.ID), remote: map[string]remoteWork{}, cache: newPromptCache(), slowdown: 1}
+		s = &endpointState{Endpoint: e, availability: b.former.recall(e.incarnation(), time.Now()), hash: xxhash.Sum64String(e.ID), remote: map[string]remoteWork{}, cache: newPromptCache(), slowdown: 1}
 		b.byID[e.ID] = s
 		b.services[e.Service] = append(b.services[e.Service], s)
 		b.notifyChange(s, ConditionListed, "its directory record")
 	}
-	if e.Leaving && !s.Leaving {
+	if e.Leaving && !s.leavingByRecord {
 		b.notifyChange(s, ConditionLeaving, "its directory record")
 	}
-	s.Endpoint = e
+	s.Endpoint, s.leavingByRecord = e, e.Leaving
 }
 
 // Remove removes an endpoint. An unknown ID is ignored.
@@ -192,6 +193,7 @@
 }
 
 func (b *Balancer) remove(s *endpointState, to Condition, cause string) {
+	b.former.remember(s.incarnation(), s.outlasting(), time.Now())
 	s.removed = true
 	delete(b.byID, s.ID)
 	b.services[s.Service] = slices.DeleteFunc(b.services[s.Service], func(o *endpointState) bool { return o == s })
@@ -299,9 +301,9 @@
 			c.Runs += runs
 			c.Slots += float64(s.Slots)
 			switch {
-			case s.Leaving:
+			case s.unavailability().Leaving():
 				c.Leaving++
-			case s.fault.down:
+			case s.down:
 				c.Down++
 			case s.stalled(now):
 				c.Stalled++
--- a/internal/placement/choose_bench_test.go
+++ b/internal/placement/choose_bench_test.go
@@ -34,7 +34,7 @@
 		r.Shared = []fleet.PromptPart{{ID: uint64(i % 3), Tokens: 512}, {ID: uint64(100 + i%160), Tokens: 4870}}
 		r.AffinityKey = r.Shared[1].ID
 		c, _ := balancer.Choose(r, now)
-		run := balancer.Begin(c, r, now)
+		run, _ := balancer.Begin(c, r, now)
 		run.RecordFirst(now)
 		run.End(placement.ResultAnswered, now)
 	}
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -33,7 +33,7 @@
 func send(t *testing.T, b *placement.Balancer, r placement.Request, now time.Time) (placement.Choice, *placement.Run) {
 	c, ok := b.Choose(r, now)
 	require.True(t, ok)
-	run := b.Begin(c, r, now)
+	run, _ := b.Begin(c, r, now)
 	run.RecordFirst(now.Add(50 * time.Millisecond))
 	return c, run
 }
@@ -139,7 +139,7 @@
 		at = at.Add(10 * time.Millisecond)
 		c, ok := b.Choose(placement.Request{Service: "model", Tokens: 500, Stream: true}, at)
 		require.True(t, ok)
-		run := b.Begin(c, placement.Request{Service: "model", Tokens: 500, Stream: true}, at)
+		run, _ := b.Begin(c, placement.Request{Service: "model", Tokens: 500, Stream: true}, at)
 		run.RecordFirst(at)
 		used[c.Endpoint.ID]++
 		if c.Endpoint.ID == "i-0" && i%2 == 0 {
@@ -156,7 +156,8 @@
 func TestUnreachableEndpointIsProbed(t *testing.T) {
 	b := newBalancer(1)
 	c, _ := b.Choose(newRequest(1), start)
-	b.Begin(c, newRequest(1), start).End(placement.ResultUnreachable, start)
+	run, _ := b.Begin(c, newRequest(1), start)
+	run.End(placement.ResultUnreachable, start)
 	_, ok := b.Choose(newRequest(1), start.Add(time.Minute))
 	require.False(t, ok)
 	require.Empty(t, b.Probes(start))
@@ -182,7 +183,7 @@
 	b := newBalancer(2)
 	for range 100 {
 		c, _ := b.Choose(newRequest(1), start)
-		run := b.Begin(c, newRequest(1), start)
+		run, _ := b.Begin(c, newRequest(1), start)
 		run.RecordFirst(start.Add(4 * time.Second))
 		run.End(placement.ResultAnswered, start.Add(4*time.Second))
 	}
@@ -204,7 +205,7 @@
 	call := placement.Request{Service: "model", TargetLatency: 100 * time.Millisecond}
 	for range 100 {
 		c, _ := b.Choose(call, start)
-		run := b.Begin(c, call, start)
+		run, _ := b.Begin(c, call, start)
 		run.RecordFirst(start.Add(900 * time.Millisecond))
 		run.End(placement.ResultAnswered, start.Add(900*time.Millisecond))
 	}
--- a/internal/placement/fault.go
+++ b/internal/placement/fault.go
@@ -26,11 +26,8 @@
 
 // fault tracks the recent failures of an endpoint.
 type fault struct {
-	failureRate     float64 // fraction of the requests that failed, smoothed
-	updatedAt       time.Time
-	connectFailures int       // failures to connect in a row
-	retryAt         time.Time // when a connection may be tried again
-	down            bool
+	failureRate float64 // fraction of the requests that failed, smoothed
+	updatedAt   time.Time
 }
 
 const (
@@ -64,8 +61,6 @@
 	f.updatedAt = now
 }
 
-func (s *endpointState) usable() bool { return !s.removed && !s.Leaving && !s.fault.down }
-
 const (
 	// stallTimeout is how long an endpoint that runs requests may send nothing
 	// until others are preferred: events come several times a second.
@@ -87,10 +82,10 @@
 	defer b.mu.Unlock()
 	var due []Endpoint
 	for _, s := range b.byID {
-		if s.fault.down && !s.Leaving && !now.Before(s.fault.retryAt) {
+		if s.down && s.mayProbe() && !now.Before(s.retryAt) {
 			// If this probe gives no result, the next one follows after
 			// maxBackoff.
-			s.fault.retryAt = now.Add(maxBackoff)
+			s.retryAt = now.Add(maxBackoff)
 			due = append(due, s.Endpoint)
 		}
 	}
@@ -106,8 +101,8 @@
 	switch {
 	case s == nil:
 	case ok:
-		s.fault.connectFailures = 0
-		s.fault.down = false
+		s.connectFailures = 0
+		s.down = false
 		b.notifyChange(s, ConditionUp, "probe connected")
 	default:
 		b.recordResult(s, ResultUnreachable, now)
@@ -121,19 +116,19 @@
 	switch result {
 	case ResultAnswered:
 		f.failureRate -= failureGain * f.failureRate
-		f.connectFailures = 0
-		if f.down {
-			f.down = false
+		s.connectFailures = 0
+		if s.down {
+			s.down = false
 			b.notifyChange(s, ConditionUp, "request was answered")
 		}
 	case ResultFailed:
 		f.failureRate += failureGain * (1 - f.failureRate)
 	case ResultUnreachable:
 		f.failureRate += failureGain * (1 - f.failureRate)
-		f.connectFailures++
-		f.retryAt = now.Add(min(minBackoff<<min(f.connectFailures-1, 8), maxBackoff))
-		if !f.down {
-			f.down = true
+		s.connectFailures++
+		s.retryAt = now.Add(min(minBackoff<<min(s.connectFailures-1, 8), maxBackoff))
+		if !s.down {
+			s.down = true
 			b.notifyChange(s, ConditionDown, "connection failed")
 		}
 	case ResultRefused, ResultCanceled:
--- a/internal/placement/host_test.go
+++ b/internal/placement/host_test.go
@@ -48,7 +48,7 @@
 	now := start
 	for range 60 {
 		reportHost(b, "i-0", 2.5, now)
-		run := b.Begin(choose(t, b, r, now), r, now)
+		run, _ := b.Begin(choose(t, b, r, now), r, now)
 		now = now.Add(time.Duration(2.5 * float64(before)))
 		reportHost(b, "i-0", 2.5, now)
 		run.RecordFirst(now)
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
 // Run is a request at an endpoint. RecordFirst and End are called from one goroutine.
@@ -20,11 +22,16 @@
 	hostSlowdown float64
 }
 
-// Begin records that a request is sent to the endpoint of a choice.
-func (b *Balancer) Begin(c Choice, r Request, now time.Time) *Run {
+// Begin records that a request is sent to the endpoint of a choice. If the endpoint has become
+// unavailable since it was chosen, Begin returns no run but the reason, and the request must not
+// be sent there.
+func (b *Balancer) Begin(c Choice, r Request, now time.Time) (*Run, Unavailability) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := c.state
+	if reason := s.unavailability(); reason != "" {
+		return nil, reason
+	}
 	_, ahead := b.totalWork(s, now)
 	run := &Run{balancer: b, state: s, tokens: c.Tokens, sentAt: now, tokensAhead: ahead, unary: !r.Stream, expectedMS: ms(c.Expected) / s.currentSlowdown(now), hostSlowdown: s.currentHostSlowdown(now)}
 	if s.local.Runs == 0 {
@@ -39,7 +46,34 @@
 		}
 		s.cache.markUsed(ids, now)
 	}
-	return run
+	return run, ""
+}
+
+// Unavailability returns why no new request may be sent to the endpoint of the run now. It is
+// safe for concurrent use.
+func (r *Run) Unavailability() Unavailability {
+	r.balancer.mu.Lock()
+	defer r.balancer.mu.Unlock()
+	return r.state.unavailability()
+}
+
+// MayProbe reports whether a connection to the endpoint of the run may be tried now without a
+// request. It is safe for concurrent use.
+func (r *Run) MayProbe() bool {
+	r.balancer.mu.Lock()
+	defer r.balancer.mu.Unlock()
+	return r.state.mayProbe()
+}
+
+// RecordHead records what the endpoint says of itself in the head of any answer on the connection
+// of the run. It has to be called as soon as the head has arrived. It is safe for concurrent use.
+func (r *Run) RecordHead(a fleet.ResponseAttrs, now time.Time) {
+	if !a.Leaving {
+		return
+	}
+	r.balancer.mu.Lock()
+	defer r.balancer.mu.Unlock()
+	r.balancer.recordLeaving(r.state, now)
 }
 
 // RecordData records that the endpoint has sent data. It is safe for concurrent use.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -77,6 +77,12 @@
 	// HeaderTimeout bounds the wait for the header of the response; zero means
 	// that only the context does.
 	HeaderTimeout time.Duration
+	// Permit is called when a connection is ready, right before the request is sent; if it
+	// returns an error, the request is not sent. Nil means that it always is.
+	Permit func() error
+	// OnHead is called with each head of a response as soon as it has arrived, also for
+	// informational responses and responses to other requests. Nil means no callback.
+	OnHead func(fleet.ResponseAttrs)
 }
 
 // Pool sends requests to endpoints and keeps idle connections to them for reuse.
@@ -128,6 +134,9 @@
 	// a transfer encoding or status 204; otherwise the body ends when the
 	// connection closes.
 	Framed bool
+	// CloseConn is set to close the connection after the exchange even if it could be
+	// reused, as for an endpoint that leaves.
+	CloseConn bool
 
 	pool          *Pool
 	conn          *conn
@@ -154,6 +163,12 @@
 		p.put(c)
 		return nil, &Failure{Reason: fleet.ReasonCancelled, Cause: context.Cause(ctx)}
 	}
+	if r.Permit != nil {
+		if err := r.Permit(); err != nil {
+			_ = c.netConn.Close()
+			return nil, &Failure{Reason: fleet.ReasonNoEndpoint, Cause: err}
+		}
+	}
 	a := &Answer{pool: p, conn: c}
 	a.stopAfterFunc = context.AfterFunc(ctx, func() { _ = c.netConn.Close() })
 	if r.HeaderTimeout > 0 {
@@ -224,11 +239,15 @@
 		if err != nil {
 			return err
 		}
+		attrs := a.pool.HeaderCodec.DecodeResponse(resp.StatusCode, resp.Header)
+		if r.OnHead != nil {
+			r.OnHead(attrs)
+		}
+		a.CloseConn = a.CloseConn || attrs.Leaving
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		a.Response = resp
-		a.Attrs = a.pool.HeaderCodec.DecodeResponse(resp.StatusCode, resp.Header)
+		a.Response, a.Attrs = resp, attrs
 		a.Framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.StatusCode == http.StatusNoContent
 		if a.Attrs.ID == id {
 			return nil
@@ -274,7 +293,7 @@
 func (a *Answer) Close() {
 	a.once.Do(func() {
 		active := a.stopAfterFunc()
-		if active && a.bodyRead && a.Framed && !a.Response.Close && a.requestSent() && a.conn.reader.Buffered() == 0 {
+		if active && a.bodyRead && a.Framed && !a.CloseConn && !a.Response.Close && a.requestSent() && a.conn.reader.Buffered() == 0 {
 			a.conn.markReusable(a.Attrs.IdleTimeout)
 			a.pool.put(a.conn)
 			return
