peer: instances tell each other which endpoints leave

Only the instance that read the answer in which an endpoint says that it leaves kept away from it. The others went on until they read such an answer or the record.

Messages now carry such departures as a list of changes: the instance that read the answer tells each peer once, at most 32 in a message, and in a large fleet neighbors relay what they learn, as they do with crashes. They count as received once their message has arrived, and a peer that restarted gets them again. Instances without the field ignore it. A departure names the incarnation (ID, start, service, address): it applies to no other start of the endpoint, and also to a record that the receiver reads later.

--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -96,6 +96,8 @@
 	lost           bool
 	lastAnnounced  time.Time        // when its address was last given to addPeer
 	cacheFillsSent int64            // number of the last cache fill reported to it
+	departuresNext int              // position after the departures that it has received
+	hasDepartures  bool             // it has received all departures once since its start
 	positions      map[string]int64 // first offset of each feed that it has not read, by name
 	reserveAfter   time.Time        // earliest time of the next reservation request to it
 	lastErr        error            // of the last message sent to it
@@ -142,6 +144,7 @@
 	if m.Name != "" && (p.Name == "" || m.Start > p.Start) {
 		// State exchanged with an earlier start at this address is obsolete.
 		p.Member, p.sequence, p.cacheFillsSent, p.ringHash = m, 0, 0, hashID(m.Name)
+		p.departuresNext, p.hasDepartures = 0, false
 		clear(p.positions)
 		if x.Crashes != nil {
 			x.Crashes.Restarted(p.Address)
@@ -233,13 +236,13 @@
 	full = full || x.sparse && (to == nil || !to.neighbor)
 	m.Work, m.Partial = x.composeWork(to, full, now)
 	if to != nil {
+		m.receiverStart = to.Start
 		m.CacheFills, to.cacheFillsSent = x.Balancer.CacheFillsSince(to.cacheFillsSent)
 		if excess := len(m.CacheFills) - maxBackgroundFills; x.sparse && !to.neighbor && excess > 0 {
 			m.CacheFills = m.CacheFills[excess:]
 		}
-		if x.Crashes != nil && (!x.sparse || to.neighbor) {
-			// In a large fleet neighbors relay what they learn.
-			m.Crashes, m.crashesDelivered = x.Crashes.Compose(to.Address, x.sparse)
+		if !x.sparse || to.neighbor {
+			x.composeReports(to, &m, now)
 		}
 	}
 	var members []Member
@@ -253,6 +256,31 @@
 	return m
 }
 
+// composeReports adds to a message what the receiver lacks of the crashes and the departures of
+// endpoints. In a large fleet neighbors relay what they learn; else only an instance that has
+// just started gets reports that this one learned from others. The caller holds the lock.
+func (x *Exchange) composeReports(to *peer, m *wireMessage, now time.Time) {
+	if x.Crashes != nil {
+		m.Crashes, m.crashesDelivered = x.Crashes.Compose(to.Address, x.sparse)
+	}
+	m.Departures, m.departuresNext, m.moreDepartures = x.Balancer.DeparturesSince(to.departuresNext, x.sparse || !to.hasDepartures, now)
+}
+
+// recordDelivery records that a peer has received a message. One that has restarted meanwhile
+// has not received its reports.
+func (x *Exchange) recordDelivery(p *peer, m wireMessage) {
+	if m.crashesDelivered != nil {
+		m.crashesDelivered()
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if p.Start != m.receiverStart || m.departuresNext < p.departuresNext {
+		return
+	}
+	p.departuresNext = m.departuresNext
+	p.hasDepartures = p.hasDepartures || !m.moreDepartures
+}
+
 // liveMembers returns the live peers, and a digest of them and of this instance that does not
 // depend on their order. The caller holds the lock.
 func (x *Exchange) liveMembers(now time.Time) (members []Member, digest uint64) {
@@ -282,9 +310,7 @@
 	if err != nil {
 		return
 	}
-	if m.crashesDelivered != nil {
-		m.crashesDelivered()
-	}
+	x.recordDelivery(p, m)
 	x.receive(reply, time.Now())
 }
 
@@ -299,10 +325,11 @@
 	now := time.Now()
 	x.receive(m, now)
 	x.mu.Lock()
-	reply := x.compose(x.peers[m.From.Address], m.Usage != nil, now)
+	p := x.peers[m.From.Address]
+	reply := x.compose(p, m.Usage != nil, now)
 	x.mu.Unlock()
-	if x.writeSigned(w, signature, reply) && reply.crashesDelivered != nil {
-		reply.crashesDelivered()
+	if x.writeSigned(w, signature, reply) && p != nil {
+		x.recordDelivery(p, reply)
 	}
 }
 
@@ -326,6 +353,7 @@
 	x.mu.Unlock()
 	x.Balancer.SetInstanceWork(m.From.Address, x.unpackWork(m.Work, now), !m.Partial, now)
 	x.Balancer.MergeCacheFills(m.CacheFills, now)
+	x.Balancer.MergeDepartures(m.Departures, now)
 	if m.Usage != nil {
 		x.Ledger.SetRemoteUsage(m.From.Address, m.Usage, now)
 	}
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -24,6 +24,7 @@
 	f.Add(`{"f":{"a":"10.0.0.2:80"},"e":{"endpoints":{"n":5,"f":3,"r":[{"k":"i-1","v":"x"}]}},"c":[{"p":"f","e":"i-1"}],"r":[{"e":"i-1","c":[1,2]}]}`)
 	f.Add(`{"f":"10.0.0.9:1","e":"i-1","t":-1,"l":-9223372036854775808}`)
 	f.Add(`{"u":{"a":{"a":-1e308,"s":1e308}},"f":{"n":"p","a":"b"},"e":{"endpoints":null,"operators":{"n":-1,"w":true}}}`)
+	f.Add(`{"f":{"n":"p","a":"10.0.0.2:80","i":1},"q":1,"l":[{"e":"i-1","s":"m","a":"e","t":5},{"e":"i-1","b":-9,"t":-9223372036854775808},{"t":9e18},{}]}`)
 	f.Add(`null`)
 	f.Fuzz(func(t *testing.T, body string) {
 		x := newExchange("key")
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -33,6 +33,8 @@
 // wireMessage is the state that one instance sends to another.
 type wireMessage struct {
 	From Member `json:"f"`
+	// receiverStart is the start of the receiver for which the message was composed.
+	receiverStart int64
 	// Sequence grows with each message of one start.
 	Sequence int64 `json:"q"`
 	// Feeds holds the records that the receiver lacks of each feed.
@@ -49,6 +51,12 @@
 	// CacheFills lists the shared prompt parts that endpoints added to their caches for
 	// requests of the sender.
 	CacheFills []placement.CacheFill `json:"r,omitempty"`
+	// Departures lists endpoints that said in answers that they leave.
+	Departures []placement.Departure `json:"l,omitempty"`
+	// departuresNext is the position in the sender's list of departures after those in the
+	// message; moreDepartures is set if that is not the end of the list.
+	departuresNext int
+	moreDepartures bool
 	// Usage is the usage by customer at the sender; only full messages carry it.
 	Usage map[string]admission.Usage `json:"u,omitempty"`
 	// Members lists the live peers of the sender; only full messages to a receiver that
--- a/internal/peer/ring_test.go
+++ b/internal/peer/ring_test.go
@@ -33,9 +33,14 @@
 	bytes    map[string]int
 	// crashBytes is the size of all reports of crashes, in messages and responses.
 	crashBytes int
-	members    []*peer.Exchange
-	feeds      []*watch.Follower[string]
-	stops      []context.CancelFunc
+	// departures counts the departures in all messages and responses; departureBytes is
+	// their size.
+	departures, departureBytes int
+	// lose is how many of the next messages and responses are lost.
+	lose    int
+	members []*peer.Exchange
+	feeds   []*watch.Follower[string]
+	stops   []context.CancelFunc
 }
 
 // memberTransport delivers the messages of one member.
@@ -52,7 +57,7 @@
 	f.bytes[m.from] += int(r.ContentLength)
 	f.mu.Unlock()
 	time.Sleep(time.Millisecond)
-	if h == nil {
+	if h == nil || f.loses() {
 		return nil, errors.New("unreachable")
 	}
 	sent, err := io.ReadAll(r.Body)
@@ -69,7 +74,8 @@
 
 func (f *fleetInMemory) countCrashBytes(message []byte) {
 	var m struct {
-		Crashes json.RawMessage `json:"s"`
+		Crashes    json.RawMessage   `json:"s"`
+		Departures []json.RawMessage `json:"l"`
 	}
 	if json.Unmarshal(message, &m) != nil {
 		// Snapshots are no messages.
@@ -78,6 +84,18 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.crashBytes += len(m.Crashes)
+	f.departures += len(m.Departures)
+	for _, d := range m.Departures {
+		f.departureBytes += len(d)
+	}
+}
+
+// loses reports whether a message is lost.
+func (f *fleetInMemory) loses() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lose--
+	return f.lose >= 0
 }
 
 func (f *fleetInMemory) crashBytesPerMember() float64 {
--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -74,6 +74,11 @@
 // mayProbe reports whether a connection to the endpoint may be tried now without a request.
 func (s *endpointState) mayProbe() bool { return !s.unavailability().Leaving() }
 
+// saidToLeave reports whether the endpoint itself has said that it leaves.
+func (a availability) saidToLeave() bool {
+	return !a.leavingByAnswer.IsZero() || !a.leavingByPeer.IsZero()
+}
+
 // outlasting returns the part of what is known that outlives the record of the endpoint.
 func (a availability) outlasting() availability {
 	return availability{leavingByAnswer: a.leavingByAnswer, leavingByPeer: a.leavingByPeer}
@@ -143,20 +148,3 @@
 	}
 	return e.availability
 }
-
-// recordLeaving records that an endpoint has said in an answer to this instance that it leaves.
-// If its record has come back since the request was sent, the listed endpoint leaves, too.
-func (b *Balancer) recordLeaving(s *endpointState, now time.Time) {
-	if listed := b.byID[s.ID]; listed != nil && listed.incarnation() == s.incarnation() {
-		s = listed
-	}
-	if !s.leavingByAnswer.IsZero() {
-		return
-	}
-	s.leavingByAnswer = now
-	if s.removed {
-		b.former.remember(s.incarnation(), s.outlasting(), time.Now())
-		return
-	}
-	b.notifyChange(s, ConditionLeaving, "its answer")
-}
--- a/internal/placement/availability_test.go
+++ b/internal/placement/availability_test.go
@@ -191,3 +191,71 @@
 		begin(t, b)
 	})
 }
+
+// departures returns what an instance tells another one that has just started.
+func departures(b *placement.Balancer) []placement.Departure {
+	list, _, _ := b.DeparturesSince(0, true, time.Now())
+	return list
+}
+
+// Other instances stop sending to an endpoint that told one of them that it leaves, whether they
+// have read its record or not, but not to its next start.
+func TestDeparturesConcernTheirIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one, two, three := &placement.Balancer{}, &placement.Balancer{}, &placement.Balancer{}
+		one.Put(incarnation(1))
+		two.Put(incarnation(1))
+		three.Put(incarnation(2))
+		begin(t, one).RecordHead(fleet.ResponseAttrs{Leaving: true}, time.Now())
+		time.Sleep(time.Second)
+		learned := departures(one)
+		require.Len(t, learned, 1)
+		require.Equal(t, time.Second, learned[0].Age)
+		for range 2 {
+			two.MergeDepartures(learned, time.Now())
+			three.MergeDepartures(learned, time.Now())
+		}
+		requireUnavailable(t, two)
+		begin(t, three)
+		two.Put(incarnation(2))
+		begin(t, two)
+		three.Put(incarnation(1))
+		requireUnavailable(t, three)
+		require.Len(t, departures(two), 1)
+		require.Len(t, departures(three), 1)
+		own, _, _ := two.DeparturesSince(0, false, time.Now())
+		require.Empty(t, own)
+	})
+}
+
+// Departures are bounded in number, in a message and in time.
+func TestDeparturesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const all = 3000
+		b := &placement.Balancer{}
+		for i := range all {
+			e := incarnation(1)
+			e.ID = fmt.Sprint("many-", i)
+			b.Put(e)
+			begin(t, b).RecordHead(fleet.ResponseAttrs{Leaving: true}, time.Now())
+		}
+		sent, position, more := 0, 0, true
+		for more {
+			var list []placement.Departure
+			list, position, more = b.DeparturesSince(position, false, time.Now())
+			require.LessOrEqual(t, len(list), 32)
+			sent += len(list)
+		}
+		require.Equal(t, all, position)
+		require.LessOrEqual(t, sent, 1024)
+		require.GreaterOrEqual(t, sent, 768)
+		time.Sleep(time.Hour)
+		require.Empty(t, departures(b))
+		for _, age := range []time.Duration{-1, time.Hour, 1 << 62} {
+			d := placement.Departure{Incarnation: placement.Incarnation{ID: "many-0", Born: 2, Service: "model", Address: "e0"}, Age: age}
+			b.MergeDepartures([]placement.Departure{d}, time.Now())
+		}
+		b.Put(placement.Endpoint{ID: "many-0", EndpointInfo: fleet.EndpointInfo{Service: "model", Address: "e0", Slots: 8, Born: 2}})
+		begin(t, b)
+	})
+}
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -39,6 +39,7 @@
 	services      map[string][]*endpointState
 	byID          map[string]*endpointState
 	former        formerEndpoints
+	departures    departureLog
 	latencyModels map[string]*latencyModel
 	fills         []CacheFill // the newest fills by requests of this instance, oldest first
 	fillCount     int64       // number of all fills by requests of this instance
