placement, gateway: endpoints that ask for quiet get no requests until its end

An endpoint that refuses a request with 503 may say for how long it wants no further ones. The gateway went on sending requests there, first attempts and retries alike, and told callers to return after a time that had nothing to do with it.

The end of that time is now part of placement.availability; the latest end that an answer named holds. It concerns this instance only: other instances are not told, the home of the endpoint goes on granting its slots to them, and it counts as no failure, also if the answer does not say that the request was not run. If no endpoint of a service takes requests and one asked for quiet, callers are refused at once, with a Retry-After between the time at which the first endpoint takes requests again and a second later. When the quiet time ends, the endpoint gets one request of this instance at a time at first, and all its slots a second later.

Changes of endpoints name the reason, the source, its age and the length of the quiet time, for the log and for a counter for each reason. The gauge of stalled endpoints is now called silent, and that of quiet ones quiet.

--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -62,6 +62,16 @@
 	return time.Duration(float64(longest) * (1 - retryJitter*jitter))
 }
 
+// returnSpread is the time over which callers return after endpoints take requests again.
+const returnSpread = time.Second
+
+// ReturnDelay returns the delay after which a rejected caller should retry if no endpoint takes
+// requests for the given time. Jitter is a random number from 0 to 1, which spreads the callers
+// over returnSpread.
+func ReturnDelay(unavailable time.Duration, jitter float64) time.Duration {
+	return max(unavailable, 0) + time.Duration(jitter*float64(returnSpread))
+}
+
 // Admit decides whether a request is sent to an endpoint now.
 func (l *Ledger) Admit(r Request, now time.Time) bool { return r.QueueWait <= l.MaxQueueWait(r, now) }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -212,7 +212,14 @@
 
 func (i *Instance) endpointChanged(c placement.Change) {
 	i.logger.Info(event.Endpoint, zap.String("endpoint", c.Endpoint), zap.String("service", c.Service),
-		zap.String("address", c.Address), zap.String("to", string(c.To)), zap.String("cause", c.Cause))
+		zap.String("address", c.Address), zap.String("to", string(c.To)), zap.String("cause", c.Cause),
+		zap.Duration("age", c.Age), zap.Duration("for", c.For))
+	if c.Reason != "" {
+		i.handler.Metrics.Count(gauge.Name("endpoint_unavailable_total", "reason", string(c.Reason)))
+		if c.Age > 0 {
+			i.handler.Metrics.Time(gauge.Name("endpoint_news_age_milliseconds", "reason", string(c.Reason)), c.Age)
+		}
+	}
 	switch c.To {
 	case placement.ConditionGone, placement.ConditionRestarted, placement.ConditionLeaving:
 		i.pool.CloseIdle(c.Address)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -30,7 +30,7 @@
 		values[gauge.Name("retry_budget_left", "service", service)] = left
 	}
 	for service, c := range i.balancer.Services(now) {
-		for state, n := range map[string]int{"listed": c.Listed, "leaving": c.Leaving, "down": c.Down, "quiet": c.Stalled} {
+		for state, n := range map[string]int{"listed": c.Listed, "leaving": c.Leaving, "quiet": c.Quiet, "down": c.Down, "silent": c.Stalled} {
 			values[gauge.Name("endpoints", "service", service, "state", state)] = float64(n)
 		}
 		values[gauge.Name("runs", "service", service)] = c.Runs
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -45,11 +46,22 @@
 // refuse responds with status 503 and a Retry-After header to a request that no
 // endpoint has run or will run.
 func (c *call) refuse(reason fleet.Reason) {
-	pause := admission.RetryDelay(c.timeLeft(), rand.Float64())
-	c.w.Header().Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 2, 64))
+	centiseconds := math.Ceil(c.retryDelay(reason).Seconds() * 100)
+	c.w.Header().Set("Retry-After", strconv.FormatFloat(centiseconds/100, 'f', 2, 64))
 	c.reject(http.StatusServiceUnavailable, string(reason))
 }
 
+// retryDelay returns the delay after which the caller of a refused request should retry.
+func (c *call) retryDelay(reason fleet.Reason) time.Duration {
+	if reason == fleet.ReasonNoEndpoint || reason == fleet.ReasonQueueFull {
+		now := time.Now()
+		if at, ok := c.h.Balancer.AvailableFrom(c.service, now); ok {
+			return admission.ReturnDelay(at.Sub(now), rand.Float64())
+		}
+	}
+	return admission.RetryDelay(c.timeLeft(), rand.Float64())
+}
+
 // reject responds with an error that the gateway itself generates: the reason as plain
 // text.
 func (c *call) reject(status int, reason string) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -68,18 +68,21 @@
 	request := c.endpointRequest()
 	request.OnHead = func(a fleet.ResponseAttrs) { run.RecordHead(a, time.Now()) }
 	request.Permit = func() error {
-		// A connection that is ready shows that the endpoint is not down.
-		if reason := run.Unavailability(); reason != "" && reason != placement.UnavailableDown {
+		switch reason := run.Unavailability(time.Now()); reason {
+		case "", placement.UnavailableDown, placement.UnavailableReturning:
+			// A connection that is ready shows that the endpoint is not down, and the
+			// request is among those that it gets.
+			return nil
+		default:
 			return unavailableError(reason)
 		}
-		return nil
 	}
 	answer, err := c.h.Pool.Send(ctx, c.choice.Endpoint.Address, request, c.attrs.ID)
 	if err != nil {
 		return c.sendFailed(ctx, run, err)
 	}
 	defer func() {
-		answer.CloseConn = answer.CloseConn || run.Unavailability().Leaving()
+		answer.CloseConn = answer.CloseConn || run.Unavailability(time.Now()).Leaving()
 		answer.Close()
 	}()
 	c.sends++
@@ -92,7 +95,11 @@
 	c.runs++
 	c.lastAttempt.Begun = true
 	o := c.relay(answer, run)
-	run.End(placementResult(ctx, o), time.Now())
+	result := placementResult(ctx, o)
+	if result == placement.ResultFailed && answer.Attrs.QuietFor > 0 {
+		result = placement.ResultRefused
+	}
+	run.End(result, time.Now())
 	if o.kind == outcomeUnknown && ctx.Err() == nil {
 		c.probeForCrash()
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -50,7 +50,7 @@
 		time.Sleep(crashProbeDelay)
 		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 		defer cancel()
-		if !run.MayProbe() || h.Pool.Probe(ctx, endpoint.Address) == nil {
+		if !run.MayProbe(time.Now()) || h.Pool.Probe(ctx, endpoint.Address) == nil {
 			return
 		}
 		h.Balancer.RecordProbe(endpoint.ID, false, time.Now())
--- a/internal/peer/departure_test.go
+++ b/internal/peer/departure_test.go
@@ -115,7 +115,7 @@
 			require.False(t, takesRequests(x.Balancer), x.Self.Name)
 		}
 		run.RecordHead(fleet.ResponseAttrs{Leaving: true}, time.Now())
-		require.Equal(t, placement.UnavailableLeavingByAnswer, run.Unavailability())
+		require.Equal(t, placement.UnavailableLeavingByAnswer, run.Unavailability(time.Now()))
 		time.Sleep(10 * time.Second)
 		n, _ := f.departuresSent()
 		require.Equal(t, instances-1, n)
--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -21,8 +22,14 @@
 	UnavailableLeavingByAnswer Unavailability = "leaving-by-answer"
 	UnavailableLeavingByPeer   Unavailability = "leaving-by-peer"
 	UnavailableLeavingByRecord Unavailability = "leaving-by-record"
+	// UnavailableQuiet means that the endpoint asked this instance for no requests for a
+	// while.
+	UnavailableQuiet Unavailability = "quiet"
 	// UnavailableDown means that no connection to the endpoint can be made.
 	UnavailableDown Unavailability = "down"
+	// UnavailableReturning means that such a while has just ended and that the endpoint has
+	// as many requests of this instance as it gets at that time.
+	UnavailableReturning Unavailability = "returning"
 )
 
 // Leaving reports whether the endpoint leaves, by whichever source.
@@ -44,6 +51,10 @@
 	leavingByPeer time.Time
 	// leavingByRecord is set while the newest record says that the endpoint leaves.
 	leavingByRecord bool
+	// quietUntil is the end of the time for which the endpoint wants no requests from this
+	// instance, by its answers: the latest end that one of them named. It outlives a record
+	// that lapses. Other instances are not concerned.
+	quietUntil time.Time
 	// down is set when a connection fails, by a request or a probe, until one is made.
 	down            bool
 	connectFailures int       // failures to connect in a row
@@ -52,7 +63,7 @@
 
 // unavailability returns why a new request may not be sent to the endpoint now. It decides for
 // the first attempt of a request, retries, resumptions, reservations and probes alike.
-func (s *endpointState) unavailability() Unavailability {
+func (s *endpointState) unavailability(now time.Time) Unavailability {
 	switch a := &s.availability; {
 	case a.removed:
 		return UnavailableRemoved
@@ -62,17 +73,47 @@
 		return UnavailableLeavingByPeer
 	case a.leavingByRecord:
 		return UnavailableLeavingByRecord
+	case now.Before(a.quietUntil):
+		return UnavailableQuiet
 	case a.down:
 		return UnavailableDown
+	case float64(s.local.Runs) >= s.returnLimit(now):
+		return UnavailableReturning
 	}
 	return ""
 }
 
+// returnTime is how long it takes an endpoint that wanted no requests to get as many as others
+// again.
+const returnTime = time.Second
+
+// returnLimit returns how many requests of this instance the endpoint gets at a time: one at first
+// when the time ends for which it wanted none, all its slots after returnTime, and then any number.
+func (s *endpointState) returnLimit(now time.Time) float64 {
+	elapsed := now.Sub(s.quietUntil)
+	if elapsed >= returnTime {
+		return math.Inf(1)
+	}
+	return max(1, elapsed.Seconds()/returnTime.Seconds()*float64(s.Slots))
+}
+
 // usable reports whether a new request may be sent to the endpoint now.
-func (s *endpointState) usable() bool { return s.unavailability() == "" }
+func (s *endpointState) usable(now time.Time) bool { return s.unavailability(now) == "" }
+
+// usableByOthers reports whether other instances may send new requests to the endpoint now.
+func (s *endpointState) usableByOthers(now time.Time) bool {
+	switch s.unavailability(now) {
+	case "", UnavailableQuiet, UnavailableReturning:
+		return !s.down
+	}
+	return false
+}
 
 // mayProbe reports whether a connection to the endpoint may be tried now without a request.
-func (s *endpointState) mayProbe() bool { return !s.unavailability().Leaving() }
+func (s *endpointState) mayProbe(now time.Time) bool {
+	reason := s.unavailability(now)
+	return !reason.Leaving() && reason != UnavailableQuiet
+}
 
 // saidToLeave reports whether the endpoint itself has said that it leaves.
 func (a availability) saidToLeave() bool {
@@ -81,7 +122,52 @@
 
 // outlasting returns the part of what is known that outlives the record of the endpoint.
 func (a availability) outlasting() availability {
-	return availability{leavingByAnswer: a.leavingByAnswer, leavingByPeer: a.leavingByPeer}
+	return availability{leavingByAnswer: a.leavingByAnswer, leavingByPeer: a.leavingByPeer, quietUntil: a.quietUntil}
+}
+
+// current returns the state of the same incarnation that is listed now, which differs from s if the
+// record lapsed and came back; it returns s if there is none.
+func (b *Balancer) current(s *endpointState) *endpointState {
+	if listed := b.byID[s.ID]; listed != nil && listed.incarnation() == s.incarnation() {
+		return listed
+	}
+	return s
+}
+
+// recordQuiet records that an endpoint wants no requests from this instance until a time. An
+// earlier end than one that it named before changes nothing.
+func (b *Balancer) recordQuiet(s *endpointState, until, now time.Time) {
+	s = b.current(s)
+	if !until.After(s.quietUntil) {
+		return
+	}
+	s.quietUntil = until
+	if s.removed {
+		b.former.remember(s.incarnation(), s.outlasting(), now)
+		return
+	}
+	if !s.quietReported && s.unavailability(now) == UnavailableQuiet {
+		s.quietReported = true
+		b.notifyChange(s, Change{To: ConditionQuiet, Reason: UnavailableQuiet, Cause: "its answer", For: until.Sub(now)})
+	}
+}
+
+// AvailableFrom returns when the first endpoint of a service takes requests again, if none takes
+// any now and at least one asked for a while without them. Otherwise it returns false.
+func (b *Balancer) AvailableFrom(service string, now time.Time) (at time.Time, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.services[service] {
+		switch s.unavailability(now) {
+		case "":
+			return time.Time{}, false
+		case UnavailableQuiet, UnavailableReturning:
+			if !ok || s.quietUntil.Before(at) {
+				at, ok = s.quietUntil, true
+			}
+		}
+	}
+	return at, ok
 }
 
 // Incarnation identifies one start of an endpoint.
--- a/internal/placement/availability_test.go
+++ b/internal/placement/availability_test.go
@@ -126,6 +126,9 @@
 			e.Leaving = true
 			b.Put(e)
 		},
+		placement.UnavailableQuiet: func(_ *placement.Balancer, run *placement.Run) {
+			run.RecordHead(fleet.ResponseAttrs{QuietFor: time.Second}, time.Now())
+		},
 		placement.UnavailableDown: func(b *placement.Balancer, _ *placement.Run) { b.RecordProbe("i-0", false, time.Now()) },
 	} {
 		t.Run(string(reason), func(t *testing.T) {
@@ -153,12 +156,12 @@
 		b.RecordProbe("i-0", false, time.Now())
 		time.Sleep(time.Minute)
 		require.Len(t, b.Probes(time.Now()), 1)
-		require.True(t, run.MayProbe())
+		require.True(t, run.MayProbe(time.Now()))
 		run.RecordHead(fleet.ResponseAttrs{Leaving: true}, time.Now())
 		time.Sleep(time.Minute)
 		require.Empty(t, b.Probes(time.Now()))
-		require.False(t, run.MayProbe())
-		require.Equal(t, placement.UnavailableLeavingByAnswer, run.Unavailability())
+		require.False(t, run.MayProbe(time.Now()))
+		require.Equal(t, placement.UnavailableLeavingByAnswer, run.Unavailability(time.Now()))
 	})
 }
 
@@ -259,3 +262,98 @@
 		begin(t, b)
 	})
 }
+
+// That an endpoint wants no requests from this instance for a while is no concern of others: they
+// are not told, and the home of the endpoint goes on granting its slots to them.
+func TestQuietConcernsOneInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &placement.Balancer{}
+		b.Put(incarnation(1))
+		run := begin(t, b)
+		run.RecordHead(fleet.ResponseAttrs{QuietFor: time.Second}, time.Now())
+		run.End(placement.ResultRefused, time.Now())
+		_, ok := b.Choose(newRequest(1), time.Now())
+		require.False(t, ok)
+		require.Empty(t, departures(b))
+		require.True(t, b.Grant("p", reservation("i-0"), time.Now()))
+		require.Equal(t, 8.0, b.Services(time.Now())["model"].Slots)
+		b.RecordProbe("i-0", false, time.Now())
+		require.False(t, b.Grant("p", reservation("i-0"), time.Now()), "it is down")
+	})
+}
+
+// An endpoint that is down is not probed in its quiet time, and right after it.
+func TestQuietEndpointThatIsDownIsNotProbed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &placement.Balancer{}
+		b.Put(incarnation(1))
+		run := begin(t, b)
+		run.RecordHead(fleet.ResponseAttrs{QuietFor: time.Minute}, time.Now())
+		b.RecordProbe("i-0", false, time.Now())
+		time.Sleep(time.Minute - 1)
+		require.Empty(t, b.Probes(time.Now()))
+		require.False(t, run.MayProbe(time.Now()))
+		at, ok := b.AvailableFrom("model", time.Now())
+		require.True(t, ok)
+		require.Equal(t, time.Now().Add(1), at)
+		time.Sleep(1)
+		require.Len(t, b.Probes(time.Now()), 1)
+	})
+}
+
+// A record that lapses and comes back does not end the quiet time; a new start does.
+func TestQuietOutlivesRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &placement.Balancer{}
+		b.Put(incarnation(1))
+		begin(t, b).RecordHead(fleet.ResponseAttrs{QuietFor: time.Minute}, time.Now())
+		b.Remove("i-0", "no record")
+		b.Put(incarnation(1))
+		_, ok := b.Choose(newRequest(1), time.Now())
+		require.False(t, ok)
+		b.Put(incarnation(2))
+		begin(t, b)
+		b.Put(incarnation(1))
+		time.Sleep(time.Minute)
+		begin(t, b)
+	})
+}
+
+// What changes is reported once for each source, with its age.
+func TestChangesNameSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var got []string
+		b := &placement.Balancer{OnChange: func(c placement.Change) {
+			got = append(got, fmt.Sprintf("%s %s age=%s for=%s: %s", c.To, c.Reason, c.Age, c.For, c.Cause))
+		}}
+		e := incarnation(1)
+		b.Put(e)
+		run := begin(t, b)
+		for range 2 {
+			run.RecordHead(fleet.ResponseAttrs{QuietFor: time.Second}, time.Now())
+		}
+		run.End(placement.ResultRefused, time.Now())
+		time.Sleep(time.Second)
+		run = begin(t, b)
+		e.Leaving, e.Seen = true, time.Now().Add(-2*time.Second)
+		i := placement.Incarnation{ID: "i-0", Born: 1, Service: "model", Address: "e0"}
+		for range 2 {
+			b.Put(e)
+			b.MergeDepartures([]placement.Departure{{Incarnation: i, Age: time.Second}}, time.Now())
+			run.RecordHead(fleet.ResponseAttrs{Leaving: true, QuietFor: time.Second}, time.Now())
+		}
+		b.Remove("i-0", "no record")
+		b.Put(incarnation(1))
+		require.Equal(t, []string{
+			"listed  age=0s for=0s: its directory record",
+			"quiet quiet age=0s for=1s: its answer",
+			"up  age=0s for=0s: first request after it was quiet",
+			"leaving leaving-by-record age=2s for=0s: its directory record",
+			"leaving leaving-by-peer age=1s for=0s: its answer to another instance",
+			"leaving leaving-by-answer age=0s for=0s: its answer",
+			"gone removed age=0s for=0s: no record",
+			"listed  age=0s for=0s: its directory record",
+			"leaving leaving-by-answer age=0s for=0s: its answer before the record lapsed",
+		}, got)
+	})
+}
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -96,7 +96,14 @@
 	Service  string
 	Address  string
 	To       Condition
-	Cause    string
+	// Reason is why the endpoint takes no new requests; empty if it takes them.
+	Reason Unavailability
+	// Cause names the source of what was learned, Age is how old it was; zero means new or not
+	// known.
+	Cause string
+	Age   time.Duration
+	// For is how long the endpoint wants no requests; zero means not limited.
+	For time.Duration
 }
 
 // Condition is the availability of an endpoint for new requests.
@@ -104,13 +111,14 @@
 
 // The conditions of endpoints. ConditionListed means that the endpoint was added,
 // ConditionRestarted that it came back under its ID after a restart or with another
-// address or service, ConditionLeaving that it gets no new requests, ConditionGone that it
-// was removed, ConditionDown that no connection to it can be made, and ConditionUp that it
-// is reachable again.
+// address or service, ConditionLeaving that it gets no new requests, ConditionQuiet that it gets
+// none for a while, ConditionGone that it was removed, ConditionDown that no connection to it can
+// be made, and ConditionUp that it is reachable again.
 const (
 	ConditionListed    Condition = "listed"
 	ConditionRestarted Condition = "reborn"
 	ConditionLeaving   Condition = "leaving"
+	ConditionQuiet     Condition = "quiet"
 	ConditionGone      Condition = "gone"
 	ConditionDown      Condition = "down"
 	ConditionUp        Condition = "up"
@@ -120,10 +128,11 @@
 type endpointState struct {
 	Endpoint
 	availability
-	hash      uint64
-	local     Work                  // of requests sent by this instance
-	remote    map[string]remoteWork // of requests sent by other instances, by their address
-	remoteSum workSum               // of all in remote
+	quietReported bool // OnChange was told that it is quiet, and not yet that this ended
+	hash          uint64
+	local         Work                  // of requests sent by this instance
+	remote        map[string]remoteWork // of requests sent by other instances, by their address
+	remoteSum     workSum               // of all in remote
 	// grants lists the slots that this instance, as the home of the endpoint,
 	// granted to others.
 	grants []pendingGrant
@@ -153,9 +162,11 @@
 	Tokens int `json:"t,omitempty"`
 }
 
-func (b *Balancer) notifyChange(s *endpointState, to Condition, cause string) {
+// notifyChange calls OnChange with a change of an endpoint.
+func (b *Balancer) notifyChange(s *endpointState, c Change) {
 	if b.OnChange != nil {
-		b.OnChange(Change{Endpoint: s.ID, Service: s.Service, Address: s.Address, To: to, Cause: cause})
+		c.Endpoint, c.Service, c.Address = s.ID, s.Service, s.Address
+		b.OnChange(c)
 	}
 }
 
@@ -176,10 +187,17 @@
 		s = &endpointState{Endpoint: e, availability: b.former.recall(e.incarnation(), time.Now()), hash: xxhash.Sum64String(e.ID), remote: map[string]remoteWork{}, cache: newPromptCache(), slowdown: 1}
 		b.byID[e.ID] = s
 		b.services[e.Service] = append(b.services[e.Service], s)
-		b.notifyChange(s, ConditionListed, "its directory record")
+		b.notifyChange(s, Change{To: ConditionListed, Cause: "its directory record"})
+		if reason := s.unavailability(time.Now()); reason.Leaving() {
+			b.notifyChange(s, Change{To: ConditionLeaving, Reason: reason, Cause: "its answer before the record lapsed"})
+		}
 	}
 	if e.Leaving && !s.leavingByRecord {
-		b.notifyChange(s, ConditionLeaving, "its directory record")
+		c := Change{To: ConditionLeaving, Reason: UnavailableLeavingByRecord, Cause: "its directory record"}
+		if !e.Seen.IsZero() {
+			c.Age = time.Since(e.Seen)
+		}
+		b.notifyChange(s, c)
 	}
 	s.Endpoint, s.leavingByRecord = e, e.Leaving
 }
@@ -198,7 +216,7 @@
 	s.removed = true
 	delete(b.byID, s.ID)
 	b.services[s.Service] = slices.DeleteFunc(b.services[s.Service], func(o *endpointState) bool { return o == s })
-	b.notifyChange(s, to, cause)
+	b.notifyChange(s, Change{To: to, Reason: UnavailableRemoved, Cause: cause})
 }
 
 // Endpoints returns the records of all endpoints, in no order.
@@ -281,9 +299,9 @@
 }
 
 // Counts counts the endpoints of a service. Each of those listed counts at most once as
-// Leaving, Down or Stalled, in this order.
+// Leaving, Quiet, Down or Stalled, in this order.
 type Counts struct {
-	Listed, Leaving, Down, Stalled int
+	Listed, Leaving, Quiet, Down, Stalled int
 	// Runs counts requests of all instances, Slots how many the endpoints run
 	// at a time.
 	Runs, Slots float64
@@ -302,8 +320,10 @@
 			c.Runs += runs
 			c.Slots += float64(s.Slots)
 			switch {
-			case s.unavailability().Leaving():
+			case s.unavailability(now).Leaving():
 				c.Leaving++
+			case s.unavailability(now) == UnavailableQuiet:
+				c.Quiet++
 			case s.down:
 				c.Down++
 			case s.stalled(now):
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -108,13 +108,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	list := b.services[r.Service]
-	first, second := preferredEndpoints(list, r)
+	first, second := preferredEndpoints(list, r, now)
 	best, found := Choice{}, false
 	least := math.Inf(1)
 	usable := 0
 	probability := sampleProbability(len(list), instances)
 	for _, s := range list {
-		if !s.usable() || slices.Contains(r.Avoid, s.ID) {
+		if !s.usable(now) || slices.Contains(r.Avoid, s.ID) {
 			continue
 		}
 		usable++
@@ -137,13 +137,13 @@
 // preferredEndpoints returns the two preferred endpoints of a request's affinity key, by
 // rendezvous hashing, so that all instances choose alike without communicating. Both are
 // nil without an affinity key.
-func preferredEndpoints(list []*endpointState, r Request) (first, second *endpointState) {
+func preferredEndpoints(list []*endpointState, r Request, now time.Time) (first, second *endpointState) {
 	if r.AffinityKey == 0 {
 		return nil, nil
 	}
 	var top, next uint64
 	for _, s := range list {
-		if !s.usable() {
+		if !s.usable(now) {
 			continue
 		}
 		switch h := mix(s.hash ^ r.AffinityKey); {
--- a/internal/placement/departure.go
+++ b/internal/placement/departure.go
@@ -89,15 +89,13 @@
 		return
 	}
 	s.leavingByPeer = at
-	b.notifyChange(s, ConditionLeaving, "its answer to another instance")
+	b.notifyChange(s, Change{To: ConditionLeaving, Reason: UnavailableLeavingByPeer, Cause: "its answer to another instance", Age: now.Sub(at)})
 }
 
 // recordLeaving records that an endpoint has said in an answer to this instance that it leaves.
 // If its record has come back since the request was sent, the listed endpoint leaves, too.
 func (b *Balancer) recordLeaving(s *endpointState, now time.Time) {
-	if listed := b.byID[s.ID]; listed != nil && listed.incarnation() == s.incarnation() {
-		s = listed
-	}
+	s = b.current(s)
 	if !s.leavingByAnswer.IsZero() {
 		return
 	}
@@ -109,5 +107,5 @@
 		b.former.remember(s.incarnation(), s.outlasting(), now)
 		return
 	}
-	b.notifyChange(s, ConditionLeaving, "its answer")
+	b.notifyChange(s, Change{To: ConditionLeaving, Reason: UnavailableLeavingByAnswer, Cause: "its answer"})
 }
--- a/internal/placement/fault.go
+++ b/internal/placement/fault.go
@@ -82,7 +82,7 @@
 	defer b.mu.Unlock()
 	var due []Endpoint
 	for _, s := range b.byID {
-		if s.down && s.mayProbe() && !now.Before(s.retryAt) {
+		if s.down && s.mayProbe(now) && !now.Before(s.retryAt) {
 			// If this probe gives no result, the next one follows after
 			// maxBackoff.
 			s.retryAt = now.Add(maxBackoff)
@@ -103,7 +103,7 @@
 	case ok:
 		s.connectFailures = 0
 		s.down = false
-		b.notifyChange(s, ConditionUp, "probe connected")
+		b.notifyChange(s, Change{To: ConditionUp, Cause: "probe connected"})
 	default:
 		b.recordResult(s, ResultUnreachable, now)
 	}
@@ -119,7 +119,7 @@
 		s.connectFailures = 0
 		if s.down {
 			s.down = false
-			b.notifyChange(s, ConditionUp, "request was answered")
+			b.notifyChange(s, Change{To: ConditionUp, Cause: "request was answered"})
 		}
 	case ResultFailed:
 		f.failureRate += failureGain * (1 - f.failureRate)
@@ -129,7 +129,7 @@
 		s.retryAt = now.Add(min(minBackoff<<min(s.connectFailures-1, 8), maxBackoff))
 		if !s.down {
 			s.down = true
-			b.notifyChange(s, ConditionDown, "connection failed")
+			b.notifyChange(s, Change{To: ConditionDown, Reason: UnavailableDown, Cause: "connection failed"})
 		}
 	case ResultRefused, ResultCanceled:
 	}
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -36,7 +36,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.byID[r.Endpoint]
-	if s == nil || !s.usable() || b.wait(s, now) > r.MaxWait {
+	if s == nil || !s.usableByOthers(now) || b.wait(s, now) > r.MaxWait {
 		return false
 	}
 	s.dropGrants("", now)
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -29,9 +29,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := c.state
-	if reason := s.unavailability(); reason != "" {
+	if reason := s.unavailability(now); reason != "" {
 		return nil, reason
 	}
+	if s.quietReported {
+		s.quietReported = false
+		b.notifyChange(s, Change{To: ConditionUp, Cause: "first request after it was quiet"})
+	}
 	_, ahead := b.totalWork(s, now)
 	run := &Run{balancer: b, state: s, tokens: c.Tokens, sentAt: now, tokensAhead: ahead, unary: !r.Stream, expectedMS: ms(c.Expected) / s.currentSlowdown(now), hostSlowdown: s.currentHostSlowdown(now)}
 	if s.local.Runs == 0 {
@@ -51,29 +55,34 @@
 
 // Unavailability returns why no new request may be sent to the endpoint of the run now. It is
 // safe for concurrent use.
-func (r *Run) Unavailability() Unavailability {
+func (r *Run) Unavailability(now time.Time) Unavailability {
 	r.balancer.mu.Lock()
 	defer r.balancer.mu.Unlock()
-	return r.state.unavailability()
+	return r.balancer.current(r.state).unavailability(now)
 }
 
 // MayProbe reports whether a connection to the endpoint of the run may be tried now without a
 // request. It is safe for concurrent use.
-func (r *Run) MayProbe() bool {
+func (r *Run) MayProbe(now time.Time) bool {
 	r.balancer.mu.Lock()
 	defer r.balancer.mu.Unlock()
-	return r.state.mayProbe()
+	return r.balancer.current(r.state).mayProbe(now)
 }
 
 // RecordHead records what the endpoint says of itself in the head of any answer on the connection
 // of the run. It has to be called as soon as the head has arrived. It is safe for concurrent use.
 func (r *Run) RecordHead(a fleet.ResponseAttrs, now time.Time) {
-	if !a.Leaving {
+	if !a.Leaving && a.QuietFor <= 0 {
 		return
 	}
 	r.balancer.mu.Lock()
 	defer r.balancer.mu.Unlock()
-	r.balancer.recordLeaving(r.state, now)
+	if a.Leaving {
+		r.balancer.recordLeaving(r.state, now)
+	}
+	if a.QuietFor > 0 {
+		r.balancer.recordQuiet(r.state, now.Add(a.QuietFor), now)
+	}
 }
 
 // RecordData records that the endpoint has sent data. It is safe for concurrent use.
