--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,7 +35,7 @@
 }
 
 func (testHeaderCodec) DecodeResponse(_ int, h http.Header) fleet.ResponseAttrs {
-	return fleet.ResponseAttrs{ID: h.Get("Request-Id"), Sealed: true}
+	return fleet.ResponseAttrs{ID: h.Get("Request-Id"), Sealed: true, Leaving: h.Get("Leaving") != ""}
 }
 
 // fakeFeed is a feed whose records the test writes.
@@ -98,24 +99,27 @@
 	net             *standin.MemoryNetwork
 	callers         net.Listener
 	ready           net.Listener
+	metrics         net.Listener
 	operators       *fakeFeed[watch.VersionedConfiguration]
 	endpoints       *fakeFeed[fleet.EndpointInfo]
 	stop            context.CancelFunc
 	done            chan error
 	endpointAddress string
 	processingTime  time.Duration // of a request at the endpoint
+	answerHeader    string        // header lines that the endpoint adds to its answers
+	endpointConns   atomic.Int64  // open connections to the endpoint
 }
 
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{t: t, net: &standin.MemoryNetwork{}, operators: &fakeFeed[watch.VersionedConfiguration]{}, endpoints: &fakeFeed[fleet.EndpointInfo]{}, done: make(chan error, 1)}
-	f.callers, f.ready = f.listen(), f.listen()
+	f.callers, f.ready, f.metrics = f.listen(), f.listen(), f.listen()
 	endpoint := f.listen()
 	t.Cleanup(func() { _ = endpoint.Close() })
 	f.endpointAddress = endpoint.Addr().String()
 	go f.serveEndpoint(endpoint)
 	store := &fakeStore{}
 	i := &entry.Instance{
-		Name: "front-1", Domain: "a", Callers: f.callers, Ready: f.ready, Peers: f.listen(), HeaderCodec: testHeaderCodec{},
+		Name: "front-1", Domain: "a", Callers: f.callers, Ready: f.ready, Metrics: f.metrics, Peers: f.listen(), HeaderCodec: testHeaderCodec{},
 		Operators: f.operators, Endpoints: f.endpoints, Secret: store, Directory: store, Grace: 8 * time.Second, Dial: f.net.Dial,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -137,7 +141,9 @@
 		if err != nil {
 			return
 		}
+		f.endpointConns.Add(1)
 		go func() {
+			defer f.endpointConns.Add(-1)
 			defer c.Close()
 			br := bufio.NewReader(c)
 			for {
@@ -148,21 +154,26 @@
 				_, _ = io.Copy(io.Discard, r.Body)
 				time.Sleep(f.processingTime)
 				body := "for " + r.Header.Get("Customer")
-				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Request-Id"), len(body), body)
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", r.Header.Get("Request-Id"), f.answerHeader, len(body), body)
 			}
 		}()
 	}
 }
 
-// request sends one request on a connection of its own.
+// request posts one request on a connection of its own.
 func (f *fixture) request(l net.Listener, path, key string) (int, string) {
+	return f.do(l, http.MethodPost, path, key)
+}
+
+// do sends one request on a connection of its own.
+func (f *fixture) do(l net.Listener, method, path, key string) (int, string) {
 	client := &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
 			return f.net.Dial(ctx, network, l.Addr().String())
 		},
 		DisableKeepAlives: true,
 	}}
-	req, err := http.NewRequest(http.MethodPost, "http://front"+path, strings.NewReader("x"))
+	req, err := http.NewRequest(method, "http://front"+path, strings.NewReader("x"))
 	require.NoError(f.t, err)
 	req.Header.Set("Request-Id", "1")
 	req.Header.Set("Key", key)
@@ -251,6 +262,35 @@
 	})
 }
 
+// An endpoint that says in an answer that it leaves gets no further requests, though its record
+// calls it ready, and keeps no connections. Metrics name the source.
+func TestEndpointThatSaysThatItLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.startServing()
+		f.processingTime = time.Second
+		var wg sync.WaitGroup
+		for range 2 {
+			wg.Go(func() { f.request(f.callers, "/a/x", "k") })
+		}
+		wg.Wait()
+		require.EqualValues(t, 2, f.endpointConns.Load())
+		f.answerHeader = "Leaving: 1\r\n"
+		status, _ := f.request(f.callers, "/a/x", "k")
+		require.Equal(t, http.StatusOK, status)
+		synctest.Wait()
+		require.Zero(t, f.endpointConns.Load())
+		f.endpoints.write("i-1", &fleet.EndpointInfo{Service: "m", Address: f.endpointAddress, Domain: "a", Slots: 4})
+		time.Sleep(2 * time.Second)
+		status, _ = f.request(f.callers, "/a/x", "k")
+		require.Equal(t, http.StatusServiceUnavailable, status)
+		_, text := f.do(f.metrics, http.MethodGet, "/metrics", "")
+		require.Contains(t, text, `endpoint_unavailable_total{reason="leaving-by-answer"} 1`)
+		require.Contains(t, text, `endpoints{service="m",state="leaving"} 1`)
+		f.shutDown()
+	})
+}
+
 // A planned stop makes the instance not ready at once, serves requests that still arrive, and
 // aborts none.
 func TestStopFinishesActiveRequests(t *testing.T) {
