gateway: a request that was not sent says nothing about the endpoint

An attempt that ended because the endpoint became unavailable while a connection to it was made counted as refused by the endpoint, which it had not reached. The balancer treats both results alike so far, but the endpoint has not spoken.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -157,7 +157,7 @@
 	var unavailable unavailableError
 	switch {
 	case errors.As(err, &unavailable):
-		o.kind, r = outcomeUnavailable, placement.ResultRefused
+		o.kind, r = outcomeUnavailable, placement.ResultCanceled
 	case ctx.Err() != nil:
 		r = placement.ResultCanceled
 	case f.Reached:
--- a/internal/placement/fault.go
+++ b/internal/placement/fault.go
@@ -20,7 +20,8 @@
 	ResultUnreachable Result = "unreachable"
 	// ResultRefused means that the endpoint did not run the request.
 	ResultRefused Result = "refused"
-	// ResultCanceled means that the caller disconnected or the deadline passed.
+	// ResultCanceled means that the caller disconnected, that the deadline passed or that
+	// the request was not sent after all.
 	ResultCanceled Result = "left"
 )
 
