internal/watch, internal/entry: log recoveries and endpoints whose records are missing

The logs of the incident of leaving endpoints told when an endpoint was removed, not when its record was, nor which instance's outage was taken for the platform's. Lines recovered and endpoint to=missing say so; decisions are unchanged.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -161,7 +161,7 @@
 	i.graceNanos.Store(int64(i.Grace))
 	i.balancer = &placement.Balancer{LocalDomain: i.Domain, OnChange: i.endpointChanged}
 	i.pool = &upstream.Pool{HeaderCodec: i.HeaderCodec, Dial: i.Dial}
-	i.tracker = &watch.EndpointTracker{Balancer: i.balancer, OnInvalid: func(key string, fault error) {
+	i.tracker = &watch.EndpointTracker{Balancer: i.balancer, OnMissing: i.logMissing, OnInvalid: func(key string, fault error) {
 		i.logger.Warn(event.InvalidData, zap.String("key", key), zap.Error(fault))
 	}}
 	i.idleConns = &idleConns{MaxConns: i.maxCallerConns(), IdleTimeout: func() time.Duration { return i.handler.IdleTimeout() }}
@@ -183,7 +183,7 @@
 	}
 	i.endpoints = &watch.Follower[fleet.EndpointInfo]{
 		Name: "endpoints", Feed: i.Endpoints, Timeout: feedTimeout, MaxAge: i.maxAge(endpointsMaxAge, 0),
-		OnBatch: i.tracker.Apply, OnUnreachable: i.logUnreachable("endpoints"), OnReachable: i.logReachable("endpoints"), OnRecovery: i.tracker.SetRecovered,
+		OnBatch: i.tracker.Apply, OnUnreachable: i.logUnreachable("endpoints"), OnReachable: i.logReachable("endpoints"), OnRecovery: i.platformRecovered,
 	}
 	now := time.Now()
 	i.peers = &peer.Exchange{
--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -50,3 +50,15 @@
 		i.logger.Info(event.DependencyRecovered, zap.String("feed", feed), zap.Duration("away", outage))
 	}
 }
+
+// platformRecovered is called when the platform is reachable again after an outage, as seen by
+// this instance or, if relayed is set, by another one.
+func (i *Instance) platformRecovered(at time.Time, relayed bool) {
+	i.logger.Info(event.PlatformRecovered, zap.Duration("since", time.Since(at)), zap.Bool("relayed", relayed))
+	i.tracker.SetRecovered(at)
+}
+
+// logMissing logs an endpoint that is kept although its record is missing.
+func (i *Instance) logMissing(id, cause string, until time.Time) {
+	i.logger.Info(event.Endpoint, zap.String("endpoint", id), zap.String("to", "missing"), zap.String("cause", cause), zap.Duration("kept", time.Until(until)))
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -16,6 +16,9 @@
 	// when it responds again.
 	DependencyLost      = "lost"
 	DependencyRecovered = "regained"
+	// PlatformRecovered is logged when the platform is reachable again after an outage
+	// in which records may have expired.
+	PlatformRecovered = "recovered"
 	// Configuration is logged when a configuration version is applied.
 	Configuration = "configuration"
 	// ReadFromPeer is logged when records were read from another instance because
--- a/internal/watch/endpoint_tracker.go
+++ b/internal/watch/endpoint_tracker.go
@@ -18,6 +18,9 @@
 	Balancer *placement.Balancer
 	// OnInvalid is called with a record that cannot be used; nil is allowed.
 	OnInvalid func(key string, fault error)
+	// OnMissing is called when a record is missing and its endpoint is kept until a time
+	// at which the record may have been written again; nil is allowed.
+	OnMissing func(id, cause string, until time.Time)
 
 	mu          sync.Mutex
 	recoveredAt time.Time
@@ -90,6 +93,9 @@
 	if deadline := t.recoveredAt.Add(recoveryGrace); !t.recoveredAt.IsZero() && now.Before(deadline) {
 		if _, pending := t.removeAt[id]; !pending {
 			t.removeAt[id] = deadline
+			if t.OnMissing != nil {
+				t.OnMissing(id, cause, deadline)
+			}
 		}
 		return
 	}
--- a/internal/watch/follow.go
+++ b/internal/watch/follow.go
@@ -91,9 +91,9 @@
 	OnUnreachable func(err error)
 	OnReachable   func(outage time.Duration)
 	// OnRecovery is called with the time at which the platform became reachable again,
-	// as seen by this or another instance, before any records that were read after it.
-	// Nil is allowed.
-	OnRecovery func(at time.Time)
+	// before any records that were read after it. Relayed is set if another instance saw
+	// it. Nil is allowed.
+	OnRecovery func(at time.Time, relayed bool)
 
 	mu               sync.Mutex
 	next             int64
@@ -282,7 +282,7 @@
 	since := f.unreachableSince
 	f.unreachableSince = time.Time{}
 	if !since.IsZero() {
-		f.platformRecovered(now)
+		f.platformRecovered(now, false)
 	}
 	f.mu.Unlock()
 	if !since.IsZero() && f.OnReachable != nil {
@@ -291,13 +291,13 @@
 }
 
 // platformRecovered records when the platform became reachable again. The lock is held.
-func (f *Follower[T]) platformRecovered(at time.Time) {
+func (f *Follower[T]) platformRecovered(at time.Time, relayed bool) {
 	if !at.After(f.recoveredAt) {
 		return
 	}
 	f.recoveredAt = at
 	if f.OnRecovery != nil {
-		f.OnRecovery(at)
+		f.OnRecovery(at, relayed)
 	}
 }
 
@@ -402,7 +402,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if u.RecoveryAge > 0 {
-		f.platformRecovered(now.Add(-time.Duration(u.RecoveryAge) * time.Millisecond))
+		f.platformRecovered(now.Add(-time.Duration(u.RecoveryAge)*time.Millisecond), true)
 	}
 	switch {
 	case u.Snapshot && (!f.initialized || u.Next > f.next):
--- a/internal/watch/follow_test.go
+++ b/internal/watch/follow_test.go
@@ -289,7 +289,7 @@
 	direct, relayed := newFollower(f, 0), newFollower(f, 0)
 	var order []string
 	for name, r := range map[string]*testFollower{"reads": direct, "told": relayed} {
-		r.OnRecovery = func(time.Time) { order = append(order, name+" back") }
+		r.OnRecovery = func(time.Time, bool) { order = append(order, name+" back") }
 		batch := r.OnBatch
 		r.OnBatch = func(b watch.Batch[int]) {
 			order = append(order, name+" batch")
