--- a/internal/event/writer.go
+++ b/internal/event/writer.go
@@ -25,10 +25,24 @@
 	debugBytesPerSecond = 48 << 10
 )
 
+// Level is the least importance of log lines that are written.
+type Level string
+
+// The levels. LevelDebug adds the lines of frequent events, such as one for each request that
+// was served.
+const (
+	LevelInfo  Level = "info"
+	LevelDebug Level = "debug"
+)
+
 // Writer buffers log lines and writes them in the background. Lines that exceed the
 // buffer are dropped and counted, those of level debug first. Create it with New. It is
 // safe for concurrent use if its output is.
 type Writer struct {
+	// Level is the lowest level of the lines that are written; empty means LevelInfo. It is
+	// set before the first line.
+	Level Level
+
 	out io.Writer
 
 	mu                sync.Mutex
@@ -139,7 +153,9 @@
 }
 
 // Enabled implements zapcore.LevelEnabler.
-func (c *logCore) Enabled(zapcore.Level) bool { return true }
+func (c *logCore) Enabled(l zapcore.Level) bool {
+	return l > zapcore.DebugLevel || c.writer.Level == LevelDebug
+}
 
 // With implements zapcore.Core.
 func (c *logCore) With(fields []zapcore.Field) zapcore.Core {
@@ -153,7 +169,7 @@
 // Check implements zapcore.Core. Lines of level debug that would be dropped are not
 // encoded.
 func (c *logCore) Check(e zapcore.Entry, ce *zapcore.CheckedEntry) *zapcore.CheckedEntry {
-	if e.Level == zapcore.DebugLevel && !c.writer.admitDebug() {
+	if !c.Enabled(e.Level) || e.Level == zapcore.DebugLevel && !c.writer.admitDebug() {
 		return ce
 	}
 	return ce.AddCore(e, c)
--- a/internal/event/writer_test.go
+++ b/internal/event/writer_test.go
@@ -54,6 +54,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var out bytes.Buffer
 		w := event.New(&out)
+		w.Level = event.LevelDebug
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { _ = w.Serve(ctx); close(done) }()
@@ -84,3 +85,20 @@
 		require.Equal(t, w.DroppedLines(), int64(dropped))
 	})
 }
+
+// Lines of frequent events do not displace those of failures and changes from a log of which
+// only the last part is kept.
+func TestFrequentEventsAreLoggedOnlyAtLevelDebug(t *testing.T) {
+	for _, level := range []event.Level{"", event.LevelInfo, event.LevelDebug} {
+		var out bytes.Buffer
+		w := event.New(&out)
+		w.Level = level
+		logger := w.Logger()
+		logger.Debug(event.Request)
+		logger.Info(event.Endpoint)
+		require.NoError(t, logger.Sync())
+		require.Contains(t, out.String(), event.Endpoint)
+		require.Equal(t, level == event.LevelDebug, strings.Contains(out.String(), event.Request), "level %q", level)
+		require.Zero(t, w.DroppedLines())
+	}
+}
