internal/watch: an outage of single instances is none of the platform

Cause: a record that is removed within 2.2 s after an outage of the platform counts as expired, and its endpoint is kept. Any instance whose reads had failed took its own outage for the platform's and told all others, so that instances that had never lost the platform kept endpoints that left on purpose.

Instances now tell each other for how long the platform has responded to some instance without a pause in which records could have expired, two heartbeat intervals. The earliest such time counts: if the platform served any instance, removed records were removed on purpose or by their own silence, and their endpoints are removed at once. Only an outage for the whole fleet starts the grace, of two seconds, and it ends within three seconds of the last failed read at the latest. Transit makes a relayed time later, never earlier, so it no longer matters.

TestRecoveryIsReportedBeforeLaterRecords had an outage without duration, which is no outage any more; it lasts as long as records need to expire now, and the order that it requires is the same.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,6 +52,9 @@
 	// Operators and Endpoints are the feeds of the records of operators and endpoints.
 	Operators fleet.Feed[watch.VersionedConfiguration]
 	Endpoints fleet.Feed[fleet.EndpointInfo]
+	// HeartbeatInterval is how often endpoints write their records, which expire after three
+	// intervals without; zero means 1.2 s.
+	HeartbeatInterval time.Duration
 	// Secret stores the key with which instances authenticate each other's messages.
 	Secret fleet.WriteOnceValue
 	// Directory is where instances find each other's addresses.
@@ -183,7 +186,8 @@
 	}
 	i.endpoints = &watch.Follower[fleet.EndpointInfo]{
 		Name: "endpoints", Feed: i.Endpoints, Timeout: feedTimeout, MaxAge: i.maxAge(endpointsMaxAge, 0),
-		OnBatch: i.tracker.Apply, OnUnreachable: i.logUnreachable("endpoints"), OnReachable: i.logReachable("endpoints"), OnRecovery: i.platformRecovered,
+		OnBatch: i.tracker.Apply, OnUnreachable: i.logUnreachable("endpoints"), OnReachable: i.logReachable("endpoints"),
+		ExpiryTime: i.expiryTime(), OnRecovery: i.platformRecovered,
 	}
 	now := time.Now()
 	i.peers = &peer.Exchange{
--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -51,6 +51,19 @@
 	}
 }
 
+// defaultHeartbeatInterval is how often endpoints write their records if it is not known.
+const defaultHeartbeatInterval = 1200 * time.Millisecond
+
+// expiryTime returns how long an outage of the platform must last for records of endpoints to
+// expire: three intervals after the last write, which was up to one interval before the outage.
+func (i *Instance) expiryTime() time.Duration {
+	interval := i.HeartbeatInterval
+	if interval == 0 {
+		interval = defaultHeartbeatInterval
+	}
+	return 2 * interval
+}
+
 // platformRecovered is called when the platform is reachable again after an outage, as seen by
 // this instance or, if relayed is set, by another one.
 func (i *Instance) platformRecovered(at time.Time, relayed bool) {
--- a/internal/watch/endpoint_tracker.go
+++ b/internal/watch/endpoint_tracker.go
@@ -9,8 +9,8 @@
 )
 
 // recoveryGrace is how long an endpoint whose record expired during an outage of the
-// platform has to write it again: the platform specifies about two seconds.
-const recoveryGrace = 2200 * time.Millisecond
+// platform has to write it again.
+const recoveryGrace = 2 * time.Second
 
 // EndpointTracker maintains the endpoints of a placement.Balancer from their records. Exported
 // fields are set before the first call. It is safe for concurrent use.
@@ -23,19 +23,19 @@
 	OnMissing func(id, cause string, until time.Time)
 
 	mu          sync.Mutex
-	recoveredAt time.Time
-	removeAt    map[string]time.Time // when endpoints without a record are removed
-	known       map[string]bool
-	synced      bool
+	recoveredAt time.Time // when the last outage of the platform ended; zero means that there was none
+	// missing holds endpoints without a record that are kept until the grace has passed.
+	missing map[string]bool
+	known   map[string]bool
+	synced  bool
 }
 
-// SetRecovered records when the platform became reachable again.
+// SetRecovered sets when the last outage of the platform ended. An earlier time than before
+// shortens the grace of endpoints whose records are missing.
 func (t *EndpointTracker) SetRecovered(at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if at.After(t.recoveredAt) {
-		t.recoveredAt = at
-	}
+	t.recoveredAt = at
 }
 
 // Synced reports whether the endpoints' records have been read at least once.
@@ -51,7 +51,7 @@
 	defer t.mu.Unlock()
 	t.synced = true
 	if t.known == nil {
-		t.known, t.removeAt = map[string]bool{}, map[string]time.Time{}
+		t.known, t.missing = map[string]bool{}, map[string]bool{}
 	}
 	listed := map[string]bool{}
 	for _, r := range b.Records {
@@ -79,32 +79,33 @@
 		t.drop(r.Key, now, "record removed")
 	default:
 		t.known[r.Key] = true
-		delete(t.removeAt, r.Key)
+		delete(t.missing, r.Key)
 		t.Balancer.Put(placement.Endpoint{ID: r.Key, EndpointInfo: *r.Value, Seen: now})
 	}
 }
 
-// drop removes an endpoint. If its record may have expired only because of an outage of the
-// platform, the endpoint gets recoveryGrace to write it again first.
+// drop removes an endpoint whose record is missing. If the record may have expired only because
+// of an outage of the platform, the endpoint gets recoveryGrace to write it again first.
 func (t *EndpointTracker) drop(id string, now time.Time, cause string) {
-	if !t.known[id] {
-		return
-	}
-	if deadline := t.recoveredAt.Add(recoveryGrace); !t.recoveredAt.IsZero() && now.Before(deadline) {
-		if _, pending := t.removeAt[id]; !pending {
-			t.removeAt[id] = deadline
-			if t.OnMissing != nil {
-				t.OnMissing(id, cause, deadline)
-			}
+	switch {
+	case !t.known[id] || t.missing[id]:
+	case now.Before(t.graceEnd()):
+		t.missing[id] = true
+		if t.OnMissing != nil {
+			t.OnMissing(id, cause, t.graceEnd())
 		}
-		return
+	default:
+		t.remove(id, cause)
 	}
-	t.remove(id, cause)
 }
 
+// graceEnd returns until when missing records may be written again; it is long past if there
+// was no outage.
+func (t *EndpointTracker) graceEnd() time.Time { return t.recoveredAt.Add(recoveryGrace) }
+
 func (t *EndpointTracker) remove(id, cause string) {
 	delete(t.known, id)
-	delete(t.removeAt, id)
+	delete(t.missing, id)
 	t.Balancer.Remove(id, cause)
 }
 
@@ -117,9 +118,10 @@
 }
 
 func (t *EndpointTracker) removeExpired(now time.Time) {
-	for id, deadline := range t.removeAt {
-		if !now.Before(deadline) {
-			t.remove(id, "no record after the platform's recovery")
-		}
+	if now.Before(t.graceEnd()) {
+		return
+	}
+	for id := range t.missing {
+		t.remove(id, "no record after the platform's recovery")
 	}
 }
--- a/internal/watch/export_test.go
+++ b/internal/watch/export_test.go
@@ -21,4 +21,4 @@
 }
 
 // ReadFailed records a failed read.
-func (f *Follower[T]) ReadFailed(err error, now time.Time) { f.readFailed(err, now) }
+func (f *Follower[T]) ReadFailed(err error, now time.Time) { f.readFailed(err, now, now) }
--- a/internal/watch/follow.go
+++ b/internal/watch/follow.go
@@ -45,9 +45,9 @@
 	// age has become smaller because time in transit is not counted.
 	ReaderID uint32 `json:"i,omitempty"`
 	ReadSeq  int64  `json:"c,omitempty"`
-	// RecoveryAge is how long ago the platform became reachable again after an
-	// outage, in milliseconds; zero means not recently.
-	RecoveryAge int64 `json:"b,omitempty"`
+	// ResponsiveAge is for how long the platform has responded to some instance without
+	// an outage, in milliseconds; zero means not known.
+	ResponsiveAge int64 `json:"u,omitempty"`
 }
 
 const (
@@ -90,27 +90,42 @@
 	// OnReachable at the next success. Nil is allowed.
 	OnUnreachable func(err error)
 	OnReachable   func(outage time.Duration)
-	// OnRecovery is called with the time at which the platform became reachable again,
-	// before any records that were read after it. Relayed is set if another instance saw
-	// it. Nil is allowed.
+	// ExpiryTime is how long the platform must have responded to no instance for records
+	// to expire because their writers could not reach it. A shorter outage, and one of
+	// single instances, is none of the platform. Zero means that outages do not matter.
+	ExpiryTime time.Duration
+	// OnRecovery is called with the time at which an outage of the platform ended, before
+	// any records that were read after it, and again with an earlier time if another
+	// instance shows that the platform responded before; relayed is set then. Nil is
+	// allowed.
 	OnRecovery func(at time.Time, relayed bool)
 
 	mu               sync.Mutex
 	next             int64
 	initialized      bool
-	confirmedAt      time.Time        // when the platform was last known to have no record at or beyond next
-	readerID         uint32           // identifies this follower's own reads; zero until the first one
-	confirmedBy      Position         // identifies the read behind confirmedAt
-	lastReadSeq      map[uint32]int64 // the newest known read by reader ID
-	recent           []Record[T]      // the records before next, oldest first
-	relayedAt        time.Time        // when another instance sent the newest of them
+	confirmedAt      time.Time           // when the platform was last known to have no record at or beyond next
+	readerID         uint32              // identifies this follower's own reads; zero until the first one
+	confirmedBy      Position            // identifies the read behind confirmedAt
+	reads            map[uint32]readSeqs // the newest known reads by reader ID
+	recent           []Record[T]         // the records before next, oldest first
+	relayedAt        time.Time           // when another instance sent the newest of them
 	latest           map[string]*Encoded[T]
 	aheadSince       time.Time // since when another instance has been ahead
 	aheadNext        int64     // the offset that it had read up to
 	retryDelay       time.Duration
 	retryAt          time.Time
 	unreachableSince time.Time // zero while the platform responds
-	recoveredAt      time.Time // when the platform became reachable again
+	failedReadAt     time.Time // when the last read that failed began
+	// The platform responded to some instance from responsiveSince to responsiveUntil
+	// without a pause of ExpiryTime. Both are zero until the first read.
+	responsiveSince, responsiveUntil time.Time
+	recovered                        bool // an outage of the platform ended at responsiveSince
+}
+
+// readSeqs holds sequence numbers of the reads of one follower.
+type readSeqs struct {
+	confirmed int64 // the newest read that confirmed records
+	heard     int64 // the newest read that showed that the platform responded
 }
 
 // String returns the follower's name in the events of the supervisor.
@@ -126,8 +141,9 @@
 			}
 			continue
 		}
+		start := time.Now()
 		if err := f.readOnce(ctx); err != nil && ctx.Err() == nil {
-			f.readFailed(err, time.Now())
+			f.readFailed(err, start, time.Now())
 		}
 	}
 	return ctx.Err()
@@ -206,24 +222,31 @@
 	if f.readerID == 0 {
 		f.readerID = 1 + rand.Uint32N(math.MaxUint32)
 	}
-	return Position{ReaderID: f.readerID, ReadSeq: f.lastReadSeq[f.readerID] + 1}
+	return Position{ReaderID: f.readerID, ReadSeq: f.reads[f.readerID].confirmed + 1}
 }
 
 // confirm records that a read found nothing beyond next. Each read counts only once. The
 // lock is held.
 func (f *Follower[T]) confirm(read Position, at time.Time) {
-	if read.ReadSeq <= f.lastReadSeq[read.ReaderID] {
+	seqs := f.reads[read.ReaderID]
+	if read.ReadSeq <= seqs.confirmed {
 		return
 	}
-	if f.lastReadSeq == nil || len(f.lastReadSeq) >= maxReaders {
-		f.lastReadSeq = map[uint32]int64{f.readerID: f.lastReadSeq[f.readerID]}
-	}
-	f.lastReadSeq[read.ReaderID] = read.ReadSeq
+	seqs.confirmed = read.ReadSeq
+	f.setReads(read.ReaderID, seqs)
 	if at.After(f.confirmedAt) {
 		f.confirmedAt, f.confirmedBy = at, read
 	}
 }
 
+// setReads sets the newest known reads of one reader. The lock is held.
+func (f *Follower[T]) setReads(readerID uint32, seqs readSeqs) {
+	if f.reads == nil || len(f.reads) >= maxReaders {
+		f.reads = map[uint32]readSeqs{f.readerID: f.reads[f.readerID]}
+	}
+	f.reads[readerID] = seqs
+}
+
 // reset replaces all known records with the newest ones. The lock is held.
 func (f *Follower[T]) reset(records []fleet.KeyedRecord[T], next int64, read Position, at time.Time) {
 	f.initialized, f.next, f.confirmedAt = true, next, time.Time{}
@@ -281,33 +304,73 @@
 	f.retryDelay, f.retryAt = 0, time.Time{}
 	since := f.unreachableSince
 	f.unreachableSince = time.Time{}
-	if !since.IsZero() {
-		f.platformRecovered(now, false)
-	}
+	f.responded(now)
 	f.mu.Unlock()
 	if !since.IsZero() && f.OnReachable != nil {
 		f.OnReachable(now.Sub(since))
 	}
 }
 
-// platformRecovered records when the platform became reachable again. The lock is held.
-func (f *Follower[T]) platformRecovered(at time.Time, relayed bool) {
-	if !at.After(f.recoveredAt) {
+// maxRecoveryLag bounds how much later than the start of the last failed read the end of an
+// outage is assumed: the platform may have responded to others from that time on.
+const maxRecoveryLag = 800 * time.Millisecond
+
+// responded records that the platform responded to this or another instance. The lock is held.
+func (f *Follower[T]) responded(at time.Time) {
+	if f.ExpiryTime == 0 || !at.After(f.responsiveUntil) {
 		return
 	}
-	f.recoveredAt = at
-	if f.OnRecovery != nil {
-		f.OnRecovery(at, relayed)
+	outage := !f.responsiveUntil.IsZero() && at.Sub(f.responsiveUntil) >= f.ExpiryTime
+	if f.responsiveUntil.IsZero() {
+		f.responsiveSince = at
+	}
+	if outage {
+		since := at
+		if latest := f.failedReadAt.Add(maxRecoveryLag); f.failedReadAt.After(f.responsiveUntil) && latest.Before(at) {
+			since = latest
+		}
+		f.recovered = true
+		f.setResponsiveSince(since, false)
+	}
+	f.responsiveUntil = at
+}
+
+// setResponsiveSince records since when the platform has responded. The lock is held.
+func (f *Follower[T]) setResponsiveSince(since time.Time, relayed bool) {
+	f.responsiveSince = since
+	if f.recovered && f.OnRecovery != nil {
+		f.OnRecovery(since, relayed)
 	}
 }
 
-// recoveryAnnounceTime is how long other instances are informed of the platform's recovery.
-// Records that expired during the outage are written again or removed in less time.
-const recoveryAnnounceTime = 4 * time.Second
+// transitTolerance is by how much the times at which instances saw the same response may
+// differ: messages say how long ago it was, without their own time in transit.
+const transitTolerance = 50 * time.Millisecond
+
+// heard processes what another instance says of the times at which the platform responded, up
+// to a given time. What was silent for this instance alone was no outage of the platform. The
+// lock is held.
+func (f *Follower[T]) heard(p Position, until, now time.Time) {
+	if f.ExpiryTime == 0 || p.ResponsiveAge == 0 {
+		return
+	}
+	// Each read counts only once, as in confirm.
+	if seqs := f.reads[p.ReaderID]; p.ReadSeq > seqs.heard {
+		seqs.heard = p.ReadSeq
+		f.setReads(p.ReaderID, seqs)
+		f.responded(until)
+	}
+	since := now.Add(-time.Duration(p.ResponsiveAge) * time.Millisecond)
+	overlaps := f.responsiveSince.Sub(until) < f.ExpiryTime
+	if overlaps && since.Before(f.responsiveSince.Add(-transitTolerance)) {
+		f.setResponsiveSince(since, true)
+	}
+}
 
 // readFailed records a failed read and sets the time of the next one.
-func (f *Follower[T]) readFailed(err error, now time.Time) {
+func (f *Follower[T]) readFailed(err error, start, now time.Time) {
 	f.mu.Lock()
+	f.failedReadAt = start
 	firstFailure := f.unreachableSince.IsZero()
 	if firstFailure {
 		f.unreachableSince = now
@@ -328,8 +391,8 @@
 		return Position{}
 	}
 	p := Position{Next: f.next, Age: now.Sub(f.confirmedAt).Milliseconds(), ReaderID: f.confirmedBy.ReaderID, ReadSeq: f.confirmedBy.ReadSeq}
-	if age := now.Sub(f.recoveredAt); age < recoveryAnnounceTime {
-		p.RecoveryAge = max(age.Milliseconds(), 1)
+	if !f.responsiveSince.IsZero() {
+		p.ResponsiveAge = max(now.Sub(f.responsiveSince).Milliseconds(), 1)
 	}
 	return p
 }
@@ -401,9 +464,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if u.RecoveryAge > 0 {
-		f.platformRecovered(now.Add(-time.Duration(u.RecoveryAge)*time.Millisecond), true)
-	}
+	f.heard(u.Position, at, now)
 	switch {
 	case u.Snapshot && (!f.initialized || u.Next > f.next):
 		f.reset(records, u.Next, u.Position, at)
--- a/internal/watch/follow_test.go
+++ b/internal/watch/follow_test.go
@@ -284,30 +284,34 @@
 // the outage. This also holds for an instance that did not notice the outage and learns of
 // it from another instance.
 func TestRecoveryIsReportedBeforeLaterRecords(t *testing.T) {
-	f := &fakeFeed{}
-	f.write("a", 1)
-	direct, relayed := newFollower(f, 0), newFollower(f, 0)
-	var order []string
-	for name, r := range map[string]*testFollower{"reads": direct, "told": relayed} {
-		r.OnRecovery = func(time.Time, bool) { order = append(order, name+" back") }
-		batch := r.OnBatch
-		r.OnBatch = func(b watch.Batch[int]) {
-			order = append(order, name+" batch")
-			batch(b)
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeFeed{}
+		f.write("a", 1)
+		direct, relayed := newFollower(f, 0), newFollower(f, 0)
+		var order []string
+		for name, r := range map[string]*testFollower{"reads": direct, "told": relayed} {
+			r.ExpiryTime = 2 * time.Second
+			r.OnRecovery = func(time.Time, bool) { order = append(order, name+" back") }
+			batch := r.OnBatch
+			r.OnBatch = func(b watch.Batch[int]) {
+				order = append(order, name+" batch")
+				batch(b)
+			}
+			require.NoError(t, r.ReadOnce(t.Context()))
 		}
-		require.NoError(t, r.ReadOnce(t.Context()))
-	}
-	order = nil
-	f.unreachable = true
-	err := direct.ReadOnce(t.Context())
-	require.Error(t, err)
-	direct.ReadFailed(err, time.Now())
-	f.unreachable = false
-	f.write("a", 2)
-	require.NoError(t, direct.ReadOnce(t.Context()))
-	now := time.Now()
-	relayed.Apply(direct.UpdateFrom(relayed.Position(now).Next, false, now), now)
-	require.Equal(t, []string{"reads back", "reads batch", "told back", "told batch"}, order)
+		order = nil
+		f.unreachable = true
+		err := direct.ReadOnce(t.Context())
+		require.Error(t, err)
+		direct.ReadFailed(err, time.Now())
+		time.Sleep(2 * time.Second)
+		f.unreachable = false
+		f.write("a", 2)
+		require.NoError(t, direct.ReadOnce(t.Context()))
+		now := time.Now()
+		relayed.Apply(direct.UpdateFrom(relayed.Position(now).Next, false, now), now)
+		require.Equal(t, []string{"reads back", "reads batch", "told back", "told batch"}, order)
+	})
 }
 
 // An instance that cannot reach the platform gets all records from a peer.
--- a/internal/watch/outage_test.go
+++ b/internal/watch/outage_test.go
@@ -96,6 +96,8 @@
 	transitTime = 2 * time.Millisecond
 	// removeInterval is how often an instance removes endpoints whose time is over.
 	removeInterval = 100 * time.Millisecond
+	// expiryTime is that of records that are written every 1.2 s.
+	expiryTime = 2400 * time.Millisecond
 )
 
 func (s *outageFleet) start(ctx context.Context, name string) {
@@ -123,7 +125,7 @@
 
 func newEndpointFollower(feed endpointFeed, tracker *watch.EndpointTracker, maxAge time.Duration) *watch.Follower[fleet.EndpointInfo] {
 	return &watch.Follower[fleet.EndpointInfo]{
-		Name: "endpoints", Feed: feed, MaxAge: func() time.Duration { return maxAge },
+		Name: "endpoints", Feed: feed, MaxAge: func() time.Duration { return maxAge }, ExpiryTime: expiryTime,
 		OnBatch: tracker.Apply, OnRecovery: func(at time.Time, _ bool) { tracker.SetRecovered(at) },
 	}
 }
