internal/upstream: reset connections of requests that are given up

Cause: the connection was closed the usual way. The kernel then goes on sending what the peer has not acknowledged, for as long as it likes, so that the request arrived once the cut was over. A connection of an exchange that has not ended is now closed with a reset, which drops what is left.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -155,7 +155,7 @@
 		return nil, &Failure{Reason: fleet.ReasonCancelled, Cause: context.Cause(ctx)}
 	}
 	a := &Answer{pool: p, conn: c}
-	a.stopAfterFunc = context.AfterFunc(ctx, func() { _ = c.netConn.Close() })
+	a.stopAfterFunc = context.AfterFunc(ctx, c.abort)
 	if r.HeaderTimeout > 0 {
 		t := time.AfterFunc(r.HeaderTimeout, a.Abandon)
 		defer t.Stop()
@@ -266,7 +266,7 @@
 
 // Abandon aborts the exchange by closing the connection. It may be called at any time,
 // from any goroutine.
-func (a *Answer) Abandon() { _ = a.conn.netConn.Close() }
+func (a *Answer) Abandon() { a.conn.abort() }
 
 // Close ends the exchange. The connection is returned to the pool only if the response
 // was read to its end, the request was sent completely and the endpoint keeps the
@@ -279,7 +279,7 @@
 			a.pool.put(a.conn)
 			return
 		}
-		_ = a.conn.netConn.Close()
+		a.conn.abort()
 	})
 }
 
@@ -292,6 +292,17 @@
 	}
 }
 
+// abort closes the connection of an exchange that has not ended with a reset. After a usual
+// close the kernel would go on sending what the endpoint has not acknowledged, so that a request
+// could reach it long after it was given up.
+func (c *conn) abort() {
+	if t, ok := c.netConn.(*net.TCPConn); ok {
+		// An error means that the connection is closed already.
+		_ = t.SetLinger(0)
+	}
+	_ = c.netConn.Close()
+}
+
 func (c *conn) markReusable(idleTimeout time.Duration) {
 	if idleTimeout == 0 {
 		idleTimeout = defaultIdleTimeout
