--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -135,6 +135,9 @@
 	// probeInterval is the interval between checks for endpoints that are down and due
 	// for a connection attempt.
 	probeInterval = 100 * time.Millisecond
+	// expiryInterval is the interval between checks for endpoints whose records were not
+	// written again: it adds to the time for which they get requests.
+	expiryInterval = 100 * time.Millisecond
 	// sweepInterval is the interval between checks for expired connections.
 	sweepInterval = 500 * time.Millisecond
 	// drainDelay is how long all new requests are served after the signal to stop: the
@@ -252,6 +255,7 @@
 	tree.Add(&peer.Finder{Directory: i.Directory, Exchange: i.peers, Logger: i.logger})
 	tree.Add(&service.Server{Listener: i.Peers, HTTP: &http.Server{Handler: i.peerMux(), ReadTimeout: headerTimeout, IdleTimeout: peerIdleTimeout}})
 	tree.Add(&service.Loop{Name: "sweep", Interval: sweepInterval, Run: i.sweep})
+	tree.Add(&service.Loop{Name: "expiry", Interval: expiryInterval, Run: i.removeExpired})
 	tree.Add(&service.Loop{Name: "probe", Interval: probeInterval, Run: i.probe})
 	treeCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -305,9 +309,10 @@
 	now := time.Now()
 	i.pool.Sweep(now)
 	i.idleConns.sweep(i.handler.IdleTimeout()+idleMargin, now)
-	i.tracker.RemoveExpired(now)
 }
 
+func (i *Instance) removeExpired(context.Context) { i.tracker.RemoveExpired(time.Now()) }
+
 // probe tries to connect to endpoints that are down. It does so in the background, so that
 // no request waits for an attempt that may fail.
 func (i *Instance) probe(ctx context.Context) {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -41,6 +43,15 @@
 type fakeFeed[T any] struct {
 	mu      sync.Mutex
 	records []fleet.KeyedRecord[T]
+	down    bool // the platform does not respond
+}
+
+var errPlatformDown = errors.New("platform does not respond")
+
+func (f *fakeFeed[T]) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
 }
 
 func (f *fakeFeed[T]) write(key string, value *T) {
@@ -57,8 +68,11 @@
 
 func (f *fakeFeed[T]) Changes(ctx context.Context, from int64, wait time.Duration) ([]fleet.KeyedRecord[T], int64, error) {
 	f.mu.Lock()
-	records := append([]fleet.KeyedRecord[T](nil), f.records[from-1:]...)
+	records, down := append([]fleet.KeyedRecord[T](nil), f.records[from-1:]...), f.down
 	f.mu.Unlock()
+	if down {
+		return nil, 0, errPlatformDown
+	}
 	if len(records) == 0 && wait > 0 {
 		select {
 		case <-time.After(wait):
@@ -251,6 +265,31 @@
 	})
 }
 
+// Endpoints whose records were not written again after an outage of the platform got requests
+// for up to half a second longer than they were to be kept, until the next check. The platform
+// binds an instance to its records three seconds after an outage.
+func TestMissingEndpointGetsNoRequestsThreeSecondsAfterOutage(t *testing.T) {
+	for phase := range 20 {
+		t.Run(strconv.Itoa(phase), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				f.startServing()
+				f.endpoints.setDown(true)
+				time.Sleep(6*time.Second + time.Duration(phase)*25*time.Millisecond)
+				f.endpoints.write("i-1", nil)
+				f.endpoints.setDown(false)
+				time.Sleep(time.Second)
+				status, _ := f.request(f.callers, "/a/x", "k")
+				require.Equal(t, http.StatusOK, status, "the record may be written again")
+				time.Sleep(2 * time.Second)
+				status, _ = f.request(f.callers, "/a/x", "k")
+				require.Equal(t, http.StatusServiceUnavailable, status)
+				f.shutDown()
+			})
+		})
+	}
+}
+
 // A planned stop makes the instance not ready at once, serves requests that still arrive, and
 // aborts none.
 func TestStopFinishesActiveRequests(t *testing.T) {
