--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,6 +52,9 @@
 	// Operators and Endpoints are the feeds of the records of operators and endpoints.
 	Operators fleet.Feed[watch.VersionedConfiguration]
 	Endpoints fleet.Feed[fleet.EndpointInfo]
+	// HeartbeatInterval is how often endpoints write their records, which expire after three
+	// intervals without; zero means 1.2 s.
+	HeartbeatInterval time.Duration
 	// Secret stores the key with which instances authenticate each other's messages.
 	Secret fleet.WriteOnceValue
 	// Directory is where instances find each other's addresses.
@@ -132,6 +135,9 @@
 	// probeInterval is the interval between checks for endpoints that are down and due
 	// for a connection attempt.
 	probeInterval = 100 * time.Millisecond
+	// expiryInterval is the interval between checks for endpoints whose records were not
+	// written again: it adds to the time for which they get requests.
+	expiryInterval = 100 * time.Millisecond
 	// sweepInterval is the interval between checks for expired connections.
 	sweepInterval = 500 * time.Millisecond
 	// drainDelay is how long all new requests are served after the signal to stop: the
@@ -161,7 +167,7 @@
 	i.graceNanos.Store(int64(i.Grace))
 	i.balancer = &placement.Balancer{LocalDomain: i.Domain, OnChange: i.endpointChanged}
 	i.pool = &upstream.Pool{HeaderCodec: i.HeaderCodec, Dial: i.Dial}
-	i.tracker = &watch.EndpointTracker{Balancer: i.balancer, OnInvalid: func(key string, fault error) {
+	i.tracker = &watch.EndpointTracker{Balancer: i.balancer, OnMissing: i.logMissing, OnInvalid: func(key string, fault error) {
 		i.logger.Warn(event.InvalidData, zap.String("key", key), zap.Error(fault))
 	}}
 	i.idleConns = &idleConns{MaxConns: i.maxCallerConns(), IdleTimeout: func() time.Duration { return i.handler.IdleTimeout() }}
@@ -183,7 +189,8 @@
 	}
 	i.endpoints = &watch.Follower[fleet.EndpointInfo]{
 		Name: "endpoints", Feed: i.Endpoints, Timeout: feedTimeout, MaxAge: i.maxAge(endpointsMaxAge, 0),
-		OnBatch: i.tracker.Apply, OnUnreachable: i.logUnreachable("endpoints"), OnReachable: i.logReachable("endpoints"), OnRecovery: i.tracker.SetRecovered,
+		OnBatch: i.tracker.Apply, OnUnreachable: i.logUnreachable("endpoints"), OnReachable: i.logReachable("endpoints"),
+		ExpiryTime: i.expiryTime(), OnRecovery: i.platformRecovered,
 	}
 	now := time.Now()
 	i.peers = &peer.Exchange{
@@ -256,6 +263,7 @@
 	tree.Add(&peer.Finder{Directory: i.Directory, Exchange: i.peers, Logger: i.logger})
 	tree.Add(&service.Server{Listener: i.Peers, HTTP: &http.Server{Handler: i.peerMux(), ReadTimeout: headerTimeout, IdleTimeout: peerIdleTimeout}})
 	tree.Add(&service.Loop{Name: "sweep", Interval: sweepInterval, Run: i.sweep})
+	tree.Add(&service.Loop{Name: "expiry", Interval: expiryInterval, Run: i.removeExpired})
 	tree.Add(&service.Loop{Name: "probe", Interval: probeInterval, Run: i.probe})
 	treeCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -309,9 +317,10 @@
 	now := time.Now()
 	i.pool.Sweep(now)
 	i.idleConns.sweep(i.handler.IdleTimeout()+idleMargin, now)
-	i.tracker.RemoveExpired(now)
 }
 
+func (i *Instance) removeExpired(context.Context) { i.tracker.RemoveExpired(time.Now()) }
+
 // probe tries to connect to endpoints that are down. It does so in the background, so that
 // no request waits for an attempt that may fail.
 func (i *Instance) probe(ctx context.Context) {
