gateway: leave a stream with an endpoint that is silent for a second or so

Callers of resumable streams lost time, and the endpoint its work: a stream whose endpoint sent nothing for 1.2 s was cut and resumed elsewhere, prompt and all, though a sound endpoint may be silent for a second or so and go on.

The limit is now 1.7 s, which leaves callers of two seconds' patience 0.3 s for the other endpoint's first event.

Before the change (TestStreamOfSilentEndpointIsNotRestarted): 1.5s_after_the_head, 1.5s_between_two_events, 1.5s_within_an_event: expected 1 run, actual 2 TestSilentStreamMovesBeforeCallerLeaves guards the other side and passed before.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -62,7 +62,7 @@
 			}
 			lastEventAt = now
 			if timer != nil && hasData(pending[:end]) {
-				timer.Reset(stallTimeout)
+				timer.Reset(silenceLimit)
 			}
 			if ferr := c.forward(a, pending[:end]); ferr != nil {
 				return broken(ferr)
@@ -91,9 +91,10 @@
 	return bytes.HasPrefix(events, []byte("data:")) || bytes.Contains(events, []byte("\ndata:"))
 }
 
-// stallTimeout is the longest pause between two events of a stream that another endpoint could
-// resume. It is shorter than the pause after which callers give up, two seconds or more.
-const stallTimeout = 1200 * time.Millisecond
+// silenceLimit is how long an endpoint may send nothing until work that another one can take over
+// is taken from it: sound endpoints pause for a second or so, and callers of streams leave after a
+// pause of two seconds or more.
+const silenceLimit = 1700 * time.Millisecond
 
 // stallTimer returns a timer that abandons a stalled stream. It returns nil if no other
 // endpoint may resume the stream: then it is read to its end, however long it pauses.
@@ -101,7 +102,7 @@
 	if !c.repeatable() || c.runs >= c.maxRuns() {
 		return nil
 	}
-	return time.AfterFunc(stallTimeout, a.Abandon)
+	return time.AfterFunc(silenceLimit, a.Abandon)
 }
 
 // completeEventsEnd returns the offset after the last complete event, 0 if there is none.
