gateway: do not repeat a request whose endpoint is silent for a second or so

Callers of requests that may run again and whose route has a short target latency got 502 from an endpoint that paused for half a second: after three times the target, or four times the expected latency, the request was sent to another endpoint, which was as silent, and then given up. In TestRequestAtSilentEndpointIsNotRepeated (target 100 ms, silences of 0.5, 1 and 1.5 s) the answer was 502 instead of 200, and streams of TestStreamOfSilentEndpointIsNotRestarted that paused before their head ran twice.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -152,9 +152,12 @@
 const (
 	// targetTimeoutFactor and expectedTimeoutFactor are multiplied by the route's
 	// target latency and by the expected latency: the larger product is the response
-	// timeout of a request that may run again.
+	// timeout of a request that may run again, if it is longer than silenceLimit.
 	targetTimeoutFactor   = 3
 	expectedTimeoutFactor = 4
+	// firstAttemptShare is the part of the time left that an attempt may take without a
+	// response if silenceLimit would leave too little for the next one.
+	firstAttemptShare = 2.0 / 3
 )
 
 // responseTimeout returns the time limit for the response headers, after which another
@@ -163,7 +166,11 @@
 	if !c.repeatable() || c.runs+1 >= c.maxRuns() || c.route.TargetLatencyMillis == 0 {
 		return 0
 	}
-	return max(targetTimeoutFactor*c.route.TargetLatency(), expectedTimeoutFactor*c.choice.Expected)
+	silence := silenceLimit
+	if !c.deadline.IsZero() {
+		silence = min(silence, time.Duration(firstAttemptShare*float64(c.timeLeft())))
+	}
+	return max(targetTimeoutFactor*c.route.TargetLatency(), expectedTimeoutFactor*c.choice.Expected, silence)
 }
 
 // removeHopHeaders removes the hop-by-hop headers.
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -4,12 +4,15 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/greengagestep/greengagestep/pkg/arrangement"
 )
 
 // soundSilences are pauses after which a sound endpoint goes on.
@@ -19,11 +22,13 @@
 // stream must not be started again at another endpoint.
 func TestStreamOfSilentEndpointIsNotRestarted(t *testing.T) {
 	for _, silence := range soundSilences {
-		for _, point := range []string{"after the head", "between two events", "within an event"} {
+		for _, point := range []string{"before the head", "after the head", "between two events", "within an event"} {
 			t.Run(fmt.Sprint(silence, " ", point), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					defer time.Sleep(time.Minute)
-					g := newTestGateway(t, streamConfig())
+					config := streamConfig()
+					config.Routes[0].TargetLatencyMillis = 100
+					g := newTestGateway(t, config)
 					var runs atomic.Int64
 					pauseAt := func(at string) {
 						if at == point {
@@ -32,6 +37,7 @@
 					}
 					serve := func(r *http.Request, _ string, w io.Writer) bool {
 						runs.Add(1)
+						pauseAt("before the head")
 						startStream(w, r)
 						pauseAt("after the head")
 						_ = writeChunk(w, "id: 1\ndata: a\n\n")
@@ -87,3 +93,38 @@
 		require.False(t, resumedAt.Before(endedAt), "resumed at %s, ended at %s", resumedAt, endedAt)
 	})
 }
+
+// A sound endpoint sends nothing for a second or so before its response: the request must not be
+// sent to another endpoint as well, unless its caller leaves so soon that the other one's response
+// would come too late.
+func TestRequestAtSilentEndpointIsNotRepeated(t *testing.T) {
+	for _, silence := range soundSilences {
+		t.Run(silence.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				defer time.Sleep(time.Minute)
+				route := arrangement.Route{
+					Name: "r", Path: "/", Targets: []arrangement.Target{{Service: "portal", Weight: 1}},
+					Repeat: arrangement.RepeatAny, Attempts: 3, TargetLatencyMillis: 100, TimeoutMillis: 10_000,
+				}
+				g := newTestGateway(t, arrangement.Config{Routes: []arrangement.Route{route}})
+				var runs atomic.Int64
+				serve := func(r *http.Request, _ string, w io.Writer) bool {
+					runs.Add(1)
+					time.Sleep(silence)
+					writeResponse(w, r, http.StatusOK, "ok")
+					return true
+				}
+				g.addEndpoint("i-1", serve)
+				g.addEndpoint("i-2", serve)
+				r, err := http.NewRequest(http.MethodPost, "http://h/", strings.NewReader("q"))
+				require.NoError(t, err)
+				r.Header.Set("Request-Id", "1")
+				resp, err := g.client.Do(r)
+				require.NoError(t, err)
+				defer resp.Body.Close()
+				require.Equal(t, http.StatusOK, resp.StatusCode)
+				require.EqualValues(t, 1, runs.Load())
+			})
+		})
+	}
+}
