placement: do not learn a silence as an endpoint's speed

After an endpoint had been silent for a second, requests kept away from it for seconds, and those of the whole service were expected to take longer: each response that had waited through the silence counted as a slow one.

The time in which an endpoint with streams in progress sent nothing at all, the same by which it counts as stalled, is now left out of what is learned: the time to the first event, the interval between events and the duration. Without a stream in progress, silence and slowness look alike, and all is learned as before.

A read that ended with an error counted as data from the endpoint, so that a stalled one looked alive when its stream was given up; it no longer does.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -40,12 +40,14 @@
 	firstEventAt, lastEventAt, events := time.Time{}, time.Time{}, 0
 	defer func() {
 		if !firstEventAt.IsZero() {
-			run.RecordStream(events, time.Since(firstEventAt))
+			run.RecordStream(events, firstEventAt, time.Now())
 		}
 	}()
 	for {
 		n, err := a.Read(buf[:])
-		run.RecordData(time.Now())
+		if n > 0 {
+			run.RecordData(time.Now())
+		}
 		pending = append(pending, buf[:n]...)
 		if len(pending) > maxEventBytes {
 			return broken(errEventTooLong)
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -135,6 +135,9 @@
 	cache           *promptCache
 	fault           fault
 	lastReceived    atomic.Int64 // Unix nanoseconds of the last data from the endpoint
+	streams         int          // in progress, sent by this instance
+	silentFrom      time.Time    // beginning of the last silence that ended during a stream
+	silentTo        time.Time    // end of that silence
 	eventIntervalMS float64      // milliseconds between events, zero if not known
 	slowdownAt      time.Time    // when slowdown was last updated
 	slowdown        float64      // ratio of the time taken to the time expected, smoothed
--- a/internal/placement/fault.go
+++ b/internal/placement/fault.go
@@ -80,6 +80,26 @@
 	return s.local.Runs > 0 && now.Sub(time.Unix(0, s.lastReceived.Load())) > stallTimeout
 }
 
+// endSilence records that the endpoint sent nothing from one time to the other and then went on.
+// Without a stream in progress it may just have had nothing to send.
+func (s *endpointState) endSilence(from, to time.Time) {
+	if s.streams > 0 {
+		s.silentFrom, s.silentTo = from, to
+	}
+}
+
+// silentBetween returns how much of the time between from and to fell into the endpoint's last
+// silence.
+func (s *endpointState) silentBetween(from, to time.Time) time.Duration {
+	if from.Before(s.silentFrom) {
+		from = s.silentFrom
+	}
+	if to.After(s.silentTo) {
+		to = s.silentTo
+	}
+	return max(to.Sub(from), 0)
+}
+
 // Probes returns the endpoints that are down and to which a connection should be tried
 // now. Each is returned again after maxBackoff at the latest.
 func (b *Balancer) Probes(now time.Time) []Endpoint {
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -14,6 +14,7 @@
 	tokensAhead float64 // prompt tokens of earlier requests still to be processed at sentAt
 	unary       bool    // the response is not a stream of events
 	started     bool    // the first event or the response has arrived, or the request has ended
+	streaming   bool    // the first event of a stream has arrived, and the request has not ended
 	ended       bool
 	expectedMS  float64 // milliseconds to the first event or the response, without the endpoint's slowdown
 	// hostSlowdown is that of the endpoint's machine when the request was sent.
@@ -43,7 +44,15 @@
 }
 
 // RecordData records that the endpoint has sent data. It is safe for concurrent use.
-func (r *Run) RecordData(now time.Time) { r.state.lastReceived.Store(now.UnixNano()) }
+func (r *Run) RecordData(now time.Time) {
+	last := time.Unix(0, r.state.lastReceived.Swap(now.UnixNano()))
+	if now.Sub(last) <= stallTimeout {
+		return
+	}
+	r.balancer.mu.Lock()
+	defer r.balancer.mu.Unlock()
+	r.state.endSilence(last, now)
+}
 
 // RecordFirst records the first event of a stream, or the response of a service that does
 // not stream. Further calls do nothing.
@@ -53,27 +62,34 @@
 	if r.started {
 		return
 	}
-	r.RecordData(now)
+	last := time.Unix(0, r.state.lastReceived.Swap(now.UnixNano()))
+	if now.Sub(last) > stallTimeout {
+		r.state.endSilence(last, now)
+	}
 	r.started = true
 	r.state.local.Tokens -= r.tokens
+	if !r.unary {
+		r.streaming = true
+		r.state.streams++
+	}
 	// What the machine does at the moment is not learned as a property of the endpoint or
-	// of the service.
-	tookMS := ms(now.Sub(r.sentAt)) / ((r.hostSlowdown + r.state.currentHostSlowdown(now)) / 2)
+	// of the service, nor is a silence.
+	tookMS := ms(now.Sub(r.sentAt)-r.state.silentBetween(r.sentAt, now)) / ((r.hostSlowdown + r.state.currentHostSlowdown(now)) / 2)
 	r.balancer.latencyModel(r.state.Service).observeFirst(r, tookMS, now)
 	slowdown := r.state.learnedSlowdown(now)
 	r.state.slowdown = slowdown + slowdownGain*(min(max(tookMS/max(r.expectedMS, 1), minSlowdown), maxSlowdown)-slowdown)
 	r.state.slowdownAt = now
 }
 
-// RecordStream records how long a stream of events took after the first one. Streams of
-// fewer than minStreamEvents events are ignored.
-func (r *Run) RecordStream(events int, took time.Duration) {
+// RecordStream records the number of events in a stream after the first one, which came at
+// from, and when they ended. Streams of fewer than minStreamEvents events are ignored.
+func (r *Run) RecordStream(events int, from, to time.Time) {
 	if events < minStreamEvents {
 		return
 	}
 	r.balancer.mu.Lock()
 	defer r.balancer.mu.Unlock()
-	interval := ms(took) / float64(events)
+	interval := ms(to.Sub(from)-r.state.silentBetween(from, to)) / float64(events)
 	m := r.balancer.latencyModel(r.state.Service)
 	m.eventIntervalMS += eventIntervalGain * (interval - m.eventIntervalMS)
 	if r.state.eventIntervalMS == 0 {
@@ -104,8 +120,12 @@
 		r.started = true
 		r.state.local.Tokens -= r.tokens
 	}
+	if r.streaming {
+		r.streaming = false
+		r.state.streams--
+	}
 	if result == ResultAnswered {
-		r.balancer.latencyModel(r.state.Service).observeDuration(ms(now.Sub(r.sentAt)))
+		r.balancer.latencyModel(r.state.Service).observeDuration(ms(now.Sub(r.sentAt) - r.state.silentBetween(r.sentAt, now)))
 	}
 	r.balancer.recordResult(r.state, result, now)
 }
