placement: use a silent endpoint again as soon as it speaks

Connections that timed out counted as connections that were refused: each raised the endpoint's failure rate, and each of those that were under way at the same moment doubled the time until its next probe. After a silence of a second in which several requests had tried to connect, the endpoint got none for up to two seconds more, and few for some seconds after that, though its streams went on.

A timeout of a connection is a result of its own now. If nothing came on other connections either, the endpoint is silent: it gets no requests, does not count as failing, the timeouts of one moment count once, and data on any connection ends it at once; else a probe does, as before. An endpoint that goes on with its streams and accepts no new connections is unreachable as before: data from it does not bring requests back that would wait 400 ms for a connection in vain.

TestSilentEndpointIsPreferredAgain before the change (no probe is due before it ends: after three failures the next one comes after 1.2 s): expected: {far:3, near:2} actual: {far:4, near:1}

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -129,11 +130,18 @@
 		r = placement.ResultCanceled
 	case f.Reached:
 		r = placement.ResultFailed
+	case isTimeout(err):
+		r = placement.ResultSilent
 	}
 	run.End(r, time.Now())
 	return o
 }
 
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // endpointRequest builds the request to the endpoint. A resumed stream continues after
 // the last event that the caller has.
 func (c *call) endpointRequest() upstream.Request {
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -1,10 +1,13 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -12,7 +15,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/greengagestep/greengagestep/internal/placement"
 	"github.com/greengagestep/greengagestep/pkg/arrangement"
+	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
 // soundSilences are pauses after which a sound endpoint goes on.
@@ -128,3 +133,72 @@
 		})
 	}
 }
+
+// Connections to an endpoint time out during a silence of a second. The endpoint must serve requests
+// again as soon as it goes on with a stream, though several of them failed to connect.
+func TestSilentEndpointIsPreferredAgain(t *testing.T) {
+	const silence, shorts = time.Second, 3
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(time.Minute)
+		g := newTestGateway(t, streamConfig())
+		var silent atomic.Bool
+		served := map[string]int{}
+		var mu sync.Mutex
+		serve := func(id string) endpointFunc {
+			return func(r *http.Request, body string, w io.Writer) bool {
+				mu.Lock()
+				served[id]++
+				mu.Unlock()
+				startStream(w, r)
+				_ = writeChunk(w, "id: 1\ndata: a\n\n")
+				if body == "long" {
+					silent.Store(true)
+					time.Sleep(silence)
+					silent.Store(false)
+					for n := 2; n <= 10; n++ {
+						_ = writeChunk(w, fmt.Sprintf("id: %d\ndata: b\n\n", n))
+						time.Sleep(50 * time.Millisecond)
+					}
+				}
+				_ = writeChunk(w, "")
+				return true
+			}
+		}
+		g.addEndpoint("near", serve("near"))
+		g.addEndpoint("far", serve("far"))
+		near, far := g.listeners["near"].Addr().String(), g.listeners["far"].Addr().String()
+		g.balancer.Put(placement.Endpoint{ID: "near", EndpointInfo: fleet.EndpointInfo{Service: "portal", Address: near, Domain: "a", Slots: 64}})
+		g.balancer.Put(placement.Endpoint{ID: "far", EndpointInfo: fleet.EndpointInfo{Service: "portal", Address: far, Domain: "b", Slots: 4}})
+		g.handler.Pool.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if address == near && silent.Load() {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return g.network.Dial(ctx, network, address)
+		}
+		send := func(body string) {
+			r, err := http.NewRequest(http.MethodPost, "http://h/", strings.NewReader(body))
+			require.NoError(t, err)
+			r.Header.Set("Request-Id", "1")
+			resp, err := g.client.Do(r)
+			require.NoError(t, err)
+			defer resp.Body.Close()
+			data, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, resp.StatusCode, "%s", data)
+		}
+		var requests sync.WaitGroup
+		requests.Go(func() { send("long") })
+		time.Sleep(50 * time.Millisecond)
+		for range shorts {
+			requests.Go(func() { send("short") })
+		}
+		time.Sleep(silence)
+		mu.Lock()
+		require.Equal(t, map[string]int{"near": 1, "far": shorts}, served)
+		mu.Unlock()
+		send("short")
+		requests.Wait()
+		require.Equal(t, map[string]int{"near": 2, "far": shorts}, served)
+	})
+}
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -135,6 +135,7 @@
 	cache           *promptCache
 	fault           fault
 	lastReceived    atomic.Int64 // Unix nanoseconds of the last data from the endpoint
+	silent          atomic.Bool  // down because of a silence; data from the endpoint ends it
 	streams         int          // in progress, sent by this instance
 	silentFrom      time.Time    // beginning of the last silence that ended during a stream
 	silentTo        time.Time    // end of that silence
--- a/internal/placement/fault.go
+++ b/internal/placement/fault.go
@@ -18,6 +18,9 @@
 	ResultFailed Result = "failed"
 	// ResultUnreachable means that no connection to the endpoint could be made.
 	ResultUnreachable Result = "unreachable"
+	// ResultSilent means that a connection to the endpoint was neither made nor refused
+	// in time.
+	ResultSilent Result = "silent"
 	// ResultRefused means that the endpoint did not run the request.
 	ResultRefused Result = "refused"
 	// ResultCanceled means that the caller disconnected or the deadline passed.
@@ -57,6 +60,12 @@
 	return failureCostMS * f.failureRate
 }
 
+// backOff sets when a connection may be tried again after one more that failed.
+func (f *fault) backOff(now time.Time) {
+	f.connectFailures++
+	f.retryAt = now.Add(min(minBackoff<<min(f.connectFailures-1, 8), maxBackoff))
+}
+
 func (f *fault) decay(now time.Time) {
 	if !f.updatedAt.IsZero() {
 		f.failureRate *= math.Exp(-now.Sub(f.updatedAt).Seconds() / failureDecayTime.Seconds())
@@ -80,12 +89,29 @@
 	return s.local.Runs > 0 && now.Sub(time.Unix(0, s.lastReceived.Load())) > stallTimeout
 }
 
-// endSilence records that the endpoint sent nothing from one time to the other and then went on.
+// recordData records that the endpoint has sent data, and reports whether this ends a silence and
+// since when it had sent none. The balancer need not be locked.
+func (s *endpointState) recordData(now time.Time) (last time.Time, silent bool) {
+	last = time.Unix(0, s.lastReceived.Swap(now.UnixNano()))
+	return last, now.Sub(last) > stallTimeout || s.silent.Load()
+}
+
+// endSilence records that an endpoint sent nothing from one time to the other and then went on.
 // Without a stream in progress it may just have had nothing to send.
-func (s *endpointState) endSilence(from, to time.Time) {
+func (b *Balancer) endSilence(s *endpointState, from, to time.Time) {
 	if s.streams > 0 {
 		s.silentFrom, s.silentTo = from, to
 	}
+	if s.silent.Load() {
+		b.setUp(s, "it sent data")
+	}
+}
+
+func (b *Balancer) setUp(s *endpointState, cause string) {
+	s.silent.Store(false)
+	s.fault.connectFailures = 0
+	s.fault.down = false
+	b.notifyChange(s, ConditionUp, cause)
 }
 
 // silentBetween returns how much of the time between from and to fell into the endpoint's last
@@ -126,9 +152,9 @@
 	switch {
 	case s == nil:
 	case ok:
-		s.fault.connectFailures = 0
-		s.fault.down = false
-		b.notifyChange(s, ConditionUp, "probe connected")
+		b.setUp(s, "probe connected")
+	case s.silent.Load():
+		s.fault.backOff(now)
 	default:
 		b.recordResult(s, ResultUnreachable, now)
 	}
@@ -143,19 +169,27 @@
 		f.failureRate -= failureGain * f.failureRate
 		f.connectFailures = 0
 		if f.down {
-			f.down = false
-			b.notifyChange(s, ConditionUp, "request was answered")
+			b.setUp(s, "request was answered")
 		}
 	case ResultFailed:
 		f.failureRate += failureGain * (1 - f.failureRate)
 	case ResultUnreachable:
 		f.failureRate += failureGain * (1 - f.failureRate)
-		f.connectFailures++
-		f.retryAt = now.Add(min(minBackoff<<min(f.connectFailures-1, 8), maxBackoff))
+		f.backOff(now)
+		s.silent.Store(false)
 		if !f.down {
 			f.down = true
 			b.notifyChange(s, ConditionDown, "connection failed")
 		}
+	case ResultSilent:
+		if f.down {
+			// Requests that were sent to it at the same time count once.
+			return
+		}
+		f.backOff(now)
+		f.down = true
+		s.silent.Store(true)
+		b.notifyChange(s, ConditionDown, "connection timed out")
 	case ResultRefused, ResultCanceled:
 	}
 }
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -45,13 +45,13 @@
 
 // RecordData records that the endpoint has sent data. It is safe for concurrent use.
 func (r *Run) RecordData(now time.Time) {
-	last := time.Unix(0, r.state.lastReceived.Swap(now.UnixNano()))
-	if now.Sub(last) <= stallTimeout {
+	last, silent := r.state.recordData(now)
+	if !silent {
 		return
 	}
 	r.balancer.mu.Lock()
 	defer r.balancer.mu.Unlock()
-	r.state.endSilence(last, now)
+	r.balancer.endSilence(r.state, last, now)
 }
 
 // RecordFirst records the first event of a stream, or the response of a service that does
@@ -62,9 +62,8 @@
 	if r.started {
 		return
 	}
-	last := time.Unix(0, r.state.lastReceived.Swap(now.UnixNano()))
-	if now.Sub(last) > stallTimeout {
-		r.state.endSilence(last, now)
+	if last, silent := r.state.recordData(now); silent {
+		r.balancer.endSilence(r.state, last, now)
 	}
 	r.started = true
 	r.state.local.Tokens -= r.tokens
@@ -127,6 +126,10 @@
 	if result == ResultAnswered {
 		r.balancer.latencyModel(r.state.Service).observeDuration(ms(now.Sub(r.sentAt) - r.state.silentBetween(r.sentAt, now)))
 	}
+	if result == ResultSilent && r.state.lastReceived.Load() > r.sentAt.UnixNano() {
+		// It sends on its other connections, but accepts no new ones.
+		result = ResultUnreachable
+	}
 	r.balancer.recordResult(r.state, result, now)
 }
 
--- a/internal/placement/silence_test.go
+++ b/internal/placement/silence_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/greengagestep/greengagestep/internal/placement"
+	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
 // chosenOf counts how often each endpoint is chosen for a request without shared parts.
@@ -71,3 +72,53 @@
 		})
 	}
 }
+
+// Requests to an endpoint from which nothing comes time out while they connect, all at the same
+// moment. When it speaks again, on whatever connection, it must be chosen as before: at once, and
+// without a failure that counts against it.
+func TestSilentEndpointIsUsedAgainWhenItSpeaks(t *testing.T) {
+	b := newBalancer(1)
+	b.Put(placement.Endpoint{ID: "far", EndpointInfo: fleet.EndpointInfo{Service: "model", Address: "far", Domain: "b", Slots: 8}})
+	r := shortRequest()
+	r.Avoid = []string{"far"}
+	stream := b.Begin(choose(t, b, r, start), r, start)
+	stream.RecordFirst(start.Add(50 * time.Millisecond))
+	now := start.Add(100 * time.Millisecond)
+	want := choose(t, b, r, now).Expected
+	var runs []*placement.Run
+	for range 6 {
+		runs = append(runs, b.Begin(choose(t, b, r, now), r, now))
+	}
+	now = now.Add(400 * time.Millisecond)
+	for _, run := range runs {
+		run.End(placement.ResultSilent, now)
+	}
+	require.Zero(t, chosenOf(t, b, 50, now)["i-0"], "chosen while no connection can be made")
+	now = now.Add(700 * time.Millisecond)
+	require.Len(t, b.Probes(now), 1)
+	b.RecordProbe("i-0", false, now)
+	require.Zero(t, chosenOf(t, b, 50, now)["i-0"])
+	stream.RecordData(now)
+	require.InEpsilon(t, want, choose(t, b, r, now).Expected, 0.02)
+	stream.End(placement.ResultAnswered, now)
+	require.Equal(t, 50, chosenOf(t, b, 50, now)["i-0"])
+	require.Empty(t, b.Probes(now.Add(time.Minute)))
+}
+
+// An endpoint that accepts no new connections and goes on with its streams is not silent: what it
+// sends must not bring back requests that would wait for a connection in vain.
+func TestEndpointWithoutNewConnectionsIsProbed(t *testing.T) {
+	b := newBalancer(1)
+	stream := b.Begin(choose(t, b, shortRequest(), start), shortRequest(), start)
+	stream.RecordFirst(start)
+	run := b.Begin(choose(t, b, shortRequest(), start), shortRequest(), start)
+	now := start.Add(400 * time.Millisecond)
+	stream.RecordData(now)
+	run.End(placement.ResultSilent, now)
+	stream.RecordData(now.Add(100 * time.Millisecond))
+	_, ok := b.Choose(shortRequest(), now.Add(100*time.Millisecond))
+	require.False(t, ok)
+	b.RecordProbe("i-0", true, now.Add(300*time.Millisecond))
+	_, ok = b.Choose(shortRequest(), now.Add(300*time.Millisecond))
+	require.True(t, ok)
+}
