gateway: do not take a silent endpoint for a crashed one

An endpoint that broke off a stream and accepted no connection for 0.4 s counted as crashed by the requests that it had. If it was only silent, sound requests were refused as crashing after two such events. TestSilentEndpointHasNotCrashed before the change: the third request was refused ('An error is expected but got nil', silence_test.go:248: no stream, so none that broke).

The probe after a broken connection now goes on while it times out, until the endpoint has been without a connection for 1.7 s. One that refuses connections counts as crashed at once, as before.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -34,7 +34,8 @@
 
 // probeForCrash checks in the background whether the endpoint whose connection broke has
 // crashed, since a broken connection alone does not prove it. A failed probe is reported
-// to the balancer and to the quarantine.
+// to the balancer, and to the quarantine if the endpoint refused the connection or accepts
+// none for silenceLimit: until then it may just be silent.
 func (c *call) probeForCrash() {
 	h, endpoint := c.h, c.choice.Endpoint
 	var suspect fleet.Suspect
@@ -47,19 +48,32 @@
 	service.Go(h.Logger, "crash probe", func() {
 		defer h.crashProbes.Done()
 		defer close(done)
+		broken := time.Now()
 		time.Sleep(crashProbeDelay)
-		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
-		defer cancel()
-		if h.Pool.Probe(ctx, endpoint.Address) == nil {
+		err := h.probe(endpoint.Address)
+		if err == nil {
 			return
 		}
 		h.Balancer.RecordProbe(endpoint.ID, false, time.Now())
+		for isTimeout(err) && time.Since(broken) < silenceLimit {
+			err = h.probe(endpoint.Address)
+		}
+		if err == nil {
+			h.Balancer.RecordProbe(endpoint.ID, true, time.Now())
+			return
+		}
 		if h.Quarantine != nil {
 			h.Quarantine.Crashed(suspect)
 		}
 	})
 }
 
+func (h *Handler) probe(address string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+	defer cancel()
+	return h.Pool.Probe(ctx, address)
+}
+
 // mayCrashNext reports whether the request is quarantined after its last attempt. If its
 // endpoint may have crashed because of it, that is known only after the endpoint was probed.
 func (c *call) mayCrashNext(ctx context.Context) bool {
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -15,7 +15,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/greengagestep/greengagestep/internal/audit"
 	"github.com/greengagestep/greengagestep/internal/placement"
+	"github.com/greengagestep/greengagestep/internal/quarantine"
 	"github.com/greengagestep/greengagestep/pkg/arrangement"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
@@ -202,3 +204,52 @@
 		require.Equal(t, map[string]int{"near": 2, "far": shorts}, served)
 	})
 }
+
+// Endpoints close a connection and accept none for a second, each at another time and with a request
+// like the others: they have not crashed, and such requests must not be refused.
+func TestSilentEndpointHasNotCrashed(t *testing.T) {
+	const silence, breaks = time.Second, 3
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(time.Minute)
+		config := streamConfig()
+		config.Routes[0].Repeat = arrangement.RepeatNever
+		g := newTestGateway(t, config)
+		g.handler.Quarantine = quarantine.New(&audit.Trail{})
+		silentUntil := map[string]time.Time{}
+		var mu sync.Mutex
+		requests := 0
+		for _, id := range []string{"i-1", "i-2", "i-3", "i-4"} {
+			g.addEndpoint(id, func(r *http.Request, _ string, w io.Writer) bool {
+				startStream(w, r)
+				_ = writeChunk(w, "id: 1\ndata: a\n\n")
+				mu.Lock()
+				defer mu.Unlock()
+				if requests++; requests <= breaks {
+					silentUntil[g.listeners[id].Addr().String()] = time.Now().Add(silence)
+					return false
+				}
+				_ = writeChunk(w, "")
+				return true
+			})
+		}
+		g.handler.Pool.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			mu.Lock()
+			wait := time.Until(silentUntil[address])
+			mu.Unlock()
+			select {
+			case <-time.After(wait):
+				return g.network.Dial(ctx, network, address)
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		}
+		for range breaks {
+			_, err := g.stream(30 * time.Second)
+			require.Error(t, err)
+			time.Sleep(5 * time.Second)
+		}
+		body, err := g.stream(30 * time.Second)
+		require.NoError(t, err)
+		require.Equal(t, "id: 1\ndata: a\n\n", body)
+	})
+}
