upstream: keep connections over a path that is lost for a second or so

A request that waited for its response, and an idle connection, lost their connection though the path to a sound endpoint had come back: the kernel sent one keepalive probe after a second (it counts whole seconds; 750 and 375 ms were rounded up) and gave the connection up at the next second, and bytes that were not acknowledged for 1.5 s ended it as well. A callers' request that may run only once ended with 502 although its endpoint worked on.

Bytes may now stay unacknowledged for 2.2 s, so that keepalive probes go out after one and after two seconds and a connection ends after three. Streams that can be resumed and requests that may run again do not wait for that, since silenceLimit moves them after 1.7 s.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -27,10 +27,14 @@
 	// defaultDialTimeout bounds the time to establish a connection: endpoints
 	// in the region accept within milliseconds.
 	defaultDialTimeout = 400 * time.Millisecond
-	// deadPeerTimeout is how long sent bytes may stay unacknowledged, and how
-	// long the peer of a connection without traffic may stay silent despite
-	// keepalive probes, before the connection counts as broken.
-	deadPeerTimeout = 1500 * time.Millisecond
+	// deadPeerTimeout is how long sent bytes may stay unacknowledged before the connection
+	// counts as broken. One without traffic counts as broken at the first keepalive probe
+	// that is due after it, if its peer has not acknowledged any of the earlier ones. A path
+	// that was lost for a second or so must not break connections.
+	deadPeerTimeout = 2200 * time.Millisecond
+	// keepAliveInterval is the time between two keepalive probes of a connection without
+	// traffic; the kernel counts it in whole seconds.
+	keepAliveInterval = time.Second
 	// defaultIdleTimeout is how long an idle connection may be reused if the
 	// endpoint does not state its own idle timeout.
 	defaultIdleTimeout = 4 * time.Second
@@ -83,7 +87,7 @@
 // Exported fields must be set before the first call. It is safe for concurrent use.
 type Pool struct {
 	HeaderCodec fleet.HeaderCodec
-	// Dial connects to an address; nil means a net.Dialer with TCP keepalive.
+	// Dial connects to an address; nil means a net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnDial is called before each attempt to dial; nil means no callback.
 	OnDial func(address string)
@@ -352,9 +356,7 @@
 	defer cancel()
 	dial := p.Dial
 	if dial == nil {
-		dial = (&net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: deadPeerTimeout / 2, Interval: deadPeerTimeout / 4, Count: 2,
-		}}).DialContext
+		dial = (&net.Dialer{KeepAlive: -1}).DialContext
 	}
 	if p.OnDial != nil {
 		p.OnDial(address)
@@ -364,22 +366,23 @@
 		return nil, err
 	}
 	if t, ok := n.(*net.TCPConn); ok {
-		setUserTimeout(t)
+		setTimeouts(t)
 	}
 	c := &conn{netConn: n, address: address}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
 
-// setUserTimeout makes the kernel close a connection whose peer no longer acknowledges
-// data.
-func setUserTimeout(t *net.TCPConn) {
+// setTimeouts makes the kernel close a connection whose peer no longer acknowledges data or
+// keepalive probes.
+func setTimeouts(t *net.TCPConn) {
+	// Errors are ignored: a connection without these options works, only a dead peer is
+	// detected later.
+	_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2})
 	raw, err := t.SyscallConn()
 	if err != nil {
 		return
 	}
-	// The error is ignored: a connection without this option works, only a dead
-	// peer is detected later.
 	_ = raw.Control(func(fd uintptr) {
 		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(deadPeerTimeout.Milliseconds()))
 	})
