placement: a refusal ends the silence of an endpoint

An endpoint to which connections had timed out stayed out of use when it went on by refusing a request that it had already. TestRefusalEndsSilence failed before (the endpoint was not chosen).

--- a/internal/placement/fault.go
+++ b/internal/placement/fault.go
@@ -190,6 +190,10 @@
 		f.down = true
 		s.silent.Store(true)
 		b.notifyChange(s, ConditionDown, "connection timed out")
-	case ResultRefused, ResultCanceled:
+	case ResultRefused:
+		if s.silent.Load() {
+			b.setUp(s, "request was refused")
+		}
+	case ResultCanceled:
 	}
 }
--- a/internal/placement/silence_test.go
+++ b/internal/placement/silence_test.go
@@ -122,3 +122,17 @@
 	_, ok = b.Choose(shortRequest(), now.Add(300*time.Millisecond))
 	require.True(t, ok)
 }
+
+// A silent endpoint goes on by refusing a request: that is a sign of life as well.
+func TestRefusalEndsSilence(t *testing.T) {
+	b := newBalancer(1)
+	waiting := b.Begin(choose(t, b, shortRequest(), start), shortRequest(), start)
+	run := b.Begin(choose(t, b, shortRequest(), start), shortRequest(), start)
+	now := start.Add(400 * time.Millisecond)
+	run.End(placement.ResultSilent, now)
+	_, ok := b.Choose(shortRequest(), now)
+	require.False(t, ok)
+	waiting.End(placement.ResultRefused, now)
+	_, ok = b.Choose(shortRequest(), now)
+	require.True(t, ok)
+}
