--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -253,3 +253,30 @@
 		require.Equal(t, "id: 1\ndata: a\n\n", body)
 	})
 }
+
+// A stream is taken from a silent endpoint that has others: that the connection ended here is no sign
+// of life from the endpoint, which must go on counting as stalled.
+func TestStreamGivenUpIsNoSignOfLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(time.Minute)
+		g := newTestGateway(t, streamConfig())
+		ended := make(chan struct{}, 2)
+		g.addEndpoint("silent", func(r *http.Request, _ string, w io.Writer) bool {
+			startStream(w, r)
+			_ = writeChunk(w, "id: 1\ndata: a\n\n")
+			_, _ = w.(io.Reader).Read(make([]byte, 1))
+			ended <- struct{}{}
+			return false
+		})
+		var streams sync.WaitGroup
+		for range 2 {
+			streams.Go(func() { _, _ = g.stream(30 * time.Second) })
+			time.Sleep(600 * time.Millisecond)
+		}
+		<-ended
+		time.Sleep(50 * time.Millisecond)
+		require.Equal(t, 1, g.balancer.Services(time.Now())["portal"].Stalled)
+		<-ended
+		streams.Wait()
+	})
+}
