--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -55,7 +55,8 @@
 	// instance, by its answers: the latest end that one of them named. It outlives a record
 	// that lapses. Other instances are not concerned.
 	quietUntil time.Time
-	// down is set when a connection fails, by a request or a probe, until one is made.
+	// down is set when a connection fails, by a request or a probe, until one is made or the
+	// endpoint sends data.
 	down            bool
 	connectFailures int       // failures to connect in a row
 	retryAt         time.Time // when a connection may be tried again while down
@@ -120,6 +121,12 @@
 	return !a.leavingByAnswer.IsZero() || !a.leavingByPeer.IsZero()
 }
 
+// backOff sets when a connection may be tried again after one more that failed.
+func (a *availability) backOff(now time.Time) {
+	a.connectFailures++
+	a.retryAt = now.Add(min(minBackoff<<min(a.connectFailures-1, 8), maxBackoff))
+}
+
 // outlasting returns the part of what is known that outlives the record of the endpoint.
 func (a availability) outlasting() availability {
 	return availability{leavingByAnswer: a.leavingByAnswer, leavingByPeer: a.leavingByPeer, quietUntil: a.quietUntil}
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -16,6 +16,7 @@
 	tokensAhead float64 // prompt tokens of earlier requests still to be processed at sentAt
 	unary       bool    // the response is not a stream of events
 	started     bool    // the first event or the response has arrived, or the request has ended
+	streaming   bool    // the first event of a stream has arrived, and the request has not ended
 	ended       bool
 	expectedMS  float64 // milliseconds to the first event or the response, without the endpoint's slowdown
 	// hostSlowdown is that of the endpoint's machine when the request was sent.
@@ -86,7 +87,15 @@
 }
 
 // RecordData records that the endpoint has sent data. It is safe for concurrent use.
-func (r *Run) RecordData(now time.Time) { r.state.lastReceived.Store(now.UnixNano()) }
+func (r *Run) RecordData(now time.Time) {
+	last, silent := r.state.recordData(now)
+	if !silent {
+		return
+	}
+	r.balancer.mu.Lock()
+	defer r.balancer.mu.Unlock()
+	r.balancer.endSilence(r.state, last, now)
+}
 
 // RecordFirst records the first event of a stream, or the response of a service that does
 // not stream. Further calls do nothing.
@@ -96,27 +105,33 @@
 	if r.started {
 		return
 	}
-	r.RecordData(now)
+	if last, silent := r.state.recordData(now); silent {
+		r.balancer.endSilence(r.state, last, now)
+	}
 	r.started = true
 	r.state.local.Tokens -= r.tokens
+	if !r.unary {
+		r.streaming = true
+		r.state.streams++
+	}
 	// What the machine does at the moment is not learned as a property of the endpoint or
-	// of the service.
-	tookMS := ms(now.Sub(r.sentAt)) / ((r.hostSlowdown + r.state.currentHostSlowdown(now)) / 2)
+	// of the service, nor is a silence.
+	tookMS := ms(now.Sub(r.sentAt)-r.state.silentBetween(r.sentAt, now)) / ((r.hostSlowdown + r.state.currentHostSlowdown(now)) / 2)
 	r.balancer.latencyModel(r.state.Service).observeFirst(r, tookMS, now)
 	slowdown := r.state.learnedSlowdown(now)
 	r.state.slowdown = slowdown + slowdownGain*(min(max(tookMS/max(r.expectedMS, 1), minSlowdown), maxSlowdown)-slowdown)
 	r.state.slowdownAt = now
 }
 
-// RecordStream records how long a stream of events took after the first one. Streams of
-// fewer than minStreamEvents events are ignored.
-func (r *Run) RecordStream(events int, took time.Duration) {
+// RecordStream records the number of events in a stream after the first one, which came at
+// from, and when they ended. Streams of fewer than minStreamEvents events are ignored.
+func (r *Run) RecordStream(events int, from, to time.Time) {
 	if events < minStreamEvents {
 		return
 	}
 	r.balancer.mu.Lock()
 	defer r.balancer.mu.Unlock()
-	interval := ms(took) / float64(events)
+	interval := ms(to.Sub(from)-r.state.silentBetween(from, to)) / float64(events)
 	m := r.balancer.latencyModel(r.state.Service)
 	m.eventIntervalMS += eventIntervalGain * (interval - m.eventIntervalMS)
 	if r.state.eventIntervalMS == 0 {
@@ -147,8 +162,16 @@
 		r.started = true
 		r.state.local.Tokens -= r.tokens
 	}
+	if r.streaming {
+		r.streaming = false
+		r.state.streams--
+	}
 	if result == ResultAnswered {
-		r.balancer.latencyModel(r.state.Service).observeDuration(ms(now.Sub(r.sentAt)))
+		r.balancer.latencyModel(r.state.Service).observeDuration(ms(now.Sub(r.sentAt) - r.state.silentBetween(r.sentAt, now)))
+	}
+	if result == ResultSilent && r.state.lastReceived.Load() > r.sentAt.UnixNano() {
+		// It sends on its other connections, but accepts no new ones.
+		result = ResultUnreachable
 	}
 	r.balancer.recordResult(r.state, result, now)
 }
