--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -77,7 +77,7 @@
 		return UnavailableQuiet
 	case a.down:
 		return UnavailableDown
-	case float64(s.local.Runs) >= s.returnLimit(now):
+	case !a.quietUntil.IsZero() && float64(s.local.Runs) >= s.returnLimit(now):
 		return UnavailableReturning
 	}
 	return ""
