--- a/internal/gateway/outcome_test.go
+++ b/internal/gateway/outcome_test.go
@@ -36,6 +36,8 @@
 	behaveEncoded  behaviour = "encoded" // sends a body with a Content-Encoding, so not the one that the endpoint produced
 	behaveGarbage  behaviour = "noise"   // sends bytes that are not an HTTP response
 	behaveHang     behaviour = "hang"    // runs the request and never responds
+	behaveQuiet    behaviour = "quiet"   // reports that it did not run the request and asks for quiet
+	behaveLeave    behaviour = "leave"   // reports that it did not run the request and that it leaves
 
 	// The following responses have neither a length nor chunks and end with their connection.
 	behaveUnframed      behaviour = "unframed"       // sends a complete response
@@ -45,6 +47,7 @@
 
 var behaviours = []behaviour{
 	behaveComplete, behaveRefuse, behaveDrop, behaveFail, behaveShed, behaveTruncate, behaveMismatch, behaveUnsealed, behaveEncoded, behaveGarbage, behaveHang,
+	behaveQuiet, behaveLeave,
 	behaveUnframed, behaveUnframedEmpty, behaveUnframedCut,
 }
 
@@ -70,7 +73,7 @@
 		b = eps.script[eps.sends]
 	}
 	eps.sends++
-	if b != behaveRefuse {
+	if !slices.Contains([]behaviour{behaveRefuse, behaveQuiet, behaveLeave}, b) {
 		eps.runs++
 	}
 	return b
@@ -86,6 +89,12 @@
 	case behaveRefuse:
 		head(503, "Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 		return true
+	case behaveQuiet:
+		head(503, "Not-Run: 1\r\nQuiet-Millis: 5000\r\nContent-Length: 0\r\n\r\n")
+		return true
+	case behaveLeave:
+		head(503, "Not-Run: 1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
 	case behaveDrop:
 		return false
 	case behaveFail:
