peer, gateway: the home of a leaving endpoint says so when it refuses a slot

A home that knew that an endpoint leaves refused slots there, and the requesting instance took the endpoint for full until it learned of the departure. After three such refusals it refused the request (queue-full), with other endpoints free.

The response of the home now carries the departure, and a refusal by a home does not count against the request if its endpoint has become unavailable.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -68,7 +68,9 @@
 	if c.grant != fleet.GrantRefused {
 		return true
 	}
-	c.refusedBy = append(c.refusedBy, c.choice.Endpoint.ID)
+	if c.h.Balancer.Unavailability(c.choice, time.Now()) == "" {
+		c.refusedBy = append(c.refusedBy, c.choice.Endpoint.ID)
+	}
 	return false
 }
 
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -327,3 +327,33 @@
 		require.Zero(t, open.Load())
 	})
 }
+
+// The homes of several endpoints refuse reservations because the endpoints leave, which this
+// instance learns by that: they are no reason to refuse the request.
+func TestRequestMovesOnFromLeavingEndpoints(t *testing.T) {
+	const leaving = 5
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGateway(t, streamConfig())
+		for n := range leaving {
+			g.addCounted(fmt.Sprint("leaving-", n), serveWell)
+		}
+		g.handler.Homes = homesFunc(func(r fleet.Reservation) fleet.ReservationResult {
+			if !strings.HasPrefix(r.Endpoint, "leaving") {
+				return fleet.GrantAccepted
+			}
+			i := placement.Incarnation{ID: r.Endpoint, Service: "portal", Address: g.listeners[r.Endpoint].Addr().String()}
+			g.balancer.MergeDepartures([]placement.Departure{{Incarnation: i}}, time.Now())
+			return fleet.GrantRefused
+		})
+		g.addCounted("i-1", func(r *http.Request, _ string, w io.Writer) bool {
+			startStream(w, r)
+			_ = writeChunk(w, "id: 1\ndata: a\n\n")
+			_ = writeChunk(w, "")
+			return true
+		})
+		g.balancer.SetInstanceWork("p", map[string]placement.Work{"i-1": {Runs: 3}}, true, time.Now())
+		body, err := g.stream(30 * time.Second)
+		require.NoError(t, err)
+		require.Equal(t, "id: 1\ndata: a\n\n", body)
+	})
+}
--- a/internal/peer/departure_test.go
+++ b/internal/peer/departure_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/greengagestep/greengagestep/internal/peer"
 	"github.com/greengagestep/greengagestep/internal/placement"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
@@ -146,3 +147,25 @@
 		f.stopAll()
 	})
 }
+
+// A home that knows that an endpoint leaves says so when it is asked for a slot there.
+func TestHomeTellsOfDeparture(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetInMemory(t, 2)
+		time.Sleep(5 * time.Second)
+		members := []peer.Member{f.members[0].Self, f.members[1].Self}
+		home, other := f.members[0], f.members[1]
+		if peer.Home(placement.Endpoint{ID: "i-1", EndpointInfo: fleet.EndpointInfo{Domain: "a"}}, members) != members[0] {
+			home, other = other, home
+		}
+		for _, x := range f.members {
+			listEndpoint(x.Balancer, 1)
+		}
+		time.Sleep(time.Second)
+		answerLeaving(t, home.Balancer)
+		require.True(t, takesRequests(other.Balancer))
+		require.Equal(t, fleet.GrantRefused, other.Reserve(t.Context(), fleet.Reservation{Endpoint: "i-1", MaxWait: time.Hour}))
+		require.False(t, takesRequests(other.Balancer))
+		f.stopAll()
+	})
+}
--- a/internal/peer/home.go
+++ b/internal/peer/home.go
@@ -45,6 +45,8 @@
 	// Work is the work of all instances but the requesting one at the requested
 	// endpoint and at all others of this home, packed.
 	Work []byte `json:"w"`
+	// Departures says that the requested endpoint leaves.
+	Departures []placement.Departure `json:"l,omitempty"`
 }
 
 // endpointHomes returns the home of each endpoint by ID: the live instance in its
@@ -151,6 +153,7 @@
 		return fleet.GrantNoAnswer
 	}
 	x.Balancer.SetHomeWork(x.unpackWork(grant.Work, time.Now()), time.Now())
+	x.Balancer.MergeDepartures(grant.Departures, time.Now())
 	if grant.Granted {
 		return fleet.GrantAccepted
 	}
@@ -177,5 +180,5 @@
 	granted := x.Balancer.Grant(reservation.From, fleet.Reservation{
 		Endpoint: reservation.Endpoint, Tokens: reservation.Tokens, MaxWait: time.Duration(reservation.Limit) * time.Microsecond,
 	}, now)
-	x.writeSigned(w, signature, wireGrant{Granted: granted, Work: pack(others)})
+	x.writeSigned(w, signature, wireGrant{Granted: granted, Work: pack(others), Departures: x.Balancer.DepartureOf(reservation.Endpoint, now)})
 }
--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -134,6 +134,13 @@
 	return s
 }
 
+// Unavailability returns why no new request may be sent to the endpoint of a choice now.
+func (b *Balancer) Unavailability(c Choice, now time.Time) Unavailability {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.current(c.state).unavailability(now)
+}
+
 // recordQuiet records that an endpoint wants no requests from this instance until a time. An
 // earlier end than one that it named before changes nothing.
 func (b *Balancer) recordQuiet(s *endpointState, until, now time.Time) {
--- a/internal/placement/departure.go
+++ b/internal/placement/departure.go
@@ -60,6 +60,21 @@
 	return list, next, false
 }
 
+// DepartureOf returns the departure of an endpoint, as a list of none or one.
+func (b *Balancer) DepartureOf(id string, now time.Time) []Departure {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.byID[id]
+	if s == nil || !s.saidToLeave() {
+		return nil
+	}
+	at := s.leavingByAnswer
+	if at.IsZero() {
+		at = s.leavingByPeer
+	}
+	return []Departure{{s.incarnation(), max(now.Sub(at), 0)}}
+}
+
 // MergeDepartures adds departures that another instance reports. They concern exactly the
 // incarnations that they name, also those whose records this instance has not read yet.
 func (b *Balancer) MergeDepartures(list []Departure, now time.Time) {
