--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -78,7 +78,7 @@
 		return UnavailableQuiet
 	case a.down:
 		return UnavailableDown
-	case float64(s.local.Runs) >= s.returnLimit(now):
+	case !a.quietUntil.IsZero() && float64(s.local.Runs) >= s.returnLimit(now):
 		return UnavailableReturning
 	}
 	return ""
@@ -141,6 +141,13 @@
 	return s
 }
 
+// Unavailability returns why no new request may be sent to the endpoint of a choice now.
+func (b *Balancer) Unavailability(c Choice, now time.Time) Unavailability {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.current(c.state).unavailability(now)
+}
+
 // recordQuiet records that an endpoint wants no requests from this instance until a time. An
 // earlier end than one that it named before changes nothing.
 func (b *Balancer) recordQuiet(s *endpointState, until, now time.Time) {
