--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -74,10 +74,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		defer time.Sleep(time.Minute)
 		g := newTestGateway(t, streamConfig())
-		var silentSince, endedAt, resumedAt time.Time
+		// Each receives one time.
+		silent, ended, resumed := make(chan time.Time, 1), make(chan time.Time, 1), make(chan time.Time, 1)
 		serve := func(r *http.Request, _ string, w io.Writer) bool {
 			if r.Header.Get("After") != "" {
-				resumedAt = time.Now()
+				resumed <- time.Now()
 				startStream(w, r)
 				time.Sleep(200 * time.Millisecond)
 				_ = writeChunk(w, "id: 2\ndata: b\n\n")
@@ -86,9 +87,9 @@
 			}
 			startStream(w, r)
 			_ = writeChunk(w, "id: 1\ndata: a\n\n")
-			silentSince = time.Now()
+			silent <- time.Now()
 			_, _ = w.(io.Reader).Read(make([]byte, 1))
-			endedAt = time.Now()
+			ended <- time.Now()
 			return false
 		}
 		g.addEndpoint("i-1", serve)
@@ -96,7 +97,8 @@
 		body, err := g.stream(30 * time.Second)
 		require.NoError(t, err)
 		require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", body)
-		require.Less(t, time.Since(silentSince), callerPatience)
+		require.Less(t, time.Since(<-silent), callerPatience)
+		endedAt, resumedAt := <-ended, <-resumed
 		require.False(t, resumedAt.Before(endedAt), "resumed at %s, ended at %s", resumedAt, endedAt)
 	})
 }
