internal/upstream: give up requests whose path is lost, with a reset

Cause: the path was cut, and the kernel ended the connection (ETIMEDOUT, by keepalive or TCP_USER_TIMEOUT).

The pool now watches the delivery itself: a request of which bytes stay unacknowledged for 1.9 s without progress is given up, and its connection reset. The kernel's limits go; keepalive, every 5 s, remains for requests without a deadline. What an endpoint has no room for does not count as unacknowledged, so that a long body that is read slowly is no lost path (a request of 40 MiB was broken after 2.7 s before).

Without the watch the case "path lost" gets its answer after 20 s ("An error is expected but got nil").

--- a/internal/upstream/silence_test.go
+++ b/internal/upstream/silence_test.go
@@ -1,58 +1,139 @@
 package upstream_test
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
+	"net/http"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sys/unix"
 
 	"github.com/greengagestep/greengagestep/internal/upstream"
 )
 
-// A path that carries nothing for a second or so and works again must not break the connections over
-// it: the kernel must send a probe, or wait for an acknowledgement, later than that before it gives a
-// connection up. A path that stays lost must be noticed before long.
-func TestConnectionsOutliveSilence(t *testing.T) {
-	const silence, lost = 1500 * time.Millisecond, 3 * time.Second
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	var conn *net.TCPConn
-	pool := &upstream.Pool{HeaderCodec: requestIDCodec{}, Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, network, address)
-		if err == nil {
-			conn = c.(*net.TCPConn)
-		}
-		return c, err
-	}}
-	defer pool.Close()
-	require.NoError(t, pool.Probe(context.Background(), l.Addr().String()))
+// pathConn is a connection over a path that may be lost: what is sent then stays unacknowledged.
+type pathConn struct {
+	net.Conn
+	unacknowledged *atomic.Int64
+}
 
-	option := func(option int, unit time.Duration) time.Duration {
-		raw, err := conn.SyscallConn()
-		require.NoError(t, err)
-		var value int
-		var optErr error
-		require.NoError(t, raw.Control(func(fd uintptr) {
-			value, optErr = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option)
-		}))
-		require.NoError(t, optErr)
-		return time.Duration(value) * unit
-	}
-	userTimeout := option(unix.TCP_USER_TIMEOUT, time.Millisecond)
-	require.Greater(t, userTimeout, silence)
-	require.LessOrEqual(t, userTimeout, lost)
+// Unacknowledged returns how many bytes the peer has not acknowledged.
+func (c pathConn) Unacknowledged() int { return int(c.unacknowledged.Load()) }
 
-	// The kernel gives up at the first tick of its probes that is past the user timeout.
-	lastProbe := time.Duration(0)
-	tick := option(unix.TCP_KEEPIDLE, time.Second)
-	for tick < userTimeout {
-		lastProbe = tick
-		tick += option(unix.TCP_KEEPINTVL, time.Second)
+// A request over a path that carries nothing for a second or so was given up though its endpoint
+// was sound. One over a path that is lost must not wait for its deadline, and must not be sent by
+// the kernel after it was given up.
+func TestRequestIsGivenUpOnlyIfItsPathIsLost(t *testing.T) {
+	const lost, backlog = 2 * time.Second, 3 * time.Second
+	for _, c := range []struct {
+		name string
+		// unacknowledged returns how many bytes are unacknowledged some time after the
+		// request was sent.
+		unacknowledged func(after time.Duration) int64
+		answerAfter    time.Duration
+		givenUp        bool
+	}{
+		{"endpoint works for long", func(time.Duration) int64 { return 0 }, 20 * time.Second, false},
+		{"path lost for 1.5 s", func(after time.Duration) int64 {
+			if after < 1500*time.Millisecond {
+				return 300
+			}
+			return 0
+		}, 1600 * time.Millisecond, false},
+		{"long body sent slowly", func(after time.Duration) int64 { return max(0, int64(backlog-after)) }, 4 * time.Second, false},
+		{"path lost", func(time.Duration) int64 { return 300 }, 20 * time.Second, true},
+		{"path lost behind acknowledged bytes", func(after time.Duration) int64 {
+			if after < 500*time.Millisecond {
+				return 900
+			}
+			return 300
+		}, 20 * time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				client, server := net.Pipe()
+				unacknowledged := &atomic.Int64{}
+				p := &upstream.Pool{HeaderCodec: requestIDCodec{}, Dial: func(context.Context, string, string) (net.Conn, error) {
+					return pathConn{client, unacknowledged}, nil
+				}}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				start := time.Now()
+				go func() {
+					for ctx.Err() == nil {
+						unacknowledged.Store(c.unacknowledged(time.Since(start)))
+						select {
+						case <-time.After(10 * time.Millisecond):
+						case <-ctx.Done():
+						}
+					}
+				}()
+				closed := make(chan time.Duration, 1)
+				go func() {
+					defer server.Close()
+					br := bufio.NewReader(server)
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					answered := time.AfterFunc(c.answerAfter, func() { writeResponse(server, "1", "ok") })
+					_, _ = br.ReadByte()
+					answered.Stop()
+					closed <- time.Since(start)
+				}()
+				body, err := post(p, "1", "x")
+				if !c.givenUp {
+					require.NoError(t, err)
+					require.Equal(t, "ok", body)
+					require.Equal(t, c.answerAfter, time.Since(start))
+					p.Close()
+					return
+				}
+				require.ErrorContains(t, err, "did not acknowledge")
+				var f *upstream.Failure
+				require.ErrorAs(t, err, &f)
+				require.True(t, f.Reached, "it may have arrived")
+				require.Less(t, time.Since(start), lost)
+				require.Less(t, <-closed, lost, "the connection is closed")
+			})
+		})
 	}
-	require.Greater(t, lastProbe, silence)
-	require.LessOrEqual(t, tick, lost)
+}
+
+// A connection whose bytes were all taken in by the peer's host has nothing unacknowledged.
+func TestAcknowledgedRequestOverTCPIsNotGivenUp(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	received := make(chan struct{})
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(received)
+		writeResponse(conn, "1", "ok")
+		_, _ = conn.Read(make([]byte, 1))
+	}()
+	p := &upstream.Pool{HeaderCodec: requestIDCodec{}}
+	defer p.Close()
+	a, err := p.Send(t.Context(), listener.Addr().String(), upstream.Request{
+		Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte("x"),
+	}, "1")
+	require.NoError(t, err)
+	defer a.Close()
+	<-received
+	require.Zero(t, a.Unacknowledged())
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -15,6 +15,7 @@
 	"net/url"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,14 +28,15 @@
 	// defaultDialTimeout bounds the time to establish a connection: endpoints
 	// in the region accept within milliseconds.
 	defaultDialTimeout = 400 * time.Millisecond
-	// deadPeerTimeout is how long sent bytes may stay unacknowledged before the connection
-	// counts as broken. One without traffic counts as broken at the first keepalive probe
-	// that is due after it, if its peer has not acknowledged any of the earlier ones. A path
-	// that was lost for a second or so must not break connections.
-	deadPeerTimeout = 2200 * time.Millisecond
+	// deliveryTimeout is how long the endpoint's host may leave a request unacknowledged
+	// until the request is given up: the path to it is lost. A path may be lost, and an
+	// endpoint silent, for a second or so.
+	deliveryTimeout = 1900 * time.Millisecond
 	// keepAliveInterval is the time between two keepalive probes of a connection without
-	// traffic; the kernel counts it in whole seconds.
-	keepAliveInterval = time.Second
+	// traffic; the kernel counts it in whole seconds. Connections whose peers acknowledge
+	// none of keepAliveCount end: nothing else does where requests have no deadline.
+	keepAliveInterval = 5 * time.Second
+	keepAliveCount    = 3
 	// defaultIdleTimeout is how long an idle connection may be reused if the
 	// endpoint does not state its own idle timeout.
 	defaultIdleTimeout = 4 * time.Second
@@ -138,6 +140,7 @@
 	stopAfterFunc func() bool // stops closing the connection when the context is done
 	writeResult   chan error
 	bodyRead      bool
+	notDelivered  atomic.Bool // the exchange was aborted because the request was not acknowledged
 	once          sync.Once
 }
 
@@ -164,9 +167,13 @@
 		t := time.AfterFunc(r.HeaderTimeout, a.Abandon)
 		defer t.Stop()
 	}
+	defer a.watchDelivery()()
 	a.writeResult = c.send(r)
 	if err := a.readHeader(r, id); err != nil {
 		a.Close()
+		if a.notDelivered.Load() {
+			err = errNotDelivered
+		}
 		reason := fleet.ReasonEndpointFailed
 		if ctx.Err() != nil {
 			reason = fleet.ReasonCancelled
@@ -178,6 +185,58 @@
 	return a, nil
 }
 
+var errNotDelivered = errors.New("endpoint did not acknowledge the request in time")
+
+// watchDelivery aborts the exchange if the request makes no progress for the second half of
+// deliveryTimeout, until stop is called. The kernel's own time limits would not do: they end the
+// connection without dropping what is left to send.
+func (a *Answer) watchDelivery() (stop func()) {
+	var pending atomic.Int64
+	half := time.AfterFunc(deliveryTimeout/2, func() { pending.Store(int64(a.conn.unacknowledged())) })
+	full := time.AfterFunc(deliveryTimeout, func() {
+		if n := a.conn.unacknowledged(); n > 0 && int64(n) == pending.Load() {
+			a.notDelivered.Store(true)
+			a.Abandon()
+		}
+	})
+	return func() {
+		half.Stop()
+		full.Stop()
+	}
+}
+
+// acknowledger is a connection that knows how many bytes its peer has not acknowledged.
+type acknowledger interface {
+	Unacknowledged() int
+}
+
+// unacknowledged returns how many bytes wait to be acknowledged by the endpoint's host, or zero if
+// all that were sent are: bytes that the endpoint leaves no room for do not count. It is zero if
+// the connection does not tell.
+func (c *conn) unacknowledged() int {
+	if a, ok := c.netConn.(acknowledger); ok {
+		return a.Unacknowledged()
+	}
+	sc, ok := c.netConn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	// An error means that the connection is closed.
+	_ = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil || info.Unacked == 0 {
+			return
+		}
+		n, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	})
+	return n
+}
+
 // send writes a request and returns a channel that receives the result of the write. A
 // request with a short body is written before send returns, one with a long body
 // concurrently with reading the response, which may arrive before the body is sent.
@@ -367,7 +426,9 @@
 	defer cancel()
 	dial := p.Dial
 	if dial == nil {
-		dial = (&net.Dialer{KeepAlive: -1}).DialContext
+		dial = (&net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount,
+		}}).DialContext
 	}
 	if p.OnDial != nil {
 		p.OnDial(address)
@@ -376,29 +437,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if t, ok := n.(*net.TCPConn); ok {
-		setTimeouts(t)
-	}
 	c := &conn{netConn: n, address: address}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
 
-// setTimeouts makes the kernel close a connection whose peer no longer acknowledges data or
-// keepalive probes.
-func setTimeouts(t *net.TCPConn) {
-	// Errors are ignored: a connection without these options works, only a dead peer is
-	// detected later.
-	_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2})
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(deadPeerTimeout.Milliseconds()))
-	})
-}
-
 // reusable reports whether an idle connection is open and has no unread data: data that
 // arrives on an idle connection belongs to no request.
 func (c *conn) reusable() bool {
