--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -61,12 +61,31 @@
 
 // exchange sends the request to the chosen endpoint and relays the response.
 func (c *call) exchange(ctx context.Context) outcome {
-	run := c.h.Balancer.Begin(c.choice, c.placementRequest(), time.Now())
-	answer, err := c.h.Pool.Send(ctx, c.choice.Endpoint.Address, c.endpointRequest(), c.attrs.ID)
+	run, unavailable := c.h.Balancer.Begin(c.choice, c.placementRequest(), time.Now())
+	if unavailable != "" {
+		return outcome{kind: outcomeUnavailable, reason: fleet.ReasonNoEndpoint, cause: unavailableError(unavailable)}
+	}
+	c.run = run
+	request := c.endpointRequest()
+	request.OnHead = func(a fleet.ResponseAttrs) { run.RecordHead(a, time.Now()) }
+	request.Permit = func() error {
+		switch reason := run.Unavailability(time.Now()); reason {
+		case "", placement.UnavailableDown, placement.UnavailableReturning:
+			// A connection that is ready shows that the endpoint is not down, and the
+			// request is among those that it gets.
+			return nil
+		default:
+			return unavailableError(reason)
+		}
+	}
+	answer, err := c.h.Pool.Send(ctx, c.choice.Endpoint.Address, request, c.attrs.ID)
 	if err != nil {
 		return c.sendFailed(ctx, run, err)
 	}
-	defer answer.Close()
+	defer func() {
+		answer.CloseConn = answer.CloseConn || run.Unavailability(time.Now()).Leaving()
+		answer.Close()
+	}()
 	c.sends++
 	c.h.Balancer.RecordLoad(c.choice.Endpoint.ID, answer.Attrs, time.Now())
 	if answer.Attrs.NotRun {
@@ -77,13 +96,24 @@
 	c.runs++
 	c.lastAttempt.Begun = true
 	o := c.relay(answer, run)
-	run.End(placementResult(ctx, o), time.Now())
+	result := placementResult(ctx, o)
+	if result == placement.ResultFailed && answer.Attrs.QuietFor > 0 {
+		result = placement.ResultRefused
+	}
+	run.End(result, time.Now())
 	if o.kind == outcomeUnknown && ctx.Err() == nil {
 		c.probeForCrash()
 	}
 	return o
 }
 
+// unavailableError is the error of an attempt whose endpoint became unavailable after it was
+// chosen.
+type unavailableError placement.Unavailability
+
+// Error implements error.
+func (e unavailableError) Error() string { return "endpoint became unavailable: " + string(e) }
+
 // discardTimeout is how long the body of a refusal may take to arrive, so that its connection
 // can be used again.
 const discardTimeout = 20 * time.Millisecond
@@ -125,7 +155,10 @@
 		c.probeForCrash()
 	}
 	r := placement.ResultUnreachable
+	var unavailable unavailableError
 	switch {
+	case errors.As(err, &unavailable):
+		o.kind, r = outcomeUnavailable, placement.ResultCanceled
 	case ctx.Err() != nil:
 		r = placement.ResultCanceled
 	case f.Reached:
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -35,9 +35,10 @@
 // probeForCrash checks in the background whether the endpoint whose connection broke has
 // crashed, since a broken connection alone does not prove it. A failed probe is reported
 // to the balancer, and to the quarantine if the endpoint refused the connection or accepts
-// none for silenceLimit: until then it may just be silent.
+// none for silenceLimit: until then it may just be silent. An endpoint that wants no requests
+// is not probed.
 func (c *call) probeForCrash() {
-	h, endpoint := c.h, c.choice.Endpoint
+	h, run, endpoint := c.h, c.run, c.choice.Endpoint
 	var suspect fleet.Suspect
 	if h.Quarantine != nil {
 		suspect = c.lastAttempt.Suspect(time.Now())
@@ -50,12 +51,15 @@
 		defer close(done)
 		broken := time.Now()
 		time.Sleep(crashProbeDelay)
+		if !run.MayProbe(time.Now()) {
+			return
+		}
 		err := h.probe(endpoint.Address)
 		if err == nil {
 			return
 		}
 		h.Balancer.RecordProbe(endpoint.ID, false, time.Now())
-		for isTimeout(err) && time.Since(broken) < silenceLimit {
+		for isTimeout(err) && time.Since(broken) < silenceLimit && run.MayProbe(time.Now()) {
 			err = h.probe(endpoint.Address)
 		}
 		if err == nil {
--- a/internal/placement/fault.go
+++ b/internal/placement/fault.go
@@ -23,17 +23,15 @@
 	ResultSilent Result = "silent"
 	// ResultRefused means that the endpoint did not run the request.
 	ResultRefused Result = "refused"
-	// ResultCanceled means that the caller disconnected or the deadline passed.
+	// ResultCanceled means that the caller disconnected, that the deadline passed or that
+	// the request was not sent after all.
 	ResultCanceled Result = "left"
 )
 
 // fault tracks the recent failures of an endpoint.
 type fault struct {
-	failureRate     float64 // fraction of the requests that failed, smoothed
-	updatedAt       time.Time
-	connectFailures int       // failures to connect in a row
-	retryAt         time.Time // when a connection may be tried again
-	down            bool
+	failureRate float64 // fraction of the requests that failed, smoothed
+	updatedAt   time.Time
 }
 
 const (
@@ -60,12 +58,6 @@
 	return failureCostMS * f.failureRate
 }
 
-// backOff sets when a connection may be tried again after one more that failed.
-func (f *fault) backOff(now time.Time) {
-	f.connectFailures++
-	f.retryAt = now.Add(min(minBackoff<<min(f.connectFailures-1, 8), maxBackoff))
-}
-
 func (f *fault) decay(now time.Time) {
 	if !f.updatedAt.IsZero() {
 		f.failureRate *= math.Exp(-now.Sub(f.updatedAt).Seconds() / failureDecayTime.Seconds())
@@ -73,8 +65,6 @@
 	f.updatedAt = now
 }
 
-func (s *endpointState) usable() bool { return !s.removed && !s.Leaving && !s.fault.down }
-
 const (
 	// stallTimeout is how long an endpoint that runs requests may send nothing
 	// until others are preferred: events come several times a second.
@@ -109,9 +99,9 @@
 
 func (b *Balancer) setUp(s *endpointState, cause string) {
 	s.silent.Store(false)
-	s.fault.connectFailures = 0
-	s.fault.down = false
-	b.notifyChange(s, ConditionUp, cause)
+	s.connectFailures = 0
+	s.down = false
+	b.notifyChange(s, Change{To: ConditionUp, Cause: cause})
 }
 
 // silentBetween returns how much of the time between from and to fell into the endpoint's last
@@ -133,10 +123,10 @@
 	defer b.mu.Unlock()
 	var due []Endpoint
 	for _, s := range b.byID {
-		if s.fault.down && !s.Leaving && !now.Before(s.fault.retryAt) {
+		if s.down && s.mayProbe(now) && !now.Before(s.retryAt) {
 			// If this probe gives no result, the next one follows after
 			// maxBackoff.
-			s.fault.retryAt = now.Add(maxBackoff)
+			s.retryAt = now.Add(maxBackoff)
 			due = append(due, s.Endpoint)
 		}
 	}
@@ -154,7 +144,7 @@
 	case ok:
 		b.setUp(s, "probe connected")
 	case s.silent.Load():
-		s.fault.backOff(now)
+		s.backOff(now)
 	default:
 		b.recordResult(s, ResultUnreachable, now)
 	}
@@ -167,29 +157,29 @@
 	switch result {
 	case ResultAnswered:
 		f.failureRate -= failureGain * f.failureRate
-		f.connectFailures = 0
-		if f.down {
+		s.connectFailures = 0
+		if s.down {
 			b.setUp(s, "request was answered")
 		}
 	case ResultFailed:
 		f.failureRate += failureGain * (1 - f.failureRate)
 	case ResultUnreachable:
 		f.failureRate += failureGain * (1 - f.failureRate)
-		f.backOff(now)
+		s.backOff(now)
 		s.silent.Store(false)
-		if !f.down {
-			f.down = true
-			b.notifyChange(s, ConditionDown, "connection failed")
+		if !s.down {
+			s.down = true
+			b.notifyChange(s, Change{To: ConditionDown, Reason: UnavailableDown, Cause: "connection failed"})
 		}
 	case ResultSilent:
-		if f.down {
+		if s.down {
 			// Requests that were sent to it at the same time count once.
 			return
 		}
-		f.backOff(now)
-		f.down = true
+		s.backOff(now)
+		s.down = true
 		s.silent.Store(true)
-		b.notifyChange(s, ConditionDown, "connection timed out")
+		b.notifyChange(s, Change{To: ConditionDown, Reason: UnavailableDown, Cause: "connection timed out"})
 	case ResultRefused:
 		if s.silent.Load() {
 			b.setUp(s, "request was refused")
--- a/internal/placement/silence_test.go
+++ b/internal/placement/silence_test.go
@@ -10,6 +10,14 @@
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
+// sendTo begins a request at the endpoint that the balancer chooses.
+func sendTo(t *testing.T, b *placement.Balancer, r placement.Request, now time.Time) *placement.Run {
+	t.Helper()
+	run, reason := b.Begin(choose(t, b, r, now), r, now)
+	require.Empty(t, reason)
+	return run
+}
+
 // chosenOf counts how often each endpoint is chosen for a request without shared parts.
 func chosenOf(t *testing.T, b *placement.Balancer, n int, now time.Time) map[string]int {
 	counts := map[string]int{}
@@ -32,13 +40,13 @@
 	r.Avoid = []string{"i-1"}
 	var runs []*placement.Run
 	for range 4 {
-		run := b.Begin(choose(t, b, r, now), r, now)
+		run := sendTo(t, b, r, now)
 		run.RecordFirst(now.Add(50 * time.Millisecond))
 		runs = append(runs, run)
 	}
 	now = now.Add(50 * time.Millisecond)
 	for range 8 {
-		runs = append(runs, b.Begin(choose(t, b, r, now), r, now))
+		runs = append(runs, sendTo(t, b, r, now))
 	}
 	now = now.Add(silence)
 	if silence > 0 {
@@ -81,13 +89,13 @@
 	b.Put(placement.Endpoint{ID: "far", EndpointInfo: fleet.EndpointInfo{Service: "model", Address: "far", Domain: "b", Slots: 8}})
 	r := shortRequest()
 	r.Avoid = []string{"far"}
-	stream := b.Begin(choose(t, b, r, start), r, start)
+	stream := sendTo(t, b, r, start)
 	stream.RecordFirst(start.Add(50 * time.Millisecond))
 	now := start.Add(100 * time.Millisecond)
 	want := choose(t, b, r, now).Expected
 	var runs []*placement.Run
 	for range 6 {
-		runs = append(runs, b.Begin(choose(t, b, r, now), r, now))
+		runs = append(runs, sendTo(t, b, r, now))
 	}
 	now = now.Add(400 * time.Millisecond)
 	for _, run := range runs {
@@ -109,9 +117,9 @@
 // sends must not bring back requests that would wait for a connection in vain.
 func TestEndpointWithoutNewConnectionsIsProbed(t *testing.T) {
 	b := newBalancer(1)
-	stream := b.Begin(choose(t, b, shortRequest(), start), shortRequest(), start)
+	stream := sendTo(t, b, shortRequest(), start)
 	stream.RecordFirst(start)
-	run := b.Begin(choose(t, b, shortRequest(), start), shortRequest(), start)
+	run := sendTo(t, b, shortRequest(), start)
 	now := start.Add(400 * time.Millisecond)
 	stream.RecordData(now)
 	run.End(placement.ResultSilent, now)
@@ -126,8 +134,8 @@
 // A silent endpoint goes on by refusing a request: that is a sign of life as well.
 func TestRefusalEndsSilence(t *testing.T) {
 	b := newBalancer(1)
-	waiting := b.Begin(choose(t, b, shortRequest(), start), shortRequest(), start)
-	run := b.Begin(choose(t, b, shortRequest(), start), shortRequest(), start)
+	waiting := sendTo(t, b, shortRequest(), start)
+	run := sendTo(t, b, shortRequest(), start)
 	now := start.Add(400 * time.Millisecond)
 	run.End(placement.ResultSilent, now)
 	_, ok := b.Choose(shortRequest(), now)
