--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -35,8 +35,8 @@
 // probeForCrash checks in the background whether the endpoint whose connection broke has
 // crashed, since a broken connection alone does not prove it. A failed probe is reported
 // to the balancer, and to the quarantine if the endpoint refused the connection or accepts
-// none for silenceLimit: until then it may just be silent. An endpoint that wants no
-// requests is not probed.
+// none for silenceLimit: until then it may just be silent. An endpoint that wants no requests
+// is not probed.
 func (c *call) probeForCrash() {
 	h, run, endpoint := c.h, c.run, c.choice.Endpoint
 	var suspect fleet.Suspect
