gateway: an endpoint that leaves while it is probed has not crashed

The probes that decide whether a silent endpoint has crashed ended at the moment at which it said that it leaves, and the last timeout was taken for a crash, long before silenceLimit: the request was reported to the quarantine.

The probes now end without a verdict. Evidence, before the change: TestLeavingEndpointHasNotCrashed (Should be zero, but was 1).

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -59,7 +59,10 @@
 			return
 		}
 		h.Balancer.RecordProbe(endpoint.ID, false, time.Now())
-		for isTimeout(err) && time.Since(broken) < silenceLimit && run.MayProbe(time.Now()) {
+		for isTimeout(err) && time.Since(broken) < silenceLimit {
+			if !run.MayProbe(time.Now()) {
+				return
+			}
 			err = h.probe(endpoint.Address)
 		}
 		if err == nil {
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -15,7 +15,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/greengagestep/greengagestep/internal/audit"
 	"github.com/greengagestep/greengagestep/internal/placement"
+	"github.com/greengagestep/greengagestep/internal/quarantine"
 	"github.com/greengagestep/greengagestep/pkg/arrangement"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
@@ -357,3 +359,53 @@
 		require.Equal(t, "id: 1\ndata: a\n\n", body)
 	})
 }
+
+// A connection breaks off, and while it is probed whether the endpoint has crashed, the endpoint
+// says on another one that it leaves: the probes end, and the endpoint has not crashed.
+func TestLeavingEndpointHasNotCrashed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		config := streamConfig()
+		config.Routes[0].Repeat = arrangement.RepeatNever
+		g := newTestGateway(t, config)
+		crashes := quarantine.New(&audit.Trail{})
+		var crashed atomic.Int64
+		crashes.OnCrash = func(string) { crashed.Add(1) }
+		g.handler.Quarantine = crashes
+		l := newLeavingStream()
+		var requests atomic.Int64
+		g.addEndpoint("i-1", func(r *http.Request, body string, w io.Writer) bool {
+			if requests.Add(1) == 1 {
+				return l.serve(r, body, w)
+			}
+			startStream(w, r)
+			_ = writeChunk(w, "id: 1\ndata: a\n\n")
+			return false
+		})
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, _ = g.stream(30 * time.Second)
+		}()
+		synctest.Wait()
+		broken := make(chan struct{})
+		dial := g.handler.Pool.Dial
+		g.handler.Pool.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			select {
+			case <-broken:
+				<-ctx.Done()
+				return nil, ctx.Err()
+			default:
+				return dial(ctx, network, address)
+			}
+		}
+		_, err := g.stream(30 * time.Second)
+		require.Error(t, err)
+		close(broken)
+		time.Sleep(600 * time.Millisecond)
+		close(l.announce)
+		time.Sleep(5 * time.Second)
+		require.Zero(t, crashed.Load())
+		l.stop()
+		<-done
+	})
+}
