--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -55,7 +55,8 @@
 	// instance, by its answers: the latest end that one of them named. It outlives a record
 	// that lapses. Other instances are not concerned.
 	quietUntil time.Time
-	// down is set when a connection fails, by a request or a probe, until one is made.
+	// down is set when a connection fails, by a request or a probe, until one is made or the
+	// endpoint sends data.
 	down            bool
 	connectFailures int       // failures to connect in a row
 	retryAt         time.Time // when a connection may be tried again while down
@@ -115,17 +116,17 @@
 	return !reason.Leaving() && reason != UnavailableQuiet
 }
 
+// saidToLeave reports whether the endpoint itself has said that it leaves.
+func (a availability) saidToLeave() bool {
+	return !a.leavingByAnswer.IsZero() || !a.leavingByPeer.IsZero()
+}
+
 // backOff sets when a connection may be tried again after one more that failed.
 func (a *availability) backOff(now time.Time) {
 	a.connectFailures++
 	a.retryAt = now.Add(min(minBackoff<<min(a.connectFailures-1, 8), maxBackoff))
 }
 
-// saidToLeave reports whether the endpoint itself has said that it leaves.
-func (a availability) saidToLeave() bool {
-	return !a.leavingByAnswer.IsZero() || !a.leavingByPeer.IsZero()
-}
-
 // outlasting returns the part of what is known that outlives the record of the endpoint.
 func (a availability) outlasting() availability {
 	return availability{leavingByAnswer: a.leavingByAnswer, leavingByPeer: a.leavingByPeer, quietUntil: a.quietUntil}
@@ -140,6 +141,13 @@
 	return s
 }
 
+// Unavailability returns why no new request may be sent to the endpoint of a choice now.
+func (b *Balancer) Unavailability(c Choice, now time.Time) Unavailability {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.current(c.state).unavailability(now)
+}
+
 // recordQuiet records that an endpoint wants no requests from this instance until a time. An
 // earlier end than one that it named before changes nothing.
 func (b *Balancer) recordQuiet(s *endpointState, until, now time.Time) {
