internal/watch: messages sent before the end of an outage do not undo it

After an outage of the platform of 2.4 to 2.6 s, whose reads got no response, endpoints whose records had expired lost their grace and were removed at once.

Cause: an instance assumes the end of an outage up to 600 ms before the first response. It compared this assumed end with the last response that another instance knew of, so that a message from before the first response seemed to show a pause shorter than the time in which records expire, and its earlier time was adopted, and passed on to all.

The time of the first response itself is kept now and compared.

TestOutageIsKeptWhenPeerDoesNotKnowItsEnd failed before: a time one second before the last response was adopted ("Should be true, Messages: -1s").

--- a/internal/watch/follow.go
+++ b/internal/watch/follow.go
@@ -119,7 +119,10 @@
 	// The platform responded to some instance from responsiveSince to responsiveUntil
 	// without a pause of ExpiryTime. Both are zero until the first read.
 	responsiveSince, responsiveUntil time.Time
-	recovered                        bool // an outage of the platform ended at responsiveSince
+	// respondedAt is when the first response from responsiveSince on was seen, which may be
+	// later: the end of an outage is estimated.
+	respondedAt time.Time
+	recovered   bool // an outage of the platform ended at responsiveSince
 }
 
 // readSeqs holds sequence numbers of the reads of one follower.
@@ -322,14 +325,14 @@
 	}
 	outage := !f.responsiveUntil.IsZero() && at.Sub(f.responsiveUntil) >= f.ExpiryTime
 	if f.responsiveUntil.IsZero() {
-		f.responsiveSince = at
+		f.responsiveSince, f.respondedAt = at, at
 	}
 	if outage {
 		since := at
 		if latest := f.failedReadAt.Add(maxRecoveryLag); f.failedReadAt.After(f.responsiveUntil) && latest.Before(at) {
 			since = latest
 		}
-		f.recovered = true
+		f.recovered, f.respondedAt = true, at
 		f.setResponsiveSince(since, false)
 	}
 	f.responsiveUntil = at
@@ -361,7 +364,7 @@
 		f.responded(until)
 	}
 	since := now.Add(-time.Duration(p.ResponsiveAge) * time.Millisecond)
-	overlaps := f.responsiveSince.Sub(until) < f.ExpiryTime
+	overlaps := f.respondedAt.Sub(until) < f.ExpiryTime
 	if overlaps && since.Before(f.responsiveSince.Add(-transitTolerance)) {
 		f.setResponsiveSince(since, true)
 	}
--- a/internal/watch/follow_test.go
+++ b/internal/watch/follow_test.go
@@ -314,6 +314,34 @@
 	})
 }
 
+// Endpoints whose records expired in an outage were removed at once: an instance that had seen
+// the outage dropped it again when a message of another one arrived that did not know of its end.
+func TestOutageIsKeptWhenPeerDoesNotKnowItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeFeed{}
+		f.write("a", 1)
+		direct, other := newFollower(f, 0), newFollower(f, 0)
+		var recoveredAt time.Time
+		for _, r := range []*testFollower{direct, other} {
+			r.ExpiryTime = expiryTime
+			require.NoError(t, r.ReadOnce(t.Context()))
+		}
+		direct.OnRecovery = func(at time.Time, _ bool) { recoveredAt = at }
+		time.Sleep(time.Second)
+		for _, r := range []*testFollower{direct, other} {
+			require.NoError(t, r.ReadOnce(t.Context()))
+		}
+		lastResponse := time.Now()
+		time.Sleep(expiryTime / 2)
+		direct.ReadFailed(errPlatformDown, time.Now())
+		time.Sleep(expiryTime/2 + 200*time.Millisecond)
+		require.NoError(t, direct.ReadOnce(t.Context()))
+		now := time.Now()
+		direct.Apply(other.UpdateFrom(direct.Position(now).Next, false, now), now)
+		require.True(t, recoveredAt.After(lastResponse), recoveredAt.Sub(lastResponse))
+	})
+}
+
 // An instance that cannot reach the platform gets all records from a peer.
 func TestSnapshotFromPeer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
