internal/watch: the end of an outage is the first response after it

After an outage of the platform in which reads got no response (a hang, a cut of all instances) endpoints whose records had expired were removed up to a second before they had to have written them again: they have two seconds from the return.

Cause: each instance assumed the end of the outage 800 ms after the start of its last failed read, and the earliest time of all instances counts. A read that gets no response takes 600 ms, the pause before the next up to 800 ms, and an instance that hears of the end during a read counted the one before, so that the assumed end was up to 1,065 ms before the platform's return. An instance that did not run during the outage assumed it much earlier, for all.

The delay between failed reads now counts from the start of a read, so that the first response comes within 800 ms of the return by itself, and counts as the end.

It also requires that the grace is over three seconds after the return, as before.

--- a/internal/watch/follow.go
+++ b/internal/watch/follow.go
@@ -115,14 +115,10 @@
 	retryDelay       time.Duration
 	retryAt          time.Time
 	unreachableSince time.Time // zero while the platform responds
-	failedReadAt     time.Time // when the last read that failed began
 	// The platform responded to some instance from responsiveSince to responsiveUntil
 	// without a pause of ExpiryTime. Both are zero until the first read.
 	responsiveSince, responsiveUntil time.Time
-	// respondedAt is when the first response from responsiveSince on was seen, which may be
-	// later: the end of an outage is estimated.
-	respondedAt time.Time
-	recovered   bool // an outage of the platform ended at responsiveSince
+	recovered                        bool // an outage of the platform ended at responsiveSince
 }
 
 // readSeqs holds sequence numbers of the reads of one follower.
@@ -314,10 +310,6 @@
 	}
 }
 
-// maxRecoveryLag bounds how much later than the start of the last failed read the end of an
-// outage is assumed: the platform may have responded to others from that time on.
-const maxRecoveryLag = 800 * time.Millisecond
-
 // responded records that the platform responded to this or another instance. The lock is held.
 func (f *Follower[T]) responded(at time.Time) {
 	if f.ExpiryTime == 0 || !at.After(f.responsiveUntil) {
@@ -325,15 +317,11 @@
 	}
 	outage := !f.responsiveUntil.IsZero() && at.Sub(f.responsiveUntil) >= f.ExpiryTime
 	if f.responsiveUntil.IsZero() {
-		f.responsiveSince, f.respondedAt = at, at
+		f.responsiveSince = at
 	}
 	if outage {
-		since := at
-		if latest := f.failedReadAt.Add(maxRecoveryLag); f.failedReadAt.After(f.responsiveUntil) && latest.Before(at) {
-			since = latest
-		}
-		f.recovered, f.respondedAt = true, at
-		f.setResponsiveSince(since, false)
+		f.recovered = true
+		f.setResponsiveSince(at, false)
 	}
 	f.responsiveUntil = at
 }
@@ -364,7 +352,7 @@
 		f.responded(until)
 	}
 	since := now.Add(-time.Duration(p.ResponsiveAge) * time.Millisecond)
-	overlaps := f.respondedAt.Sub(until) < f.ExpiryTime
+	overlaps := f.responsiveSince.Sub(until) < f.ExpiryTime
 	if overlaps && since.Before(f.responsiveSince.Add(-transitTolerance)) {
 		f.setResponsiveSince(since, true)
 	}
@@ -373,13 +361,17 @@
 // readFailed records a failed read and sets the time of the next one.
 func (f *Follower[T]) readFailed(err error, start, now time.Time) {
 	f.mu.Lock()
-	f.failedReadAt = start
 	firstFailure := f.unreachableSince.IsZero()
 	if firstFailure {
 		f.unreachableSince = now
 	}
 	f.retryDelay = min(max(2*f.retryDelay, minRetryDelay), maxRetryDelay)
-	f.retryAt = now.Add(f.retryDelay/2 + rand.N(f.retryDelay/2+1))
+	// The delay counts from the start of the read, so that reads that get no response do not
+	// put off noticing the end of an outage.
+	f.retryAt = start.Add(f.retryDelay/2 + rand.N(f.retryDelay/2+1))
+	if soonest := now.Add(minRetryDelay / 2); f.retryAt.Before(soonest) {
+		f.retryAt = soonest
+	}
 	f.mu.Unlock()
 	if firstFailure && f.OnUnreachable != nil {
 		f.OnUnreachable(err)
--- a/internal/watch/outage_test.go
+++ b/internal/watch/outage_test.go
@@ -32,17 +32,33 @@
 	mu      sync.Mutex
 	records []fleet.KeyedRecord[fleet.EndpointInfo]
 	down    bool
+	hanging bool // calls get no response
 	refused map[string]bool
 }
 
 var errPlatformDown = errors.New("platform does not respond")
 
-func (f endpointFeed) Newest(context.Context) ([]fleet.KeyedRecord[fleet.EndpointInfo], int64, error) {
+// call returns an error if the platform does not respond to the instance.
+func (f endpointFeed) call(ctx context.Context) error {
 	f.log.mu.Lock()
-	defer f.log.mu.Unlock()
-	if f.log.down || f.log.refused[f.name] {
-		return nil, 0, errPlatformDown
+	hanging, down := f.log.hanging, f.log.down || f.log.refused[f.name]
+	f.log.mu.Unlock()
+	switch {
+	case hanging:
+		<-ctx.Done()
+		return ctx.Err()
+	case down:
+		return errPlatformDown
+	}
+	return nil
+}
+
+func (f endpointFeed) Newest(ctx context.Context) ([]fleet.KeyedRecord[fleet.EndpointInfo], int64, error) {
+	if err := f.call(ctx); err != nil {
+		return nil, 0, err
 	}
+	f.log.mu.Lock()
+	defer f.log.mu.Unlock()
 	newest := map[string]fleet.KeyedRecord[fleet.EndpointInfo]{}
 	for _, r := range f.log.records {
 		newest[r.Key] = r
@@ -56,12 +72,12 @@
 	return list, f.log.next(), nil
 }
 
-func (f endpointFeed) Changes(_ context.Context, from int64, _ time.Duration) ([]fleet.KeyedRecord[fleet.EndpointInfo], int64, error) {
+func (f endpointFeed) Changes(ctx context.Context, from int64, _ time.Duration) ([]fleet.KeyedRecord[fleet.EndpointInfo], int64, error) {
+	if err := f.call(ctx); err != nil {
+		return nil, 0, err
+	}
 	f.log.mu.Lock()
 	defer f.log.mu.Unlock()
-	if f.log.down || f.log.refused[f.name] {
-		return nil, 0, errPlatformDown
-	}
 	return slices.Clone(f.log.records[from-1:]), f.log.next(), nil
 }
 
@@ -96,6 +112,7 @@
 	transitTime = 2 * time.Millisecond
 	// removeInterval is how often an instance removes endpoints whose time is over.
 	removeInterval = 100 * time.Millisecond
+	readTimeout    = 600 * time.Millisecond
 	// expiryTime is that of records that are written every 1.2 s.
 	expiryTime = 2400 * time.Millisecond
 )
@@ -125,7 +142,7 @@
 
 func newEndpointFollower(feed endpointFeed, tracker *watch.EndpointTracker, maxAge time.Duration) *watch.Follower[fleet.EndpointInfo] {
 	return &watch.Follower[fleet.EndpointInfo]{
-		Name: "endpoints", Feed: feed, MaxAge: func() time.Duration { return maxAge }, ExpiryTime: expiryTime,
+		Name: "endpoints", Feed: feed, MaxAge: func() time.Duration { return maxAge }, ExpiryTime: expiryTime, Timeout: readTimeout,
 		OnBatch: tracker.Apply, OnRecovery: func(at time.Time, _ bool) { tracker.SetRecovered(at) },
 	}
 }
@@ -184,7 +201,8 @@
 //	remove ENDPOINT...   records are removed: the endpoints left, or the records expired
 //	cut NAME..., join NAME...      instances reach neither the platform nor others; they do again
 //	refuse NAME..., serve NAME...  the platform alone is out of reach for instances; it is not
-//	down, up             the platform responds to nobody; it responds again
+//	down, up             the platform fails all calls; it responds again
+//	hang                 the platform gives no response to any call until it is up
 //	wait DURATION
 //	has NAME ENDPOINT, lacks NAME ENDPOINT   whether an instance may send requests to an endpoint
 func (s *outageFleet) run(ctx context.Context, t *testing.T, line string) {
@@ -213,9 +231,9 @@
 		s.mu.Unlock()
 	case "refuse", "serve":
 		s.set(s.log.refused, args, words[0] == "refuse")
-	case "down", "up":
+	case "down", "hang", "up":
 		s.log.mu.Lock()
-		s.log.down = words[0] == "down"
+		s.log.down, s.log.hanging = words[0] == "down", words[0] == "hang"
 		s.log.mu.Unlock()
 	case "wait":
 		d, err := time.ParseDuration(args[0])
@@ -256,3 +274,26 @@
 		})
 	}
 }
+
+// After an outage in which reads got no response, endpoints were removed up to a second before
+// they had to have written their records again: the end of the outage was assumed too early.
+func TestEndpointsHaveTwoSecondsToWriteRecordsAgain(t *testing.T) {
+	const step = 130 * time.Millisecond
+	for _, fault := range []string{"down", "hang"} {
+		for outage := expiryTime; outage < expiryTime+20*step; outage += step {
+			t.Run(fault+" "+outage.String(), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					defer cancel()
+					s := &outageFleet{log: &endpointLog{refused: map[string]bool{}}, cut: map[string]bool{}}
+					for _, line := range []string{
+						"write e1", "start a b c", "wait 5s", fault, "wait " + outage.String(), "remove e1", "up",
+						"wait 1900ms", "has a e1", "has b e1", "has c e1", "wait 1100ms", "lacks a e1", "lacks b e1", "lacks c e1",
+					} {
+						s.run(ctx, t, line)
+					}
+				})
+			})
+		}
+	}
+}
