internal/upstream: a request whose path is lost is not answered with garbage

In logs and in the decisions after a failed attempt, a request that its endpoint's host did not acknowledge counted as answered with something that is no HTTP (endpoint-answered-garbage) instead of as broken off, as docs/OPERATIONS.md says.

Cause: the error that replaces the one of the closed connection was not among those of broken connections. The gateway probes an endpoint for a crash only after a broken connection, so that one whose machine was gone was not probed.

TestRequestIsGivenUpOnlyIfItsPathIsLost checks the reason now, and failed before in both cases that are given up (expected "endpoint-broke-off", actual "endpoint-answered-garbage").

--- a/internal/upstream/silence_test.go
+++ b/internal/upstream/silence_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/greengagestep/greengagestep/internal/upstream"
+	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
 // pathConn is a connection over a path that may be lost: what is sent then stays unacknowledged.
@@ -99,6 +100,7 @@
 				var f *upstream.Failure
 				require.ErrorAs(t, err, &f)
 				require.True(t, f.Reached, "it may have arrived")
+				require.Equal(t, fleet.ReasonEndpointFailed, f.Reason, "nothing was answered")
 				require.Less(t, time.Since(start), lost)
 				require.Less(t, <-closed, lost, "the connection is closed")
 			})
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -314,7 +314,7 @@
 		return true
 	}
 	var netErr net.Error
-	return !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &netErr) &&
+	return !errors.Is(err, errNotDelivered) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &netErr) &&
 		!errors.Is(err, net.ErrClosed) && !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE)
 }
 
