--- a/internal/watch/follow.go
+++ b/internal/watch/follow.go
@@ -461,7 +461,7 @@
 	defer f.mu.Unlock()
 	f.heard(u.Position, at, now)
 	switch {
-	case u.Snapshot && (!f.initialized || u.Next > f.next):
+	case u.Snapshot && (u.Next > f.next || !f.initialized && u.Next == f.next):
 		f.reset(records, u.Next, u.Position, at)
 	case f.initialized && u.From == f.next && len(records) > 0:
 		f.relayedAt = now
--- a/internal/watch/follow_test.go
+++ b/internal/watch/follow_test.go
@@ -370,6 +370,34 @@
 	})
 }
 
+// An instance whose feed was trimmed just before the platform became unreachable took over the
+// older records of a peer: endpoints that had left got requests again.
+func TestTrimmedFeedIsNotReplacedByOlderSnapshot(t *testing.T) {
+	f := &fakeFeed{}
+	f.write("a", 1)
+	local, peer := newFollower(f, 0), newFollower(f, 0)
+	require.NoError(t, peer.ReadOnce(t.Context()))
+	f.write("a", 2)
+	require.NoError(t, local.ReadOnce(t.Context()))
+	older, err := peer.EncodeSnapshot(time.Now())
+	require.NoError(t, err)
+	f.oldest = f.next() + 1
+	require.NoError(t, local.ReadOnce(t.Context()), "the feed was trimmed")
+	f.unreachable = true
+	require.Error(t, local.ReadOnce(t.Context()))
+	_, err = local.Receive(older, false, time.Now())
+	require.NoError(t, err)
+	require.Equal(t, 2, local.value("a"))
+	f.unreachable = false
+	require.NoError(t, peer.ReadOnce(t.Context()), "the feed was trimmed")
+	require.NoError(t, peer.ReadOnce(t.Context()))
+	current, err := peer.EncodeSnapshot(time.Now())
+	require.NoError(t, err)
+	_, err = local.Receive(current, false, time.Now())
+	require.NoError(t, err)
+	require.NotZero(t, local.Position(time.Now()).Next, "current records are taken over")
+}
+
 // An instance that cannot reach the platform gets all records from a peer.
 func TestSnapshotFromPeer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
