internal/standin, internal/demo: endpoints that leave, ask for quiet or fall silent in their answers

No stand-in sent Server-Leaving or Retry-After, so nothing showed what the fleet makes of them. Signals, embedded in Engine and PlainService, says in every answer that the endpoint leaves (whatever the status, reports of the load and unframed answers too), refuses requests with 503 and the remaining time, and holds back all answers for a while. It counts, by sender, the requests that arrive after their sender was told, and those in the time of quiet from half a second after the answer. GET and POST /signals give other processes the same.

The scripts get announce, quiet=D, silent=D, replace and the command signals. The instance list may state an incarnation of an endpoint; replace lists a new one at the same address.

--- a/internal/demo/scenario_test.go
+++ b/internal/demo/scenario_test.go
@@ -91,7 +91,7 @@
 		"site": cmdSite, "publish": cmdPublish, "sleep": cmdSleep, "send": cmdSend, "traffic": cmdTraffic, "await": cmdAwait,
 		"node": cmdNode, "net": cmdNet, "log": cmdLog, "list": cmdList, "plain": cmdPlain, "engine": cmdEngine,
 		"runs": cmdRuns, "orders": cmdOrders, "status": cmdStatus, "audit": cmdAudit, "explain": cmdExplain,
-		"leader": cmdLeader, "greengagestep": cmdProgram, "raw": cmdRaw,
+		"signals": cmdSignals, "leader": cmdLeader, "greengagestep": cmdProgram, "raw": cmdRaw,
 	}
 }
 
@@ -207,13 +207,65 @@
 	l.SetDown(args[0] == "down")
 }
 
+// signaller is a simulated endpoint that tells its callers about itself.
+type signaller interface {
+	AnnounceLeaving()
+	AskForQuiet(d time.Duration)
+	FallSilent(d time.Duration)
+	Restart()
+	SignalCounts() standin.SignalCounts
+}
+
+// signal applies the arguments announce, quiet=D, silent=D and replace. It returns false if
+// there is none of them.
+func (s *scenario) signal(ts *testscript.TestScript, name string, e signaller, args []string) bool {
+	named, rest := parseArgs(args)
+	switch {
+	case slices.Contains(rest, "announce"):
+		e.AnnounceLeaving()
+	case slices.Contains(rest, "replace"):
+		e.Restart()
+		s.site.ReplaceEndpoint(name)
+	case named["quiet"] != "":
+		e.AskForQuiet(parseDuration(ts, named["quiet"]))
+	case named["silent"] != "":
+		e.FallSilent(parseDuration(ts, named["silent"]))
+	default:
+		return false
+	}
+	return true
+}
+
+// signals NAME|all prints the requests that arrived at endpoints against what they had told
+// the senders.
+func cmdSignals(ts *testscript.TestScript, _ bool, args []string) {
+	site := scenarioOf(ts).site
+	show := func(name string, e signaller) {
+		if args[0] == "all" || args[0] == name {
+			fmt.Fprintf(ts.Stdout(), "%s %v\n", name, e.SignalCounts())
+		}
+	}
+	for _, e := range site.ModelEngines {
+		show(e.Name, e)
+	}
+	for _, p := range site.PlainServices {
+		show(p.Name, p)
+	}
+}
+
 // plain NAME|all up|down|lose=N|poison=BODY|garbage|leave replaces the faults of plain
-// services; leave makes them report that they are leaving.
+// services; leave makes them report that they are leaving. plain NAME|all
+// announce|quiet=D|silent=D|replace changes what they tell their callers and keeps their
+// faults: announce makes every answer say that they leave, quiet makes them refuse requests,
+// silent makes them send nothing, replace starts a new incarnation at the same address.
 func cmdPlain(ts *testscript.TestScript, _ bool, args []string) {
 	for _, p := range scenarioOf(ts).site.PlainServices {
 		if args[0] != "all" && p.Name != args[0] {
 			continue
 		}
+		if scenarioOf(ts).signal(ts, p.Name, p, args[1:]) {
+			continue
+		}
 		named, rest := parseArgs(args[1:])
 		f := standin.PlainFaults{Lose: intArg(ts, named, "lose", 0), Poison: named["poison"]}
 		for _, arg := range rest {
@@ -228,12 +280,16 @@
 }
 
 // engine NAME|all up|down|break=N|poison=TEXT|unframed|leave|reset replaces the faults of model
-// engines; leave makes them report that they are leaving, reset unloads their models.
+// engines; leave makes them report that they are leaving, reset unloads their models. The
+// signals are those of the command plain.
 func cmdEngine(ts *testscript.TestScript, _ bool, args []string) {
 	for _, e := range scenarioOf(ts).site.ModelEngines {
 		if args[0] != "all" && e.Name != args[0] {
 			continue
 		}
+		if scenarioOf(ts).signal(ts, e.Name, e, args[1:]) {
+			continue
+		}
 		named, rest := parseArgs(args[1:])
 		f := standin.EngineFaults{Break: intArg(ts, named, "break", 0), Poison: named["poison"]}
 		for _, arg := range rest {
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -174,10 +174,22 @@
 	}
 	domain := fmt.Sprintf("d%d", i%s.DomainCount)
 	s.domainByAddress[address] = domain
-	s.updateList(fleet.Instance{Name: name, Role: fleet.RoleEndpoint, Domain: domain, Address: address, Service: service})
+	s.updateList(fleet.Instance{Name: name, Role: fleet.RoleEndpoint, Domain: domain, Address: address, Service: service, Incarnation: 1})
 	return nil
 }
 
+// ReplaceEndpoint lists a new incarnation of an endpoint at the same address.
+func (s *Site) ReplaceEndpoint(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.listed {
+		if s.listed[i].Name == name {
+			s.listed[i].Incarnation++
+		}
+	}
+	s.List.Set(s.listed)
+}
+
 // Address returns the address of an endpoint, or an empty string if it is unknown.
 func (s *Site) Address(endpoint string) string {
 	s.mu.Lock()
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -34,6 +34,8 @@
 	Weights *WeightStore
 	// LoadTime is the time that it takes to load a model.
 	LoadTime time.Duration
+	// Signals is what the engine tells its callers about itself.
+	Signals
 
 	mu          sync.Mutex
 	slots       chan struct{}
@@ -148,8 +150,8 @@
 	e.reportAt = time.Time{}
 }
 
-// ServeHTTP serves generation requests on every path except /load, /order and
-// /faults.
+// ServeHTTP serves generation requests on every path except /load, /order, /faults and
+// /signals.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	down := e.faults.Down || time.Now().Before(e.restartedAt)
@@ -162,9 +164,16 @@
 		}
 	case down:
 		panic(http.ErrAbortHandler)
-	case r.URL.Path == "/load":
+	default:
+		e.serve(w, r, e.serveSpeaking)
+	}
+}
+
+func (e *Engine) serveSpeaking(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/load":
 		writeJSON(w, e.load())
-	case r.URL.Path == "/order":
+	case "/order":
 		e.serveOrder(w, r)
 	default:
 		e.servePrompt(w, r)
@@ -292,7 +301,7 @@
 			return
 		}
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, AnswerToken(p.Prompt, i))
-		w.(http.Flusher).Flush()
+		_ = http.NewResponseController(w).Flush()
 	}
 	fmt.Fprint(w, "event: end\ndata: end\n\n")
 }
@@ -367,13 +376,13 @@
 	}
 	e.mu.Unlock()
 	if interval == 0 {
-		return ctx.Err()
+		return errors.Join(ctx.Err(), e.awaitSpeech(ctx))
 	}
 	t := time.NewTimer(interval)
 	defer t.Stop()
 	select {
 	case <-t.C:
-		return nil
+		return e.awaitSpeech(ctx)
 	case <-ctx.Done():
 		return errors.Join(ctx.Err())
 	}
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -18,6 +18,8 @@
 	Slots int
 	// Latency is the duration of a call.
 	Latency time.Duration
+	// Signals is what the service tells its callers about itself.
+	Signals
 
 	mu      sync.Mutex
 	faults  PlainFaults
@@ -80,12 +82,8 @@
 	}
 }
 
-// ServeHTTP executes a call on every path except /load and /faults.
+// ServeHTTP executes a call on every path except /load, /faults and /signals.
 func (p *PlainService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/load" {
-		p.serveLoad(w)
-		return
-	}
 	if r.URL.Path == "/faults" {
 		var f PlainFaults
 		if readJSON(w, r, &f) {
@@ -93,6 +91,14 @@
 		}
 		return
 	}
+	p.serve(w, r, p.serveSpeaking)
+}
+
+func (p *PlainService) serveSpeaking(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/load" {
+		p.serveLoad(w)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -145,12 +151,15 @@
 	if faults.Lose > 0 || (faults.Poison != "" && faults.Poison == body) {
 		panic(http.ErrAbortHandler)
 	}
+	if p.awaitSpeech(r.Context()) != nil {
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	fmt.Fprintf(w, `{"endpoint":%q,"method":%q,"path":%q,"run":%d,"bytes":%d}`+"\n", p.Name, r.Method, r.URL.Path, run, len(body))
 }
 
 func writeGarbage(w http.ResponseWriter) {
-	conn, buf, err := w.(http.Hijacker).Hijack()
+	conn, buf, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -79,6 +79,9 @@
 	Service string `json:"service,omitempty"`
 	// Leaving is set when the instance is draining and must get no new work.
 	Leaving bool `json:"leaving,omitempty"`
+	// Incarnation increases with every start of an endpoint under the same name; zero
+	// means that the platform does not state it.
+	Incarnation uint64 `json:"incarnation,omitempty"`
 }
 
 // InstanceList is the platform's list of live and draining instances. The list is
