internal/scheduler: endpoints that one instance must leave alone for a while

An endpoint was open or closed for everybody: the home of a closed endpoint grants its slots to nobody. An endpoint that asks one instance for quiet is sound, and the others may use it. Endpoint.Quiet makes this instance decline and return slots there, while it grants them to others as before; Endpoint.Limit bounds how many of its requests run there at a time, so that not all that waited go there at the same moment afterwards. RefuseWaiting refuses what waits for a service.

--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -212,6 +212,19 @@
 	return expired
 }
 
+// RemoveAll removes and returns all waiting requests of a service.
+func (q *Queue) RemoveAll(service string) []Request {
+	var removed []Request
+	for _, k := range q.Keys(service) {
+		for subqueue := q.subqueues[k]; subqueue.Len() > 0; {
+			r := subqueue.Front().Value.(Request)
+			q.remove(subqueue.Front(), r)
+			removed = append(removed, r)
+		}
+	}
+	return removed
+}
+
 // Len returns how many requests wait in the subqueue of a key.
 func (q *Queue) Len(k share.Key) int {
 	subqueue := q.subqueues[k]
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -53,6 +53,12 @@
 	Slots   int
 	// Closed endpoints get no new requests.
 	Closed bool
+	// Quiet endpoints get no new requests of this instance, which may still grant their
+	// slots to others.
+	Quiet bool
+	// Limit is how many requests of this instance may run there at a time; zero means
+	// no limit besides the slots.
+	Limit int
 }
 
 // Policy holds the parts of the configuration that affect scheduling.
@@ -249,7 +255,7 @@
 // useGrant starts a request in a slot that was granted for its account. If no request
 // of the account waits any more, the slot serves another account or is returned.
 func (s *Scheduler) useGrant(l *slot.Lease, now time.Time) {
-	if s.endpoints[l.Endpoint].Closed {
+	if e := s.endpoints[l.Endpoint]; e.Closed || s.withholds(e) {
 		s.decline(l, now)
 		return
 	}
@@ -308,12 +314,35 @@
 
 func (s *Scheduler) mayReuse(l *slot.Lease, now time.Time) bool {
 	e, known := s.endpoints[l.Endpoint]
-	if !known || e.Closed || s.owners[l.Endpoint] != l.Home {
+	if !known || e.Closed || s.withholds(e) || s.owners[l.Endpoint] != l.Home {
 		return false
 	}
 	return s.heldLeases.Valid(l, s.self(), now)
 }
 
+// withholds reports whether an endpoint that is not closed gets no further request of this
+// instance now.
+func (s *Scheduler) withholds(e Endpoint) bool {
+	if e.Quiet || e.Limit == 0 {
+		return e.Quiet
+	}
+	running := 0
+	for _, r := range s.runs {
+		if r.lease.Endpoint == e.Name {
+			running++
+		}
+	}
+	return running >= e.Limit
+}
+
+// RefuseWaiting refuses the requests of a service that wait here.
+func (s *Scheduler) RefuseWaiting(service string, reason fleet.Reason) {
+	for _, r := range s.Queue.RemoveAll(service) {
+		s.updateCounts(r.Key)
+		s.Port.Refuse(r, reason)
+	}
+}
+
 // bestAccount returns the account to serve next among those with requests waiting
 // here. It returns false if there is none or if another instance has waiting requests
 // whose sort key is lower by more than the slack.
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -42,6 +42,8 @@
 	ReasonInvalidResponse Reason = "endpoint-answered-garbage"
 	ReasonRetryBudget     Reason = "retry-budget-spent"
 	ReasonCPUOverload     Reason = "processor-behind"
+	// ReasonQuiet means that all endpoints of the service want no requests for a while.
+	ReasonQuiet Reason = "endpoint-quiet"
 )
 
 // Unit is the unit in which the cost of a service's requests is counted.
