internal/endpoint: one method decides whether an endpoint may be sent a request

What was known of an endpoint was spread: a flag from the instance list or the load report, the home's state, ejections, and nothing from its answers. Table.Check now merges them for callers, orders and probes, with the reason, its source and its age; the order of precedence stands on the fields of entry and at Source.

Leaving holds for the incarnation: neither a record nor a load report nor the home takes it back, a new address or a higher incarnation in the instance list starts clean, and an answer to a request that was addressed to the earlier one is ignored. Of crossing requests for quiet the latest end holds; a quiet endpoint is neither closed nor ejected, and its last load report counts from the end of the quiet, since none is requested meanwhile.

--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -30,6 +30,9 @@
 	slowStartMinFraction = 0.25
 	// maxReportAge is how long a load report stays valid.
 	maxReportAge = 10 * time.Second
+	// silenceLimit is how long an endpoint that accepts connections may send nothing
+	// before that counts as a failure.
+	silenceLimit = 3 * time.Second
 )
 
 // State is the current state of one endpoint in the table.
@@ -42,6 +45,14 @@
 	// Closed endpoints get no new requests. ClosedReason is empty for others.
 	Closed       bool   `json:"closed"`
 	ClosedReason string `json:"why,omitempty"`
+	// Quiet is set while the endpoint wants no requests from this instance. It is
+	// neither closed nor failed, and other instances may use it.
+	Quiet bool `json:"quiet,omitempty"`
+	// Limit is how many requests of this instance may run there at a time; zero means
+	// as many as it has slots.
+	Limit int `json:"limit,omitempty"`
+	// Incarnation is that of the instance list, zero if it states none.
+	Incarnation uint64 `json:"incarnation,omitempty"`
 	// Ready is set if the endpoint has loaded what its service needs.
 	Ready   bool   `json:"ready"`
 	Model   string `json:"model,omitempty"`
@@ -65,6 +76,8 @@
 	Name  string
 	To    string
 	Cause string
+	// Source is set if others or the endpoint itself said so.
+	Source Source
 }
 
 // Table holds the endpoints as one instance sees them. It is not safe for
@@ -83,29 +96,50 @@
 	OnChange func(Change)
 
 	entries map[string]*entry
+	// incarnations counts the entries that were created.
+	incarnations uint64
 }
 
+// entry is all that is known of one incarnation of an endpoint. Table.Check merges it.
 type entry struct {
-	instance    fleet.Instance
-	slowStartAt time.Time
-	load        Load
-	reportedAt  time.Time
+	instance fleet.Instance
+	// incarnation is unique in the table. What was said of an earlier one does not
+	// count for this one.
+	incarnation uint64
+	listedAt    time.Time
+	// leaving is set by the first source that says so and stays set for the
+	// incarnation, whatever other sources say. It overrules everything below.
+	leaving       bool
+	leavingSource Source
+	leavingSince  time.Time
+	// quietUntil is the latest end of the quiet for which the endpoint asked this
+	// instance; quietSince is when it began. They overrule everything below.
+	quietSince time.Time
+	quietUntil time.Time
+	// closedUntil is the end of an ejection by this instance. It overrules what the
+	// home says.
+	closedSince time.Time
+	closedUntil time.Time
 	// homeState is the state that the endpoint's home, the instance that grants
 	// its slots, has sent. It is nil if there is none or if this instance is the
-	// home.
+	// home. It overrules the load report.
 	homeState   *State
-	leaving     bool // stays set: an endpoint that left does not return by itself
+	homeStateAt time.Time
+	slowStartAt time.Time
+	load        Load
+	reportedAt  time.Time
 	failures    int
 	ejections   int // consecutive ejections
-	closedUntil time.Time
 	probing     bool
+	silentSince time.Time // zero unless the last request for a load report timed out
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{entries: map[string]*entry{}} }
 
 // SetInstances updates the table from the instance list. Endpoints that are no
-// longer listed are removed.
+// longer listed are removed. A new address or a higher incarnation is another endpoint,
+// of which nothing is known yet; a record of a lower incarnation is out of date.
 func (t *Table) SetInstances(list []fleet.Instance, now time.Time) {
 	listed := map[string]bool{}
 	for _, in := range list {
@@ -114,35 +148,53 @@
 		}
 		listed[in.Name] = true
 		e := t.entries[in.Name]
-		if e == nil || e.instance.Address != in.Address {
-			t.entries[in.Name] = &entry{instance: in, slowStartAt: now, leaving: in.Leaving}
-			t.notify(in.Name, "listed", "instance list")
+		known := fleet.Instance{}
+		if e != nil {
+			known = e.instance
+		}
+		if in.Incarnation != 0 && in.Incarnation < known.Incarnation {
 			continue
 		}
-		if in.Leaving {
-			t.markLeaving(e, "instance list")
+		replaced := known.Incarnation != 0 && in.Incarnation > known.Incarnation
+		if e == nil || known.Address != in.Address || replaced {
+			t.add(in, now)
+			continue
 		}
+		in.Incarnation = max(in.Incarnation, known.Incarnation)
 		e.instance = in
+		if in.Leaving {
+			t.markLeaving(e, SourceList, "instance list", now)
+		}
 	}
 	for name := range t.entries {
 		if !listed[name] {
 			delete(t.entries, name)
-			t.notify(name, "dropped", "not in the instance list")
+			t.notify(Change{Name: name, To: "dropped", Cause: "not in the instance list"})
 		}
 	}
 }
 
-func (t *Table) markLeaving(e *entry, cause string) {
+func (t *Table) add(in fleet.Instance, now time.Time) {
+	t.incarnations++
+	e := &entry{instance: in, incarnation: t.incarnations, listedAt: now, slowStartAt: now}
+	t.entries[in.Name] = e
+	t.notify(Change{Name: in.Name, To: "listed", Cause: "instance list"})
+	if in.Leaving {
+		t.markLeaving(e, SourceList, "instance list", now)
+	}
+}
+
+func (t *Table) markLeaving(e *entry, from Source, cause string, now time.Time) {
 	if e.leaving {
 		return
 	}
-	e.leaving = true
-	t.notify(e.instance.Name, "leaving", cause)
+	e.leaving, e.leavingSource, e.leavingSince = true, from, now
+	t.notify(Change{Name: e.instance.Name, To: string(ReasonLeaving), Cause: cause, Source: from})
 }
 
-func (t *Table) notify(name, to, cause string) {
+func (t *Table) notify(c Change) {
 	if t.OnChange != nil {
-		t.OnChange(Change{Name: name, To: to, Cause: cause})
+		t.OnChange(c)
 	}
 }
 
@@ -157,11 +209,35 @@
 	}
 	e.load = l
 	e.reportedAt = now
+	if !e.silentSince.IsZero() {
+		e.silentSince = time.Time{}
+		t.notify(Change{Name: name, To: "heard", Cause: "load report", Source: SourceReport})
+	}
 	if l.Leaving {
-		t.markLeaving(e, "its own load report")
+		t.markLeaving(e, SourceReport, "its own load report", now)
 	}
 }
 
+// RecordSilence records that an endpoint did not answer a request for a load report in
+// time. It returns false while that is no failure: an endpoint that pauses for a moment
+// goes on with what it was sent.
+func (t *Table) RecordSilence(name string, since, now time.Time) bool {
+	e := t.entries[name]
+	if e == nil {
+		return false
+	}
+	if e.silentSince.IsZero() {
+		e.silentSince = since
+		t.notify(Change{Name: name, To: "silent", Cause: "no load report in time", Source: SourceReport})
+	}
+	if now.Sub(e.silentSince) < silenceLimit {
+		return false
+	}
+	e.failures = max(e.failures, ejectionThreshold-1)
+	t.RecordResult(name, false, now)
+	return true
+}
+
 // RecordResult records whether a call reached the endpoint and got a response. It
 // ejects the endpoint after several consecutive failures.
 func (t *Table) RecordResult(name string, ok bool, now time.Time) {
@@ -171,7 +247,7 @@
 	}
 	if ok {
 		if e.ejections > 0 && e.probing {
-			t.notify(name, "restored", "probe answered")
+			t.notify(Change{Name: name, To: "restored", Cause: "probe answered"})
 			e.slowStartAt = now
 		}
 		e.failures, e.ejections, e.probing = 0, 0, false
@@ -200,8 +276,8 @@
 	if e == nil || now.Before(e.closedUntil) {
 		return
 	}
-	e.closedUntil = now.Add(crashCloseTime)
-	t.notify(name, "crashed", "broke off requests and did not answer")
+	e.closedSince, e.closedUntil = now, now.Add(crashCloseTime)
+	t.notify(Change{Name: name, To: "crashed", Cause: "broke off requests and did not answer"})
 }
 
 func (t *Table) eject(e *entry, now time.Time) {
@@ -223,17 +299,21 @@
 	}
 	e.ejections++
 	e.probing = true
-	e.closedUntil = now.Add(min(time.Duration(e.ejections)*baseEjectionTime, maxEjectionTime))
-	t.notify(e.instance.Name, "ejected", fmt.Sprintf("%d calls in a row failed", e.failures))
+	e.closedSince, e.closedUntil = now, now.Add(min(time.Duration(e.ejections)*baseEjectionTime, maxEjectionTime))
+	t.notify(Change{Name: e.instance.Name, To: "ejected", Cause: fmt.Sprintf("%d calls in a row failed", e.failures)})
 }
 
-// SetHomeState stores the state of an endpoint that its home sent.
-func (t *Table) SetHomeState(s State) {
+// SetHomeState stores the state of an endpoint that its home sent. That the endpoint leaves
+// stays known when another instance becomes the home, if both mean the same incarnation.
+func (t *Table) SetHomeState(s State, now time.Time) {
 	e := t.entries[s.Name]
-	if e == nil {
+	if e == nil || s.Incarnation < e.instance.Incarnation {
 		return
 	}
-	e.homeState = &s
+	e.homeState, e.homeStateAt = &s, now
+	if Reason(s.ClosedReason) == ReasonLeaving && s.Incarnation != 0 && s.Incarnation == e.instance.Incarnation {
+		t.markLeaving(e, SourceHome, "its home", now)
+	}
 }
 
 // ClearHomeState removes the state that a home sent, because this instance is the
@@ -280,28 +360,19 @@
 func (t *Table) state(e *entry, now time.Time) State {
 	s := State{
 		Name: e.instance.Name, Service: e.instance.Service, Domain: e.instance.Domain, Address: e.instance.Address,
-		Model: e.load.Model, Version: e.load.Version,
+		Model: e.load.Model, Version: e.load.Version, Incarnation: e.instance.Incarnation,
+		Slots: t.slots(e, now), Ready: t.ready(e),
 	}
 	if e.homeState != nil && !e.leaving && !now.Before(e.closedUntil) {
-		s.Slots, s.Closed, s.ClosedReason, s.Ready = e.homeState.Slots, e.homeState.Closed, e.homeState.ClosedReason, e.homeState.Ready
-		return s
-	}
-	s.Slots = t.slots(e, now)
-	s.Ready = t.ready(e)
-	switch {
-	case e.leaving:
-		s.Closed, s.ClosedReason = true, "leaving"
-	case now.Before(e.closedUntil):
-		s.Closed, s.ClosedReason = true, "ejected"
-	case e.reportedAt.IsZero():
-		s.Closed, s.ClosedReason = true, "no load report yet"
-	case now.Sub(e.reportedAt) > maxReportAge:
-		s.Closed, s.ClosedReason = true, "load report too old"
-	case !s.Ready:
-		s.Closed, s.ClosedReason = true, "not ready"
-	case t.Draining != nil && t.Draining(s.Name):
-		s.Closed, s.ClosedReason = true, "drained for a change"
+		s.Slots, s.Ready = e.homeState.Slots, e.homeState.Ready
+	}
+	v := t.verdict(e, UseCaller, now)
+	if v.Reason == ReasonQuiet {
+		s.Quiet = true
+		v = t.capability(e, now)
 	}
+	s.Closed, s.ClosedReason = !v.Allowed(), string(v.Reason)
+	s.Limit = recoveryLimit(e, s.Slots, now)
 	return s
 }
 
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -142,8 +142,8 @@
 			continue
 		}
 		r.endpoints.SetHomeState(endpoint.State{
-			Name: s.Name, Slots: s.Slots, Closed: s.Why != "", ClosedReason: s.Why, Ready: s.Ready,
-		})
+			Name: s.Name, Slots: s.Slots, Closed: s.Why != "", ClosedReason: s.Why, Ready: s.Ready, Incarnation: s.Incarnation,
+		}, time.Now())
 	}
 	r.mu.Unlock()
 	r.updateEndpoints(time.Now())
@@ -156,6 +156,9 @@
 	Slots int    `json:"s"`
 	Ready bool   `json:"r,omitempty"`
 	Why   string `json:"w,omitempty"`
+	// Incarnation is that of the endpoint to which the state applies, zero if the
+	// instance list states none.
+	Incarnation uint64 `json:"i,omitempty"`
 }
 
 // homedStates returns the states of the endpoints that this instance is the home of.
@@ -166,7 +169,7 @@
 	defer r.mu.Unlock()
 	for _, s := range r.endpoints.States(time.Now()) {
 		if slices.Contains(homed, s.Name) {
-			states = append(states, wireState{s.Name, s.Slots, s.Ready, s.ClosedReason})
+			states = append(states, wireState{s.Name, s.Slots, s.Ready, s.ClosedReason, s.Incarnation})
 		}
 	}
 	return states
