internal/router, internal/caller: heed endpoints that leave or ask for quiet in their answers

Callers lacked this: an endpoint that had said that it leaves got requests until the instance list or its load report said so, and a request that was turned away with 503 and Retry-After was answered as if it had run, or a stream as if it were complete.

Before each attempt, poll of the load and order the instance asks Table.Check; the head of every answer goes to Table.RecordAnswer and, if it changes anything, to the scheduler before the answer is passed on. A request whose endpoint was closed after its slot was granted is queued again, which costs no retry. One that is turned away has not run and is tried elsewhere. If all endpoints of a service want quiet, what waits and what arrives is refused at once with the time that is left as Retry-After; a stream that has begun waits for the first endpoint. Server-Leaving is not passed on to callers: it speaks of the endpoint, not of the instance. Polls and orders carry a request ID, so that an endpoint can tell who sent them. Counters: endpoints.leaving.SOURCE, endpoints.quiet.answer, endpoints.withheld.REASON.SOURCE.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -19,7 +21,7 @@
 }
 
 const (
-	retryAfterSeconds   = "1"  // value of the Retry-After header
+	retryAfterSeconds   = 1    // value of the Retry-After header
 	histogramSampleSize = 1024 // request durations that the histogram keeps
 )
 
@@ -38,13 +40,22 @@
 	header.Set("Content-Type", "application/json")
 	header.Set(HeaderOutcome, string(outcome))
 	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusConflict {
-		header.Set("Retry-After", retryAfterSeconds)
+		header.Set("Retry-After", strconv.Itoa(c.retryAfter()))
 	}
 	c.w.WriteHeader(status)
 	_ = json.NewEncoder(c.w).Encode(errorResponse{outcome, reason, message, c.id})
 	c.recordOutcome(outcome, reason)
 }
 
+// retryAfter returns after how many seconds the caller may repeat the request.
+func (c *call) retryAfter() int {
+	until, quiet := c.quietUntil()
+	if !quiet {
+		return retryAfterSeconds
+	}
+	return max(retryAfterSeconds, int(math.Ceil(time.Until(until).Seconds())))
+}
+
 func (c *call) closeTicket(outcome fleet.Outcome) {
 	if outcome == fleet.OutcomeRefused {
 		c.ticket.Release()
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -30,34 +30,43 @@
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
+var errAskedForQuiet = errors.New("it takes no requests for a while")
+
 // attempt forwards the request to an endpoint and the response to the caller. It
-// returns nil if the response is complete.
-func (c *call) attempt(ctx context.Context, slot *dispatch.Slot) *endpoint.Failure {
-	address, ok := c.h.Address(slot.Endpoint)
-	if !ok {
-		return &endpoint.Failure{Endpoint: slot.Endpoint, Reason: fleet.ReasonUnreachable, Cause: errors.New("it left the instance list")}
+// returns no failure if the response is complete, and an *endpoint.Withheld if the request
+// was not sent because the endpoint was closed after its slot was granted.
+func (c *call) attempt(ctx context.Context, slot *dispatch.Slot) (*endpoint.Failure, error) {
+	target, verdict := c.h.Target(slot.Endpoint)
+	if !verdict.Allowed() {
+		return nil, &endpoint.Withheld{Endpoint: slot.Endpoint, Verdict: verdict}
 	}
 	c.lastAttempt = quarantine.Attempt{
 		Quarantine: c.h.Quarantine, Endpoint: slot.Endpoint, Request: c.id, Signatures: c.signatures, Sent: time.Now(),
 	}
-	req := c.newRequest(ctx, address)
+	req := c.newRequest(ctx, target.Address)
 	resp, err := c.h.EndpointClient.Call(ctx, slot.Endpoint, req, c.idempotent)
 	if err != nil {
 		var failure *endpoint.Failure
 		if !errors.As(err, &failure) {
 			failure = &endpoint.Failure{Endpoint: slot.Endpoint, Reason: fleet.ReasonEndpointFailed, Reached: true, Cause: err}
 		}
-		return c.recordFailure(ctx, failure)
+		return c.recordFailure(ctx, failure), nil
 	}
 	defer resp.Body.Close()
+	answer := endpoint.ReadAnswer(resp, time.Now())
+	c.h.RecordAnswer(target, answer)
+	if answer.Quiet > 0 {
+		c.recordStep("turned away", slot.Endpoint+" takes no requests for "+answer.Quiet.String())
+		return &endpoint.Failure{Endpoint: slot.Endpoint, Reason: fleet.ReasonQuiet, Cause: errAskedForQuiet}, nil
+	}
 	c.lastAttempt.Begun = true
 	if failure := c.forwardResponse(resp, slot); failure != nil {
-		return c.recordFailure(ctx, failure)
+		return c.recordFailure(ctx, failure), nil
 	}
 	c.h.RecordResult(slot.Endpoint, true)
 	c.lastAttempt.Complete()
 	c.finish()
-	return nil
+	return nil, nil
 }
 
 // recordFailure counts a failure against the endpoint, unless the request was
@@ -171,7 +180,7 @@
 	c.responseStarted = true
 	header := c.w.Header()
 	for name, values := range resp.Header {
-		if slices.Contains(hopByHopHeaders, name) || name == HeaderRequestID {
+		if slices.Contains(hopByHopHeaders, name) || name == HeaderRequestID || name == endpoint.HeaderLeaving {
 			continue
 		}
 		header[name] = values
@@ -219,6 +228,7 @@
 	header := resp.Header.Clone()
 	removeHopByHopHeaders(header)
 	header.Del("Content-Length")
+	header.Del(endpoint.HeaderLeaving)
 	r.response = claim.Answer{Status: resp.StatusCode, Header: header}
 }
 
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -47,9 +47,14 @@
 	Instance       string
 	Dispatcher     *dispatch.Dispatcher
 	EndpointClient *endpoint.Client
-	// Address returns the address of an endpoint, and false if it is not in the
-	// instance list.
-	Address func(name string) (string, bool)
+	// Target returns where a request for an endpoint is sent and whether it may be sent
+	// there now.
+	Target func(name string) (endpoint.Target, endpoint.Verdict)
+	// RecordAnswer records what an endpoint said about itself in an answer.
+	RecordAnswer func(target endpoint.Target, a endpoint.Answer)
+	// QuietUntil returns until when all endpoints of a service want no requests, and
+	// false if one takes them now.
+	QuietUntil func(service string) (time.Time, bool)
 	// RecordResult records whether a call to an endpoint succeeded.
 	RecordResult func(name string, ok bool)
 	// Crashed reports whether an endpoint that broke a connection no longer
@@ -273,15 +278,19 @@
 	attemptsWithoutProgress := 0
 	for attempt := 1; ; attempt++ {
 		c.recordStep("queued", "attempt "+strconv.Itoa(attempt))
-		slot, err := c.h.Dispatcher.Acquire(ctx, request, attempt > 1)
+		slot, err := c.acquire(ctx, request, attempt > 1)
 		if err != nil {
 			c.answerWithoutSlot(err, attempt)
 			return
 		}
 		c.recordStep("granted", slot.Endpoint)
 		eventsBefore := c.eventsSent
-		failure := c.attempt(ctx, slot)
+		failure, err := c.attempt(ctx, slot)
 		slot.Release()
+		if err != nil {
+			c.recordStep("not sent", err.Error())
+			continue
+		}
 		if failure == nil {
 			return
 		}
@@ -297,6 +306,37 @@
 	}
 }
 
+// acquire waits for a slot. A request is refused at once while no endpoint of its service
+// takes any, unless its response has begun: that waits for the first endpoint.
+func (c *call) acquire(ctx context.Context, request queue.Request, retry bool) (*dispatch.Slot, error) {
+	for {
+		until, quiet := c.quietUntil()
+		if !quiet {
+			slot, err := c.h.Dispatcher.Acquire(ctx, request, retry)
+			var refused *dispatch.Refused
+			if !errors.As(err, &refused) || refused.Reason != fleet.ReasonQuiet {
+				return slot, err
+			}
+			until, _ = c.quietUntil()
+		}
+		if !c.responseStarted {
+			return nil, &dispatch.Refused{Reason: fleet.ReasonQuiet}
+		}
+		select {
+		case <-time.After(time.Until(until)):
+		case <-ctx.Done():
+			return nil, &dispatch.Refused{Reason: fleet.ReasonCancelled, Cause: ctx.Err()}
+		}
+	}
+}
+
+func (c *call) quietUntil() (time.Time, bool) {
+	if c.h.QuietUntil == nil {
+		return time.Time{}, false
+	}
+	return c.h.QuietUntil(c.service.Name)
+}
+
 // answerWithoutSlot responds to a request that got no slot.
 func (c *call) answerWithoutSlot(err error, attempt int) {
 	var refused *dispatch.Refused
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -130,7 +129,7 @@
 	load, err := r.fetchLoad(context.Background(), s.Name)
 	return leader.Endpoint{
 		Name: s.Name, Service: s.Service, Model: load.Model, Version: load.Version, Role: load.Role,
-		Running: load.Running, Reported: err == nil, Leaving: load.Leaving || s.ClosedReason == "leaving",
+		Running: load.Running, Reported: err == nil, Leaving: load.Leaving || endpoint.Reason(s.ClosedReason) == endpoint.ReasonLeaving,
 	}
 }
 
@@ -165,7 +164,7 @@
 	}
 	service, _ := config.Service(in.Service)
 	go func() {
-		err := r.sendOrder(ctx, service, in.Address, o)
+		err := r.sendOrder(ctx, service, o)
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		delete(r.leadership.orderPending, o.Endpoint)
@@ -177,7 +176,7 @@
 
 // sendOrder checks the lease once more and sends the order. The endpoint's next load
 // report shows whether the order took effect; if not, the order is sent again.
-func (r *Router) sendOrder(ctx context.Context, service arrangement.Service, address string, o leader.Order) error {
+func (r *Router) sendOrder(ctx context.Context, service arrangement.Service, o leader.Order) error {
 	now := time.Now()
 	fence, leads := r.lease().Leads(now)
 	if !leads || !service.Fencing && !r.lease().SafeWithoutFencing(now) {
@@ -190,11 +189,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/order", bytes.NewReader(data))
-	if err != nil {
-		return err
-	}
-	resp, err := r.endpointClient.Do(req)
+	resp, err := r.callEndpoint(ctx, endpoint.UseOrder, o.Endpoint, http.MethodPost, "/order", data)
 	if err == nil {
 		_ = resp.Body.Close()
 		if resp.StatusCode != http.StatusOK {
--- a/internal/router/operators.go
+++ b/internal/router/operators.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/greengagestep/greengagestep/internal/audit"
+	"github.com/greengagestep/greengagestep/internal/endpoint"
 	"github.com/greengagestep/greengagestep/internal/member"
 	"github.com/greengagestep/greengagestep/internal/publication"
 	"github.com/greengagestep/greengagestep/internal/scheduler"
@@ -88,6 +89,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, e := range r.endpoints.States(time.Now()) {
+		if e.Quiet && !e.Closed {
+			e.ClosedReason = string(endpoint.ReasonQuiet)
+		}
 		status.Endpoints = append(status.Endpoints, operator.Endpoint{
 			Name: e.Name, Service: e.Service, Domain: e.Domain, Slots: e.Slots, Ready: e.Ready, ClosedReason: e.ClosedReason,
 		})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -71,6 +71,9 @@
 	endpointClient *http.Client
 	policy         policy
 
+	// updateMu is held while the endpoints' states are passed on, so that an earlier state
+	// does not replace a later one.
+	updateMu     sync.Mutex
 	mu           sync.Mutex
 	endpoints    *endpoint.Table
 	peerVersions map[string]int64 // configuration version of each peer
@@ -151,7 +154,8 @@
 	r.claims = &claim.Registry{Self: r.Name, Incarnation: r.self.Incarnation, Log: r.Log, Peers: claimPeers{r}, Trail: r.trail}
 	r.caller = &caller.Handler{
 		Instance: r.Name, Dispatcher: r.dispatcher, EndpointClient: r.proxyClient,
-		Address: r.address, RecordResult: r.recordResult, Crashed: r.isCrashed, Claims: r.claims, Trail: r.trail,
+		Target: r.target, RecordAnswer: r.recordAnswer, QuietUntil: r.quietUntil,
+		RecordResult: r.recordResult, Crashed: r.isCrashed, Claims: r.claims, Trail: r.trail,
 		Ready: r.serviceReady, Quarantine: r.quarantine, Budget: &budget.Budget{Slack: retryBudgetSlack}, Metrics: r.metrics,
 	}
 	r.parts = []messagePart{configPart{r, &deliveryTracker{}}, endpointsPart{r, &deliveryTracker{}}, &quarantinePart{list: r.quarantine, delivered: map[string]func(){}}, drainPart{r}}
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -1,17 +1,24 @@
 package router
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/greengagestep/greengagestep/internal/audit"
+	"github.com/greengagestep/greengagestep/internal/caller"
 	"github.com/greengagestep/greengagestep/internal/endpoint"
 	"github.com/greengagestep/greengagestep/internal/scheduler"
 	"github.com/greengagestep/greengagestep/pkg/arrangement"
+	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
 const (
@@ -49,6 +56,9 @@
 	t.Draining = func(name string) bool { return r.isDraining(name, time.Now()) }
 	t.OnChange = func(c endpoint.Change) {
 		r.trail.Add(audit.Entry{Type: audit.EventEndpoint, Subject: c.Name, Change: c.To, Cause: c.Cause})
+		if c.Source != "" {
+			metrics.GetOrRegisterCounter("endpoints."+c.To+"."+string(c.Source), r.metrics).Inc(1)
+		}
 	}
 	return t
 }
@@ -81,6 +91,8 @@
 // updateEndpoints passes the current states of the endpoints to the scheduler and
 // recomputes the readiness of services.
 func (r *Router) updateEndpoints(now time.Time) {
+	r.updateMu.Lock()
+	defer r.updateMu.Unlock()
 	homed := r.homedNames()
 	r.mu.Lock()
 	for _, name := range homed {
@@ -94,13 +106,67 @@
 	states := r.endpoints.States(now)
 	r.mu.Unlock()
 	endpoints := make([]scheduler.Endpoint, 0, len(states))
+	quiet := map[string]bool{}
 	for _, s := range states {
-		endpoints = append(endpoints, scheduler.Endpoint{Name: s.Name, Service: s.Service, Domain: s.Domain, Slots: s.Slots, Closed: s.Closed})
+		endpoints = append(endpoints, scheduler.Endpoint{
+			Name: s.Name, Service: s.Service, Domain: s.Domain, Slots: s.Slots, Closed: s.Closed, Quiet: s.Quiet, Limit: s.Limit,
+		})
+		if s.Quiet && !quiet[s.Service] {
+			_, quiet[s.Service] = r.quietUntil(s.Service)
+		}
 	}
-	r.dispatcher.With(func(s *scheduler.Scheduler) { s.SetEndpoints(endpoints, now) })
+	r.dispatcher.With(func(s *scheduler.Scheduler) {
+		s.SetEndpoints(endpoints, now)
+		for service, all := range quiet {
+			if all {
+				s.RefuseWaiting(service, fleet.ReasonQuiet)
+			}
+		}
+	})
 	r.updateReadiness(states)
 }
 
+// target implements caller.Handler's Target.
+func (r *Router) target(name string) (endpoint.Target, endpoint.Verdict) {
+	target, verdict := r.check(name, endpoint.UseCaller)
+	if !verdict.Allowed() {
+		// The scheduler must not grant the same slot again.
+		r.updateEndpoints(time.Now())
+	}
+	return target, verdict
+}
+
+// check asks the table whether a request may be sent to an endpoint now, and counts those
+// that may not.
+func (r *Router) check(name string, use endpoint.Use) (endpoint.Target, endpoint.Verdict) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	target, verdict := r.endpoints.Check(name, use, time.Now())
+	if !verdict.Allowed() {
+		reason := strings.ReplaceAll(string(verdict.Reason), " ", "-")
+		metrics.GetOrRegisterCounter("endpoints.withheld."+reason+"."+string(verdict.Source), r.metrics).Inc(1)
+	}
+	return target, verdict
+}
+
+// recordAnswer records what an endpoint said about itself. Once it returns, no further
+// request is sent there against that.
+func (r *Router) recordAnswer(target endpoint.Target, a endpoint.Answer) {
+	now := time.Now()
+	r.mu.Lock()
+	changed := r.endpoints.RecordAnswer(target, a, now)
+	r.mu.Unlock()
+	if changed {
+		r.updateEndpoints(now)
+	}
+}
+
+func (r *Router) quietUntil(service string) (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.endpoints.QuietUntil(service, time.Now())
+}
+
 // pollLoads requests load reports from the endpoints that this instance is the home
 // of.
 func (r *Router) pollLoads(ctx context.Context) {
@@ -114,39 +180,36 @@
 
 func (r *Router) pollLoad(ctx context.Context, name string) {
 	load, err := r.fetchLoad(ctx, name)
+	var withheld *endpoint.Withheld
+	if errors.As(err, &withheld) {
+		return
+	}
 	if err == nil {
 		r.dispatcher.With(func(s *scheduler.Scheduler) { s.Observe(name, load.Running) })
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := time.Now()
+	in, _ := r.endpoints.Instance(name)
 	// The state that an earlier home sent is used until this instance's first
 	// request for a load report has ended.
 	r.endpoints.ClearHomeState(name)
-	if err != nil {
+	switch {
+	case err == nil:
+		r.endpoints.RecordResult(name, true, now)
+		r.endpoints.RecordLoad(name, load, now)
+	case in.Domain == r.Domain:
 		// An endpoint of another failure domain may be unreachable only from this
 		// instance. An ejection would last longer than the partition.
-		if in, _ := r.endpoints.Instance(name); in.Domain == r.Domain {
-			r.endpoints.RecordResult(name, false, time.Now())
-		}
-		return
+		r.endpoints.RecordResult(name, false, now)
 	}
-	r.endpoints.RecordResult(name, true, time.Now())
-	r.endpoints.RecordLoad(name, load, time.Now())
 }
 
 func (r *Router) fetchLoad(ctx context.Context, name string) (endpoint.Load, error) {
 	var load endpoint.Load
-	address, ok := r.address(name)
-	if !ok {
-		return load, errNotListed
-	}
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/load", nil)
-	if err != nil {
-		return load, err
-	}
-	resp, err := r.endpointClient.Do(req)
+	resp, err := r.callEndpoint(ctx, endpoint.UseProbe, name, http.MethodGet, "/load", nil)
 	if err != nil {
 		return load, err
 	}
@@ -155,18 +218,38 @@
 	return load, err
 }
 
-func (r *Router) address(name string) (string, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	in, ok := r.endpoints.Instance(name)
-	return in.Address, ok
+// callEndpoint sends a request of this instance's own to an endpoint. It returns an
+// *endpoint.Withheld if the endpoint must not be sent one, or asks for that. The caller
+// must close the body of the response.
+func (r *Router) callEndpoint(ctx context.Context, use endpoint.Use, name, method, path string, body []byte) (*http.Response, error) {
+	target, verdict := r.check(name, use)
+	if !verdict.Allowed() {
+		return nil, &endpoint.Withheld{Endpoint: name, Verdict: verdict}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+target.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set(caller.HeaderRequestID, r.Name+"."+string(use))
+	resp, err := r.endpointClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	answer := endpoint.ReadAnswer(resp, time.Now())
+	r.recordAnswer(target, answer)
+	if answer.Quiet > 0 {
+		_ = resp.Body.Close()
+		return nil, &endpoint.Withheld{Endpoint: name, Verdict: endpoint.Verdict{Reason: endpoint.ReasonQuiet, Source: endpoint.SourceAnswer}}
+	}
+	return resp, nil
 }
 
 // isCrashed reports whether an endpoint that broke a connection no longer returns a
 // load report. A broken connection alone is no crash.
 func (r *Router) isCrashed(ctx context.Context, name string) bool {
 	_, err := r.fetchLoad(ctx, name)
-	return err != nil && ctx.Err() == nil
+	var withheld *endpoint.Withheld
+	return err != nil && !errors.As(err, &withheld) && ctx.Err() == nil
 }
 
 // closeCrashedEndpoint closes an endpoint at this instance, whichever instance detected
