internal/router: an endpoint that pauses for a second has not crashed

An endpoint that sent nothing for a little over a second, during which a connection to it broke, was taken as crashed: the request for its load, made to tell a crash from a broken connection, timed out after a second, so the endpoint was closed everywhere for three seconds and the request counted as a suspect. A new home gave up the state that it had from the one before after one such timeout.

--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -179,6 +180,7 @@
 }
 
 func (r *Router) pollLoad(ctx context.Context, name string) {
+	started := time.Now()
 	load, err := r.fetchLoad(ctx, name)
 	var withheld *endpoint.Withheld
 	if errors.As(err, &withheld) {
@@ -191,6 +193,9 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	in, _ := r.endpoints.Instance(name)
+	if isTimeout(err) && in.Domain == r.Domain && !r.endpoints.RecordSilence(name, started, now) {
+		return
+	}
 	// The state that an earlier home sent is used until this instance's first
 	// request for a load report has ended.
 	r.endpoints.ClearHomeState(name)
@@ -198,13 +203,18 @@
 	case err == nil:
 		r.endpoints.RecordResult(name, true, now)
 		r.endpoints.RecordLoad(name, load, now)
-	case in.Domain == r.Domain:
+	case !isTimeout(err) && in.Domain == r.Domain:
 		// An endpoint of another failure domain may be unreachable only from this
 		// instance. An ejection would last longer than the partition.
 		r.endpoints.RecordResult(name, false, now)
 	}
 }
 
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &netErr) && netErr.Timeout()
+}
+
 func (r *Router) fetchLoad(ctx context.Context, name string) (endpoint.Load, error) {
 	var load endpoint.Load
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
@@ -245,11 +255,11 @@
 }
 
 // isCrashed reports whether an endpoint that broke a connection no longer returns a
-// load report. A broken connection alone is no crash.
+// load report. A broken connection alone is no crash, and neither is one that pauses.
 func (r *Router) isCrashed(ctx context.Context, name string) bool {
 	_, err := r.fetchLoad(ctx, name)
 	var withheld *endpoint.Withheld
-	return err != nil && !errors.As(err, &withheld) && ctx.Err() == nil
+	return err != nil && !errors.As(err, &withheld) && !isTimeout(err) && ctx.Err() == nil
 }
 
 // closeCrashedEndpoint closes an endpoint at this instance, whichever instance detected
