--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -376,13 +376,13 @@
 	}
 	e.mu.Unlock()
 	if interval == 0 {
-		return errors.Join(ctx.Err(), e.awaitSpeech(ctx))
+		return errors.Join(ctx.Err(), e.AwaitSpeech(ctx))
 	}
 	t := time.NewTimer(interval)
 	defer t.Stop()
 	select {
 	case <-t.C:
-		return e.awaitSpeech(ctx)
+		return e.AwaitSpeech(ctx)
 	case <-ctx.Done():
 		return errors.Join(ctx.Err())
 	}
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -151,7 +151,7 @@
 	if faults.Lose > 0 || (faults.Poison != "" && faults.Poison == body) {
 		panic(http.ErrAbortHandler)
 	}
-	if p.awaitSpeech(r.Context()) != nil {
+	if p.AwaitSpeech(r.Context()) != nil {
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/standin/signals.go
+++ b/internal/standin/signals.go
@@ -25,6 +25,9 @@
 // requests that arrive although their sender was told. The zero value signals nothing. It
 // is safe for concurrent use.
 type Signals struct {
+	// Refusal adds headers to an answer that asks for quiet; nil adds none.
+	Refusal func(h http.Header)
+
 	mu          sync.Mutex
 	leaving     bool
 	quietUntil  time.Time
@@ -114,19 +117,25 @@
 	return c
 }
 
-// serve passes a request to next under the signals.
 func (s *Signals) serve(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
 	if r.URL.Path == "/signals" {
 		s.serveSignals(w, r)
 		return
 	}
-	sender := senderOf(r)
+	s.Serve(senderOf(r), w, r, next)
+}
+
+// Serve passes the request of a sender to next under the signals.
+func (s *Signals) Serve(sender string, w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
 	s.arrive(sender, r.URL.Path)
 	sw := &signalWriter{ResponseWriter: w, signals: s, sender: sender}
-	if s.awaitSpeech(r.Context()) != nil {
+	if s.AwaitSpeech(r.Context()) != nil {
 		return
 	}
 	if d := s.quietFor(sender); d > 0 {
+		if s.Refusal != nil {
+			s.Refusal(sw.Header())
+		}
 		sw.Header().Set(headerRetryAfter, strconv.FormatFloat(d.Seconds(), 'f', 3, 64))
 		http.Error(sw, "quiet, please", http.StatusServiceUnavailable)
 		return
@@ -139,7 +148,7 @@
 
 // senderOf returns the instance that sent a request: the first part of the request's ID.
 func senderOf(r *http.Request) string {
-	if name, _, ok := strings.Cut(r.Header.Get(headerRequestID), "."); ok {
+	if name, ok := SenderOf(r.Header.Get(headerRequestID)); ok {
 		return name
 	}
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
@@ -149,6 +158,13 @@
 	return host
 }
 
+// SenderOf returns the first part of a request's ID, up to a dot, and false if there is no
+// dot.
+func SenderOf(requestID string) (string, bool) {
+	name, _, ok := strings.Cut(requestID, ".")
+	return name, ok
+}
+
 // arrive counts a request that arrives against a signal.
 func (s *Signals) arrive(sender, path string) {
 	s.mu.Lock()
@@ -178,8 +194,8 @@
 	return d
 }
 
-// awaitSpeech returns once the endpoint is not silent, or with the error of ctx.
-func (s *Signals) awaitSpeech(ctx context.Context) error {
+// AwaitSpeech returns once the endpoint is not silent, or with the error of ctx.
+func (s *Signals) AwaitSpeech(ctx context.Context) error {
 	s.mu.Lock()
 	d := time.Until(s.silentUntil)
 	s.mu.Unlock()
