internal/endpoint: header lines that a proxy joined

Server-Leaving: 0, 1 and Retry-After: 1, 3 said nothing on the path of run, while serve reads their elements. Both now do the same. QuietUntil, asked for every request, looks at the endpoints only while one wants quiet.

--- a/internal/endpoint/answer.go
+++ b/internal/endpoint/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -33,7 +34,7 @@
 func ReadAnswer(resp *http.Response, now time.Time) Answer {
 	a := Answer{}
 	for _, v := range resp.Header.Values(HeaderLeaving) {
-		a.Leaving = a.Leaving || strings.TrimSpace(v) == leavingValue
+		a.Leaving = a.Leaving || slices.Contains(elements(v), leavingValue)
 	}
 	if resp.StatusCode != http.StatusServiceUnavailable {
 		return a
@@ -43,26 +44,38 @@
 		now = sent
 	}
 	for _, v := range resp.Header.Values(headerRetryAfter) {
-		a.Quiet = max(a.Quiet, retryAfter(strings.TrimSpace(v), now))
+		if at, err := http.ParseTime(strings.TrimSpace(v)); err == nil {
+			a.Quiet = max(a.Quiet, min(at.Sub(now), maxQuiet))
+			continue
+		}
+		for _, element := range elements(v) {
+			a.Quiet = max(a.Quiet, seconds(element))
+		}
 	}
 	return a
 }
 
-// retryAfter decodes a value of Retry-After: seconds, which may have a fraction, or a date.
-// It returns zero for anything else and for times that have passed.
-func retryAfter(v string, now time.Time) time.Duration {
-	if at, err := http.ParseTime(v); err == nil {
-		return min(max(at.Sub(now), 0), maxQuiet)
+// elements returns the values of a header line, which a proxy may have joined.
+func elements(line string) []string {
+	all := strings.Split(line, ",")
+	for i := range all {
+		all[i] = strings.TrimSpace(all[i])
 	}
+	return all
+}
+
+// seconds parses a number of seconds without sign or exponent, which may have a fraction.
+// It returns zero for anything else, and at most maxQuiet.
+func seconds(v string) time.Duration {
 	if strings.Trim(v, "0123456789.") != "" { // ParseFloat accepts "inf" and "0x1p9" as well
 		return 0
 	}
-	seconds, err := strconv.ParseFloat(v, 64)
-	if seconds >= maxQuiet.Seconds() {
+	n, err := strconv.ParseFloat(v, 64)
+	if n >= maxQuiet.Seconds() {
 		return maxQuiet
 	}
 	if err != nil {
 		return 0
 	}
-	return time.Duration(seconds * float64(time.Second))
+	return time.Duration(n * float64(time.Second))
 }
--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -98,6 +98,8 @@
 	entries map[string]*entry
 	// incarnations counts the entries that were created.
 	incarnations uint64
+	// lastQuiet is the latest end of all quiet that was ever asked for.
+	lastQuiet time.Time
 }
 
 // entry is all that is known of one incarnation of an endpoint. Table.Check merges it.
--- a/internal/endpoint/verdict.go
+++ b/internal/endpoint/verdict.go
@@ -157,6 +157,9 @@
 			t.notify(Change{Name: e.instance.Name, To: string(ReasonQuiet), Cause: fmt.Sprintf("asked for %s without requests", a.Quiet), Source: SourceAnswer})
 		}
 		e.quietUntil = until
+		if until.After(t.lastQuiet) {
+			t.lastQuiet = until
+		}
 	}
 	return changed
 }
@@ -164,6 +167,9 @@
 // QuietUntil returns when the first endpoint of a service takes requests again, and true
 // if all of its endpoints that could serve want quiet until then.
 func (t *Table) QuietUntil(service string, now time.Time) (time.Time, bool) {
+	if !now.Before(t.lastQuiet) {
+		return time.Time{}, false
+	}
 	var first time.Time
 	for _, e := range t.entries {
 		if e.instance.Service != service || e.leaving {
