internal/endpoint, internal/router: connections to an endpoint that leaves are closed

A connection for a request may take up to a second to make; if the endpoint said meanwhile that it leaves, or asked for quiet, the request was sent nevertheless. The client now asks once more after the dial. Idle connections to a leaving endpoint stayed open for half a minute, and those in use went back to the pool: each address has a pool of its own, which is retired once its endpoint leaves, and when the instance list no longer has it.

Evidence: TestCallIsWithheldAfterSlowDial, TestConnectionsToRetiredAddressAreClosed; both need the new methods. Polls of the load have at most one idle connection an endpoint, which stays.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -45,6 +45,10 @@
 	}
 	req := c.newRequest(ctx, target.Address)
 	resp, err := c.h.EndpointClient.Call(ctx, slot.Endpoint, req, c.idempotent)
+	var withheld *endpoint.Withheld
+	if errors.As(err, &withheld) {
+		return nil, withheld
+	}
 	if err != nil {
 		var failure *endpoint.Failure
 		if !errors.As(err, &failure) {
--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,7 +42,19 @@
 
 // Client sends requests to endpoints. It is safe for concurrent use.
 type Client struct {
-	transport *http.Transport
+	// Permit is asked once more when a connection to an endpoint was made for a request,
+	// which may take a while. It returns a *Withheld to forbid the call. Nil permits all.
+	Permit func(endpoint string) error
+
+	dial  Dial
+	mu    sync.Mutex
+	pools map[string]*pool // by address
+}
+
+// pool holds the connections to one address.
+type pool struct {
+	*http.Transport
+	retired atomic.Bool
 }
 
 // Dial connects to an address, like net.Dialer.DialContext.
@@ -53,17 +66,73 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &Client{transport: &http.Transport{
-		DialContext:            dial,
-		MaxIdleConnsPerHost:    idleConnsPerHost,
-		IdleConnTimeout:        idleConnTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}}
+	return &Client{dial: dial, pools: map[string]*pool{}}
+}
+
+func (c *Client) pool(address string) *pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[address]
+	if p == nil {
+		p = &pool{Transport: &http.Transport{
+			DialContext:            c.dialPermitted,
+			MaxIdleConnsPerHost:    idleConnsPerHost,
+			IdleConnTimeout:        idleConnTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		}}
+		c.pools[address] = p
+	}
+	return p
+}
+
+// endpointKey is the context key of the name of the endpoint that is called.
+type endpointKey struct{}
+
+func (c *Client) dialPermitted(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := c.dial(ctx, network, address)
+	if err != nil || c.Permit == nil {
+		return conn, err
+	}
+	name, _ := ctx.Value(endpointKey{}).(string)
+	if err := c.Permit(name); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// Retire closes the connections to an address that are idle, and those in use once they
+// are no longer. Later calls use new ones.
+func (c *Client) Retire(address string) {
+	c.retire(func(other string) bool { return other == address })
+}
+
+// Retain retires all addresses but the given ones.
+func (c *Client) Retain(addresses map[string]bool) {
+	c.retire(func(other string) bool { return !addresses[other] })
+}
+
+func (c *Client) retire(isRetired func(address string) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, p := range c.pools {
+		if isRetired(address) {
+			delete(c.pools, address)
+			p.retired.Store(true)
+			p.CloseIdleConnections()
+		}
+	}
 }
 
 // Close closes the idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.pools {
+		p.CloseIdleConnections()
+	}
+}
 
 // opaqueBody hides the concrete type of a body from net/http. Otherwise the
 // transport would retry a request with an Idempotency-Key and an empty body on a
@@ -74,11 +143,18 @@
 
 // Call sends a request to an endpoint. If idempotent is set, the transport may
 // send the request again when an idle connection turns out to be closed. It
-// returns a *Failure if there is no response.
+// returns a *Failure if there is no response, and a *Withheld if Permit forbids the
+// call.
 func (c *Client) Call(ctx context.Context, name string, req *http.Request, idempotent bool) (*http.Response, error) {
 	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+	p := c.pool(req.URL.Host)
+	ctx = httptrace.WithClientTrace(context.WithValue(ctx, endpointKey{}, name), &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		PutIdleConn: func(error) {
+			if p.retired.Load() {
+				p.CloseIdleConnections()
+			}
+		},
 	})
 	req = req.WithContext(ctx)
 	if !idempotent {
@@ -89,10 +165,14 @@
 		}
 		req.Body = opaqueBody{req.Body}
 	}
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := p.RoundTrip(req)
 	if err == nil {
 		return resp, nil
 	}
+	var withheld *Withheld
+	if errors.As(err, &withheld) {
+		return nil, withheld
+	}
 	f := &Failure{Endpoint: name, Reason: fleet.ReasonUnreachable, Reached: connected.Load(), Cause: err}
 	if f.Reached {
 		f.Reason = failureReason(err)
--- a/internal/endpoint/call_test.go
+++ b/internal/endpoint/call_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -58,6 +60,89 @@
 	require.False(t, failure.Reached)
 }
 
+// TestConnectionsToRetiredAddressAreClosed checks that neither idle connections stay open nor
+// those that are in use, once they are no longer.
+func TestConnectionsToRetiredAddressAreClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &standin.MemoryNetwork{}
+		var closed atomic.Int32
+		end := make(chan struct{})
+		l, err := network.Listen()
+		require.NoError(t, err)
+		s := &http.Server{
+			Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/long" {
+					<-end
+				}
+			}),
+			ConnState: func(_ net.Conn, state http.ConnState) {
+				if state == http.StateClosed {
+					closed.Add(1)
+				}
+			},
+		}
+		go func() { _ = s.Serve(l) }()
+		defer func() { _ = s.Close(); network.Close() }()
+		c := endpoint.NewClient(network.Dial)
+		defer c.Close()
+		call := func(path string) {
+			req, err := http.NewRequest(http.MethodGet, "http://"+l.Addr().String()+path, nil)
+			require.NoError(t, err)
+			resp, err := c.Call(context.Background(), "p0", req, true)
+			require.NoError(t, err)
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			call("/long")
+		}()
+		synctest.Wait()
+		call("/")
+		synctest.Wait()
+		require.Zero(t, closed.Load())
+		c.Retire(l.Addr().String())
+		synctest.Wait()
+		require.EqualValues(t, 1, closed.Load(), "the idle connection")
+		close(end)
+		<-done
+		synctest.Wait()
+		require.EqualValues(t, 2, closed.Load())
+	})
+}
+
+// TestCallIsWithheldAfterSlowDial checks that a request is not sent if the endpoint was closed
+// while the connection was being made.
+func TestCallIsWithheldAfterSlowDial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &standin.MemoryNetwork{}
+		var runs atomic.Int32
+		address, stop := serve(t, network, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+		defer stop()
+		left := false
+		c := endpoint.NewClient(func(ctx context.Context, protocol, address string) (net.Conn, error) {
+			time.Sleep(time.Second)
+			return network.Dial(ctx, protocol, address)
+		})
+		c.Permit = func(name string) error {
+			if left {
+				return &endpoint.Withheld{Endpoint: name, Verdict: endpoint.Verdict{Reason: endpoint.ReasonLeaving}}
+			}
+			return nil
+		}
+		defer c.Close()
+		time.AfterFunc(500*time.Millisecond, func() { left = true })
+		req, err := http.NewRequest(http.MethodPost, "http://"+address+"/", strings.NewReader("x"))
+		require.NoError(t, err)
+		_, err = c.Call(context.Background(), "p0", req, false)
+		var withheld *endpoint.Withheld
+		require.ErrorAs(t, err, &withheld)
+		require.Equal(t, "p0", withheld.Endpoint)
+		require.Zero(t, runs.Load())
+	})
+}
+
 func serve(t *testing.T, network *standin.MemoryNetwork, h http.HandlerFunc) (string, func()) {
 	l, err := network.Listen()
 	require.NoError(t, err)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -146,6 +146,7 @@
 	r.peerClient = newCountingClient(r.Dial, r.bytesSent)
 	r.endpointClient = newCountingClient(r.Dial, metrics.GetOrRegisterCounter("endpoints.bytes", r.metrics))
 	r.proxyClient = endpoint.NewClient(r.Dial)
+	r.proxyClient.Permit = r.permit
 	r.quarantine = quarantine.New(r.trail)
 	r.quarantine.OnCrash = r.closeCrashedEndpoint
 	r.follower = &publication.Follower{Log: r.Log, Trail: r.trail, OnAccept: r.applyConfiguration}
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -84,7 +84,12 @@
 	r.mu.Lock()
 	r.endpoints.SetInstances(list, now)
 	r.instancesListed = true
+	addresses := map[string]bool{}
+	for _, s := range r.endpoints.States(now) {
+		addresses[s.Address] = true
+	}
 	r.mu.Unlock()
+	r.proxyClient.Retain(addresses)
 	r.dispatcher.With(func(s *scheduler.Scheduler) { s.Table.Seed(list) })
 	r.updateEndpoints(now)
 }
@@ -137,6 +142,14 @@
 	return target, verdict
 }
 
+// permit implements endpoint.Client's Permit.
+func (r *Router) permit(name string) error {
+	if _, verdict := r.target(name); !verdict.Allowed() {
+		return &endpoint.Withheld{Endpoint: name, Verdict: verdict}
+	}
+	return nil
+}
+
 // check asks the table whether a request may be sent to an endpoint now, and counts those
 // that may not.
 func (r *Router) check(name string, use endpoint.Use) (endpoint.Target, endpoint.Verdict) {
@@ -157,8 +170,12 @@
 	r.mu.Lock()
 	changed := r.endpoints.RecordAnswer(target, a, now)
 	r.mu.Unlock()
-	if changed {
-		r.updateEndpoints(now)
+	if !changed {
+		return
+	}
+	r.updateEndpoints(now)
+	if a.Leaving {
+		r.proxyClient.Retire(target.Address)
 	}
 }
 
