--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -30,8 +29,6 @@
 	drainValidity = 3 * time.Second
 )
 
-var errNotListed = errors.New("router: endpoint is not in the instance list")
-
 // leadership is the state of the instance for leading its failure domain.
 type leadership struct {
 	lease   *leader.Lease
