--- a/internal/placement/fault.go
+++ b/internal/placement/fault.go
@@ -18,6 +18,9 @@
 	ResultFailed Result = "failed"
 	// ResultUnreachable means that no connection to the endpoint could be made.
 	ResultUnreachable Result = "unreachable"
+	// ResultSilent means that a connection to the endpoint was neither made nor refused
+	// in time.
+	ResultSilent Result = "silent"
 	// ResultRefused means that the endpoint did not run the request.
 	ResultRefused Result = "refused"
 	// ResultCanceled means that the caller disconnected, that the deadline passed or that
@@ -76,6 +79,43 @@
 	return s.local.Runs > 0 && now.Sub(time.Unix(0, s.lastReceived.Load())) > stallTimeout
 }
 
+// recordData records that the endpoint has sent data, and reports whether this ends a silence and
+// since when it had sent none. The balancer need not be locked.
+func (s *endpointState) recordData(now time.Time) (last time.Time, silent bool) {
+	last = time.Unix(0, s.lastReceived.Swap(now.UnixNano()))
+	return last, now.Sub(last) > stallTimeout || s.silent.Load()
+}
+
+// endSilence records that an endpoint sent nothing from one time to the other and then went on.
+// Without a stream in progress it may just have had nothing to send.
+func (b *Balancer) endSilence(s *endpointState, from, to time.Time) {
+	if s.streams > 0 {
+		s.silentFrom, s.silentTo = from, to
+	}
+	if s.silent.Load() {
+		b.setUp(s, "it sent data")
+	}
+}
+
+func (b *Balancer) setUp(s *endpointState, cause string) {
+	s.silent.Store(false)
+	s.connectFailures = 0
+	s.down = false
+	b.notifyChange(s, Change{To: ConditionUp, Cause: cause})
+}
+
+// silentBetween returns how much of the time between from and to fell into the endpoint's last
+// silence.
+func (s *endpointState) silentBetween(from, to time.Time) time.Duration {
+	if from.Before(s.silentFrom) {
+		from = s.silentFrom
+	}
+	if to.After(s.silentTo) {
+		to = s.silentTo
+	}
+	return max(to.Sub(from), 0)
+}
+
 // Probes returns the endpoints that are down and to which a connection should be tried
 // now. Each is returned again after maxBackoff at the latest.
 func (b *Balancer) Probes(now time.Time) []Endpoint {
@@ -102,9 +142,9 @@
 	switch {
 	case s == nil:
 	case ok:
-		s.connectFailures = 0
-		s.down = false
-		b.notifyChange(s, Change{To: ConditionUp, Cause: "probe connected"})
+		b.setUp(s, "probe connected")
+	case s.silent.Load():
+		s.backOff(now)
 	default:
 		b.recordResult(s, ResultUnreachable, now)
 	}
@@ -119,19 +159,31 @@
 		f.failureRate -= failureGain * f.failureRate
 		s.connectFailures = 0
 		if s.down {
-			s.down = false
-			b.notifyChange(s, Change{To: ConditionUp, Cause: "request was answered"})
+			b.setUp(s, "request was answered")
 		}
 	case ResultFailed:
 		f.failureRate += failureGain * (1 - f.failureRate)
 	case ResultUnreachable:
 		f.failureRate += failureGain * (1 - f.failureRate)
-		s.connectFailures++
-		s.retryAt = now.Add(min(minBackoff<<min(s.connectFailures-1, 8), maxBackoff))
+		s.backOff(now)
+		s.silent.Store(false)
 		if !s.down {
 			s.down = true
 			b.notifyChange(s, Change{To: ConditionDown, Reason: UnavailableDown, Cause: "connection failed"})
 		}
-	case ResultRefused, ResultCanceled:
+	case ResultSilent:
+		if s.down {
+			// Requests that were sent to it at the same time count once.
+			return
+		}
+		s.backOff(now)
+		s.down = true
+		s.silent.Store(true)
+		b.notifyChange(s, Change{To: ConditionDown, Reason: UnavailableDown, Cause: "connection timed out"})
+	case ResultRefused:
+		if s.silent.Load() {
+			b.setUp(s, "request was refused")
+		}
+	case ResultCanceled:
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -15,6 +15,7 @@
 	"net/url"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,10 +28,15 @@
 	// defaultDialTimeout bounds the time to establish a connection: endpoints
 	// in the region accept within milliseconds.
 	defaultDialTimeout = 400 * time.Millisecond
-	// deadPeerTimeout is how long sent bytes may stay unacknowledged, and how
-	// long the peer of a connection without traffic may stay silent despite
-	// keepalive probes, before the connection counts as broken.
-	deadPeerTimeout = 1500 * time.Millisecond
+	// deliveryTimeout is how long the endpoint's host may leave a request unacknowledged
+	// until the request is given up: the path to it is lost. A path may be lost, and an
+	// endpoint silent, for a second or so.
+	deliveryTimeout = 1900 * time.Millisecond
+	// keepAliveInterval is the time between two keepalive probes of a connection without
+	// traffic; the kernel counts it in whole seconds. Connections whose peers acknowledge
+	// none of keepAliveCount end: nothing else does where requests have no deadline.
+	keepAliveInterval = 5 * time.Second
+	keepAliveCount    = 3
 	// defaultIdleTimeout is how long an idle connection may be reused if the
 	// endpoint does not state its own idle timeout.
 	defaultIdleTimeout = 4 * time.Second
@@ -89,7 +95,7 @@
 // Exported fields must be set before the first call. It is safe for concurrent use.
 type Pool struct {
 	HeaderCodec fleet.HeaderCodec
-	// Dial connects to an address; nil means a net.Dialer with TCP keepalive.
+	// Dial connects to an address; nil means a net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnDial is called before each attempt to dial; nil means no callback.
 	OnDial func(address string)
@@ -143,6 +149,7 @@
 	stopAfterFunc func() bool // stops closing the connection when the context is done
 	writeResult   chan error
 	bodyRead      bool
+	notDelivered  atomic.Bool // the exchange was aborted because the request was not acknowledged
 	once          sync.Once
 }
 
@@ -170,14 +177,18 @@
 		}
 	}
 	a := &Answer{pool: p, conn: c}
-	a.stopAfterFunc = context.AfterFunc(ctx, func() { _ = c.netConn.Close() })
+	a.stopAfterFunc = context.AfterFunc(ctx, c.abort)
 	if r.HeaderTimeout > 0 {
 		t := time.AfterFunc(r.HeaderTimeout, a.Abandon)
 		defer t.Stop()
 	}
+	defer a.watchDelivery()()
 	a.writeResult = c.send(r)
 	if err := a.readHeader(r, id); err != nil {
 		a.Close()
+		if a.notDelivered.Load() {
+			err = errNotDelivered
+		}
 		reason := fleet.ReasonEndpointFailed
 		if ctx.Err() != nil {
 			reason = fleet.ReasonCancelled
@@ -189,6 +200,58 @@
 	return a, nil
 }
 
+var errNotDelivered = errors.New("endpoint did not acknowledge the request in time")
+
+// watchDelivery aborts the exchange if the request makes no progress for the second half of
+// deliveryTimeout, until stop is called. The kernel's own time limits would not do: they end the
+// connection without dropping what is left to send.
+func (a *Answer) watchDelivery() (stop func()) {
+	var pending atomic.Int64
+	half := time.AfterFunc(deliveryTimeout/2, func() { pending.Store(int64(a.conn.unacknowledged())) })
+	full := time.AfterFunc(deliveryTimeout, func() {
+		if n := a.conn.unacknowledged(); n > 0 && int64(n) == pending.Load() {
+			a.notDelivered.Store(true)
+			a.Abandon()
+		}
+	})
+	return func() {
+		half.Stop()
+		full.Stop()
+	}
+}
+
+// acknowledger is a connection that knows how many bytes its peer has not acknowledged.
+type acknowledger interface {
+	Unacknowledged() int
+}
+
+// unacknowledged returns how many bytes wait to be acknowledged by the endpoint's host, or zero if
+// all that were sent are: bytes that the endpoint leaves no room for do not count. It is zero if
+// the connection does not tell.
+func (c *conn) unacknowledged() int {
+	if a, ok := c.netConn.(acknowledger); ok {
+		return a.Unacknowledged()
+	}
+	sc, ok := c.netConn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	// An error means that the connection is closed.
+	_ = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil || info.Unacked == 0 {
+			return
+		}
+		n, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	})
+	return n
+}
+
 // send writes a request and returns a channel that receives the result of the write. A
 // request with a short body is written before send returns, one with a long body
 // concurrently with reading the response, which may arrive before the body is sent.
@@ -285,7 +348,7 @@
 
 // Abandon aborts the exchange by closing the connection. It may be called at any time,
 // from any goroutine.
-func (a *Answer) Abandon() { _ = a.conn.netConn.Close() }
+func (a *Answer) Abandon() { a.conn.abort() }
 
 // Close ends the exchange. The connection is returned to the pool only if the response
 // was read to its end, the request was sent completely and the endpoint keeps the
@@ -298,7 +361,7 @@
 			a.pool.put(a.conn)
 			return
 		}
-		_ = a.conn.netConn.Close()
+		a.conn.abort()
 	})
 }
 
@@ -311,6 +374,17 @@
 	}
 }
 
+// abort closes the connection of an exchange that has not ended with a reset. After a usual
+// close the kernel would go on sending what the endpoint has not acknowledged, so that a request
+// could reach it long after it was given up.
+func (c *conn) abort() {
+	if t, ok := c.netConn.(*net.TCPConn); ok {
+		// An error means that the connection is closed already.
+		_ = t.SetLinger(0)
+	}
+	_ = c.netConn.Close()
+}
+
 func (c *conn) markReusable(idleTimeout time.Duration) {
 	if idleTimeout == 0 {
 		idleTimeout = defaultIdleTimeout
@@ -372,7 +446,7 @@
 	dial := p.Dial
 	if dial == nil {
 		dial = (&net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: deadPeerTimeout / 2, Interval: deadPeerTimeout / 4, Count: 2,
+			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount,
 		}}).DialContext
 	}
 	if p.OnDial != nil {
@@ -382,28 +456,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if t, ok := n.(*net.TCPConn); ok {
-		setUserTimeout(t)
-	}
 	c := &conn{netConn: n, address: address}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
 
-// setUserTimeout makes the kernel close a connection whose peer no longer acknowledges
-// data.
-func setUserTimeout(t *net.TCPConn) {
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return
-	}
-	// The error is ignored: a connection without this option works, only a dead
-	// peer is detected later.
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(deadPeerTimeout.Milliseconds()))
-	})
-}
-
 // reusable reports whether an idle connection is open and has no unread data: data that
 // arrives on an idle connection belongs to no request.
 func (c *conn) reusable() bool {
