internal/endpoint: a list that drops an endpoint for a moment does not bring it back

A list that is out of date may drop an endpoint and list it again. What the endpoint had said was forgotten, and it got requests again. It is kept for ten minutes if the list states incarnations; without one, an endpoint that is listed again counts as another, as before.

Evidence: TestListThatDropsEndpointForAWhileDoesNotBringItBack, before: Not equal, {before:1 after:1 away: back:false}.

--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -33,6 +34,9 @@
 	// silenceLimit is how long an endpoint that accepts connections may send nothing
 	// before that counts as a failure.
 	silenceLimit = 3 * time.Second
+	// dropMemory is how long what an endpoint said is remembered once it is no longer
+	// listed: lists that are out of date may drop it and list it again.
+	dropMemory = 10 * time.Minute
 )
 
 // State is the current state of one endpoint in the table.
@@ -98,6 +102,9 @@
 	entries map[string]*entry
 	// incarnations counts the entries that were created.
 	incarnations uint64
+	// dropped holds endpoints that had asked to be left alone when they were dropped from
+	// the instance list, by name.
+	dropped map[string]*entry
 	// lastQuiet is the latest end of all quiet that was ever asked for.
 	lastQuiet time.Time
 }
@@ -133,11 +140,12 @@
 	failures    int
 	ejections   int // consecutive ejections
 	probing     bool
+	droppedAt   time.Time // when the instance list no longer had it
 	silentSince time.Time // zero unless the last request for a load report timed out
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{entries: map[string]*entry{}} }
+func NewTable() *Table { return &Table{entries: map[string]*entry{}, dropped: map[string]*entry{}} }
 
 // SetInstances updates the table from the instance list. Endpoints that are no
 // longer listed are removed. A new address or a higher incarnation is another endpoint,
@@ -168,12 +176,23 @@
 			t.markLeaving(e, SourceList, "instance list", now)
 		}
 	}
-	for name := range t.entries {
+	for name, e := range t.entries {
 		if !listed[name] {
 			delete(t.entries, name)
+			t.rememberDropped(e, now)
 			t.notify(Change{Name: name, To: "dropped", Cause: "not in the instance list"})
 		}
 	}
+	maps.DeleteFunc(t.dropped, func(_ string, e *entry) bool { return now.Sub(e.droppedAt) > dropMemory })
+}
+
+// rememberDropped keeps what an endpoint said. Without an incarnation, one that is listed again
+// counts as another.
+func (t *Table) rememberDropped(e *entry, now time.Time) {
+	if e.instance.Incarnation != 0 && (e.leaving || now.Before(e.quietUntil)) {
+		e.droppedAt = now
+		t.dropped[e.instance.Name] = e
+	}
 }
 
 func (t *Table) add(in fleet.Instance, now time.Time) {
@@ -181,6 +200,11 @@
 	e := &entry{instance: in, incarnation: t.incarnations, listedAt: now, slowStartAt: now}
 	t.entries[in.Name] = e
 	t.notify(Change{Name: in.Name, To: "listed", Cause: "instance list"})
+	if d := t.dropped[in.Name]; d != nil && d.instance.Address == in.Address && d.instance.Incarnation == in.Incarnation {
+		e.leaving, e.leavingSource, e.leavingSince = d.leaving, d.leavingSource, d.leavingSince
+		e.quietSince, e.quietUntil = d.quietSince, d.quietUntil
+	}
+	delete(t.dropped, in.Name)
 	if in.Leaving {
 		t.markLeaving(e, SourceList, "instance list", now)
 	}
--- a/internal/endpoint/verdict_test.go
+++ b/internal/endpoint/verdict_test.go
@@ -107,6 +107,29 @@
 	require.Equal(t, "leaving (answer, 1s ago)", v.String())
 }
 
+func TestListThatDropsEndpointForAWhileDoesNotBringItBack(t *testing.T) {
+	for _, c := range []struct {
+		before, after uint64
+		away          time.Duration
+		back          bool
+	}{
+		{1, 1, time.Second, false},
+		{1, 1, 11 * time.Minute, true},
+		{1, 2, time.Second, true},
+		{0, 0, time.Second, true},
+	} {
+		table := endpoint.NewTable()
+		table.SetInstances(listing(c.before), start)
+		target, _ := table.Check("m0", endpoint.UseProbe, start)
+		table.RecordAnswer(target, leaving, start)
+		table.SetInstances(nil, start)
+		now := start.Add(c.away)
+		table.SetInstances(nil, now)
+		table.SetInstances(listing(c.after), now)
+		require.Equal(t, c.back, check(table, endpoint.UseProbe, now).Allowed(), c)
+	}
+}
+
 func TestNewIncarnationStartsClean(t *testing.T) {
 	table := endpoint.NewTable()
 	table.SetInstances(listing(1), start)
