--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -60,6 +60,9 @@
 		if c.Source != "" {
 			metrics.GetOrRegisterCounter("endpoints."+c.To+"."+string(c.Source), r.metrics).Inc(1)
 		}
+		if in, ok := t.Instance(c.Name); ok && c.To == string(endpoint.ReasonLeaving) {
+			r.proxyClient.Retire(in.Address)
+		}
 	}
 	return t
 }
@@ -170,12 +173,8 @@
 	r.mu.Lock()
 	changed := r.endpoints.RecordAnswer(target, a, now)
 	r.mu.Unlock()
-	if !changed {
-		return
-	}
-	r.updateEndpoints(now)
-	if a.Leaving {
-		r.proxyClient.Retire(target.Address)
+	if changed {
+		r.updateEndpoints(now)
 	}
 }
 
