--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -42,6 +42,8 @@
 	ReasonInvalidResponse Reason = "endpoint-answered-garbage"
 	ReasonRetryBudget     Reason = "retry-budget-spent"
 	ReasonCPUOverload     Reason = "processor-behind"
+	// ReasonQuiet means that all endpoints of the service want no requests for a while.
+	ReasonQuiet Reason = "endpoint-quiet"
 )
 
 // Unit is the unit in which the cost of a service's requests is counted.
@@ -79,6 +81,9 @@
 	Service string `json:"service,omitempty"`
 	// Leaving is set when the instance is draining and must get no new work.
 	Leaving bool `json:"leaving,omitempty"`
+	// Incarnation increases with every start of an endpoint under the same name; zero
+	// means that the platform does not state it.
+	Incarnation uint64 `json:"incarnation,omitempty"`
 }
 
 // InstanceList is the platform's list of live and draining instances. The list is
