--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -56,6 +56,9 @@
 	Secret fleet.WriteOnceValue
 	// Directory is where instances find each other's addresses.
 	Directory fleet.KeyValueStore
+	// Quarantine holds what requests that crash endpoints have in common, for instances
+	// that restart; nil means that it is lost when all of them restart at once.
+	Quarantine fleet.KeyValueStore
 	// Grace is how long a planned stop may take.
 	Grace time.Duration
 	// RetryRatio and RetrySlack bound the retries for a service in any RetryWindow:
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -92,6 +93,28 @@
 func (*fakeStore) Put(context.Context, string, []byte) error       { return nil }
 func (*fakeStore) List(context.Context) (map[string][]byte, error) { return nil, nil }
 
+// fakeKeyValueStore is a fleet.KeyValueStore in memory.
+type fakeKeyValueStore struct {
+	mu     sync.Mutex
+	values map[string][]byte
+}
+
+func (s *fakeKeyValueStore) Put(_ context.Context, key string, value []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.values == nil {
+		s.values = map[string][]byte{}
+	}
+	s.values[key] = value
+	return nil
+}
+
+func (s *fakeKeyValueStore) List(context.Context) (map[string][]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.values), nil
+}
+
 // fixture is one instance with one endpoint, connected in memory, under a fake clock.
 type fixture struct {
 	t               *testing.T
@@ -100,6 +123,7 @@
 	ready           net.Listener
 	operators       *fakeFeed[watch.VersionedConfiguration]
 	endpoints       *fakeFeed[fleet.EndpointInfo]
+	quarantine      *fakeKeyValueStore
 	stop            context.CancelFunc
 	done            chan error
 	endpointAddress string
@@ -107,21 +131,30 @@
 }
 
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{t: t, net: &standin.MemoryNetwork{}, operators: &fakeFeed[watch.VersionedConfiguration]{}, endpoints: &fakeFeed[fleet.EndpointInfo]{}, done: make(chan error, 1)}
-	f.callers, f.ready = f.listen(), f.listen()
+	f := &fixture{
+		t: t, net: &standin.MemoryNetwork{}, operators: &fakeFeed[watch.VersionedConfiguration]{}, endpoints: &fakeFeed[fleet.EndpointInfo]{},
+		quarantine: &fakeKeyValueStore{}, done: make(chan error, 1),
+	}
 	endpoint := f.listen()
 	t.Cleanup(func() { _ = endpoint.Close() })
 	f.endpointAddress = endpoint.Addr().String()
 	go f.serveEndpoint(endpoint)
+	f.start()
+	return f
+}
+
+// start starts the instance with no state of its own.
+func (f *fixture) start() {
+	f.callers, f.ready = f.listen(), f.listen()
 	store := &fakeStore{}
 	i := &entry.Instance{
 		Name: "front-1", Domain: "a", Callers: f.callers, Ready: f.ready, Peers: f.listen(), HeaderCodec: testHeaderCodec{},
-		Operators: f.operators, Endpoints: f.endpoints, Secret: store, Directory: store, Grace: 8 * time.Second, Dial: f.net.Dial,
+		Operators: f.operators, Endpoints: f.endpoints, Secret: store, Directory: store, Quarantine: f.quarantine,
+		Grace: 8 * time.Second, Dial: f.net.Dial,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
 	go func() { f.done <- i.Run(ctx) }()
-	return f
 }
 
 func (f *fixture) listen() net.Listener {
