--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -84,6 +84,7 @@
 	balancer   *placement.Balancer
 	pool       *upstream.Pool
 	tracker    *watch.EndpointTracker
+	quarantine *quarantine.List
 	handler    *gateway.Handler
 	lagMeter   *overload.Meter
 	idleConns  *idleConns
@@ -170,16 +171,16 @@
 	i.idleConns = &idleConns{MaxConns: i.maxCallerConns(), IdleTimeout: func() time.Duration { return i.handler.IdleTimeout() }}
 	i.lagMeter = &overload.Meter{OnChange: i.overloadChanged}
 	i.ledger = &admission.Ledger{}
-	crashQuarantine := quarantine.New(&audit.Trail{Instance: i.Name, Logger: i.logger})
+	i.quarantine = quarantine.New(&audit.Trail{Instance: i.Name, Logger: i.logger})
 	i.handler = &gateway.Handler{
 		HeaderCodec: i.HeaderCodec, Balancer: i.balancer, Overload: i.lagMeter, Ledger: i.ledger, RetryDetector: &admission.RetryDetector{},
-		Pool: i.pool, Quarantine: crashQuarantine, Metrics: &gauge.Set{Gauges: i.gauges}, Logger: i.logger,
+		Pool: i.pool, Quarantine: i.quarantine, Metrics: &gauge.Set{Gauges: i.gauges}, Logger: i.logger,
 		Budget: &budget.Budget{
 			Ratio: i.RetryRatio, Slack: i.RetrySlack, Window: i.RetryWindow,
 			Instances: func() int { return 1 + i.peers.Peers(time.Now()) },
 		},
 	}
-	crashQuarantine.OnCrash = func(string) { i.handler.Metrics.Count("endpoint_crashes_total") }
+	i.quarantine.OnCrash = func(string) { i.handler.Metrics.Count("endpoint_crashes_total") }
 	i.operators = &watch.Follower[watch.VersionedConfiguration]{
 		Name: "operators", Feed: i.Operators, Wait: operatorsWait, MaxRecent: configurationsKept, Timeout: feedTimeout, MaxAge: i.maxAge(operatorsMaxAge, operatorsWait),
 		OnBatch: i.applyConfigurations, OnUnreachable: i.logUnreachable("operators"), OnReachable: i.logReachable("operators"),
@@ -192,7 +193,7 @@
 	i.peers = &peer.Exchange{
 		Self:     peer.Member{Name: i.Name, Domain: i.Domain, Address: i.Peers.Addr().String(), Start: now.UnixNano()},
 		Balancer: i.balancer, Ledger: i.ledger, Logger: i.logger,
-		Crashes: crashQuarantine,
+		Crashes: i.quarantine,
 		Key:     &peer.Key{Storage: i.Secret, Logger: i.logger},
 		Feeds:   map[string]watch.Relay{"operators": i.operators, "endpoints": i.endpoints},
 	}
@@ -248,6 +249,10 @@
 	tree.Add(i.lagMeter)
 	tree.Add(i.peers.Key)
 	tree.Add(i.peers)
+	if i.Quarantine != nil {
+		rank := func() int { return i.peers.Rank(time.Now()) }
+		tree.Add(&quarantine.Store{List: i.quarantine, Storage: i.Quarantine, Rank: rank, Logger: i.logger})
+	}
 	tree.Add(&peer.Finder{Directory: i.Directory, Exchange: i.peers, Logger: i.logger})
 	tree.Add(&service.Server{Listener: i.Peers, HTTP: &http.Server{Handler: i.peerMux(), ReadTimeout: headerTimeout, IdleTimeout: peerIdleTimeout}})
 	tree.Add(&service.Loop{Name: "sweep", Interval: sweepInterval, Run: i.sweep})
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -27,8 +27,9 @@
 	endpoint string
 	at       time.Time // when the first connection broke
 	suspects []fleet.Suspect
-	// explained is set while a rule explains the crash.
-	explained bool
+	// cause is what the suspects that a rule matches have in common; nil while no rule
+	// explains the crash.
+	cause *fleet.Suspect
 }
 
 // evidence holds the crashes that are remembered. It reads no clock.
@@ -88,7 +89,7 @@
 
 // evict removes the oldest crash, rather one that no rule explains.
 func (e *evidence) evict() {
-	oldest := max(slices.IndexFunc(e.crashes, func(c *crash) bool { return !c.explained }), 0)
+	oldest := max(slices.IndexFunc(e.crashes, func(c *crash) bool { return c.cause == nil }), 0)
 	e.crashes = slices.Delete(e.crashes, oldest, oldest+1)
 	e.forgetAnswers()
 }
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -123,6 +123,19 @@
 	}
 }
 
+// valid reports whether the report can be used.
+func (r wireReport) valid() bool {
+	return r.Age >= 0 && r.Age <= crashRetention && r.Sent >= 0 && len(r.Signatures) > 0 && len(r.Signatures) <= maxSignatures
+}
+
+// suspect returns the suspect of a report that is not about answers.
+func (r wireReport) suspect(now time.Time) fleet.Suspect {
+	return fleet.Suspect{
+		Endpoint: r.Endpoint, Request: r.Request, Signatures: r.Signatures, Progress: r.Progress,
+		Sent: now.Add(-r.Sent), Broken: now.Add(-r.Age),
+	}
+}
+
 // Restarted records that a peer has restarted and lost its state: the next messages to it
 // carry everything that this instance knows.
 func (l *List) Restarted(peer string) {
@@ -142,18 +155,13 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	for _, r := range reports {
-		if r.Age < 0 || r.Age > crashRetention || r.Sent < 0 || len(r.Signatures) == 0 || len(r.Signatures) > maxSignatures {
-			continue
-		}
-		at := now.Add(-r.Age)
-		if r.Endpoint == "" {
-			l.receiveAnswers(r.Signatures, at)
-			continue
+		switch {
+		case !r.valid():
+		case r.Endpoint == "":
+			l.receiveAnswers(r.Signatures, now.Add(-r.Age))
+		default:
+			l.addSuspect(r.suspect(now), false, now)
 		}
-		l.addSuspect(fleet.Suspect{
-			Endpoint: r.Endpoint, Request: r.Request, Signatures: r.Signatures, Progress: r.Progress,
-			Sent: now.Add(-r.Sent), Broken: at,
-		}, false, now)
 	}
 	l.review(now)
 	return nil
--- a/internal/quarantine/explain.go
+++ b/internal/quarantine/explain.go
@@ -53,8 +53,8 @@
 		r := likeliest(candidates, open)
 		rules = append(rules, r)
 		open = slices.DeleteFunc(open, func(c openCrash) bool {
-			c.crash.explained = slices.ContainsFunc(c.suspects, func(s fleet.Suspect) bool { return r.matches(s.Signatures) })
-			return c.crash.explained
+			c.crash.cause = c.cause(r)
+			return c.crash.cause != nil
 		})
 	}
 }
@@ -63,7 +63,7 @@
 func (e *evidence) openCrashes() []openCrash {
 	var crashes []openCrash
 	for _, c := range e.crashes {
-		c.explained = false
+		c.cause = nil
 		open := openCrash{crash: c}
 		for _, s := range c.suspects {
 			if s.Sent.After(c.at) {
@@ -83,6 +83,28 @@
 	return crashes
 }
 
+// cause returns what the suspects that a rule matches have in common, as one suspect with the
+// progress of the most suspect one; nil if there are none.
+func (c openCrash) cause(r rule) *fleet.Suspect {
+	var cause *fleet.Suspect
+	for _, s := range c.suspects {
+		if !r.matches(s.Signatures) {
+			continue
+		}
+		if cause == nil {
+			s.Signatures = slices.Clone(s.Signatures)
+			s.Broken = c.crash.at
+			cause = &s
+			continue
+		}
+		cause.Signatures = slices.DeleteFunc(cause.Signatures, func(other uint64) bool { return !slices.Contains(s.Signatures, other) })
+		if s.Sent.After(cause.Sent) {
+			cause.Sent = s.Sent
+		}
+	}
+	return cause
+}
+
 // candidate is a signature that may be the cause of crashes.
 type candidate struct {
 	signature uint64
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -45,6 +45,7 @@
 	reviewAt time.Time // when the first of the crashes behind the rules expires; zero without rules
 	watchers map[*watcher]bool
 	outbox   outbox
+	updated  chan struct{} // receives a value, at least, after the rules or the crashes behind them have changed
 }
 
 // watcher is a request that waits for the response of an endpoint.
@@ -59,7 +60,7 @@
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &List{Trail: trail, answered: answered, watchers: map[*watcher]bool{}}
+	return &List{Trail: trail, answered: answered, watchers: map[*watcher]bool{}, updated: make(chan struct{}, 1)}
 }
 
 // Contains implements fleet.Quarantine.
@@ -156,6 +157,12 @@
 	before := l.rules
 	l.rules = l.evidence.explain()
 	l.reviewAt = time.Time{}
+	if len(before)+len(l.rules) > 0 {
+		select {
+		case l.updated <- struct{}{}:
+		default:
+		}
+	}
 	for _, r := range l.rules {
 		if end := r.first.Add(crashRetention); l.reviewAt.IsZero() || end.Before(l.reviewAt) {
 			l.reviewAt = end
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -1,17 +1,22 @@
 package quarantine_test
 
 import (
+	"context"
+	"errors"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	"github.com/greengagestep/greengagestep/internal/audit"
 	"github.com/greengagestep/greengagestep/internal/quarantine"
@@ -30,7 +35,11 @@
 //	exchange A B                     only A to B; exchange A B lost: the message is lost
 //	silent A B                       A has nothing to send to B
 //	relay A B                        A sends B what it learned from others as well
-//	restart A                        instance A loses its state
+//	restart A...                     instances A... lose their state at the same moment
+//	storage                          from now on, instances keep crashes in a storage
+//	storage up, storage down         it can, or cannot, be reached
+//	storage garbage                  its record is replaced by one that cannot be decoded
+//	writes N                         the record was written N times
 //	sleep D
 //	refused A SIGNATURE..., served A SIGNATURE...   what A does with such requests
 //	rules A N                        A has N rules
@@ -40,6 +49,38 @@
 	instances map[string]*quarantine.List
 	names     []string
 	requests  map[string]*request
+	storage   *fakeStorage
+	stops     map[string]context.CancelFunc // of the stores, by instance
+}
+
+// fakeStorage is a fleet.KeyValueStore in memory.
+type fakeStorage struct {
+	mu     sync.Mutex
+	down   bool
+	values map[string][]byte
+	writes int
+}
+
+var errDown = errors.New("storage is down")
+
+func (s *fakeStorage) Put(_ context.Context, key string, value []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return errDown
+	}
+	s.values[key] = value
+	s.writes++
+	return nil
+}
+
+func (s *fakeStorage) List(context.Context) (map[string][]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, errDown
+	}
+	return maps.Clone(s.values), nil
 }
 
 type request struct {
@@ -89,10 +130,21 @@
 			p.instances[name] = quarantine.New(&audit.Trail{})
 		}
 	case "restart":
-		p.instances[args[0]] = quarantine.New(&audit.Trail{})
+		for _, name := range args {
+			p.instances[name] = quarantine.New(&audit.Trail{})
+			p.runStore(name)
+		}
 		for _, name := range p.names {
-			p.instances[name].Restarted(args[0])
+			for _, restarted := range args {
+				p.instances[name].Restarted(restarted)
+			}
 		}
+	case "storage":
+		p.useStorage(args)
+	case "writes":
+		p.storage.mu.Lock()
+		defer p.storage.mu.Unlock()
+		require.Equal(t, args[0], strconv.Itoa(p.storage.writes), line)
 	case "send":
 		p.send(args[0], args[1], args[2], signatures(args[3:]))
 	case "begin":
@@ -134,6 +186,41 @@
 	}
 }
 
+func (p *play) useStorage(args []string) {
+	if len(args) == 0 {
+		p.storage, p.stops = &fakeStorage{values: map[string][]byte{}}, map[string]context.CancelFunc{}
+		for _, name := range p.names {
+			p.runStore(name)
+		}
+		return
+	}
+	p.storage.mu.Lock()
+	defer p.storage.mu.Unlock()
+	p.storage.down = args[0] == "down"
+	if args[0] == "garbage" {
+		for key := range p.storage.values {
+			p.storage.values[key] = []byte("{")
+		}
+	}
+}
+
+// runStore keeps the crashes of an instance in the storage, if there is one, until the
+// instance restarts. Instances rank in the order in which the script names them.
+func (p *play) runStore(name string) {
+	if p.storage == nil {
+		return
+	}
+	if stop := p.stops[name]; stop != nil {
+		stop()
+	}
+	ctx, stop := context.WithCancel(p.t.Context())
+	p.t.Cleanup(stop)
+	p.stops[name] = stop
+	rank := slices.Index(p.names, name)
+	s := &quarantine.Store{List: p.instances[name], Storage: p.storage, Rank: func() int { return rank }, Logger: zap.NewNop()}
+	go func() { _ = s.Serve(ctx) }()
+}
+
 func (r *request) end() {
 	r.stop()
 	r.ended = true
