--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -128,6 +128,7 @@
 	done            chan error
 	endpointAddress string
 	processingTime  time.Duration // of a request at the endpoint
+	idleTimeout     time.Duration // of callers' connections; zero means the default
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -213,6 +214,7 @@
 
 func (f *fixture) publish(version int64, paths ...string) {
 	c := &watch.VersionedConfiguration{Version: version, Config: arrangement.Config{Customers: []arrangement.Customer{{Name: "saar", Keys: []string{"k"}}}}}
+	c.Config.Limits.IdleTimeoutMillis = int(f.idleTimeout.Milliseconds())
 	for _, p := range paths {
 		c.Config.Routes = append(c.Config.Routes, arrangement.Route{Name: p, Path: p, Targets: []arrangement.Target{{Service: "m", Weight: 1}}})
 	}
--- /dev/null
+++ b/internal/entry/partial_test.go
@@ -0,0 +1,89 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// callerConn is a connection of a caller that sends requests in two parts.
+type callerConn struct {
+	net.Conn
+	br *bufio.Reader
+}
+
+const (
+	requestStart = "GET /a/x HTTP/1.1\r\nHost: front\r\nKey: k\r\n"
+	requestEnd   = "Request-Id: 1\r\n\r\n"
+)
+
+// dialCallers connects to the instance and sends one request.
+func (f *fixture) dialCallers() callerConn {
+	c, err := f.net.Dial(context.Background(), "tcp", f.callers.Addr().String())
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() { _ = c.Close() })
+	conn := callerConn{Conn: c, br: bufio.NewReader(c)}
+	require.Equal(f.t, http.StatusOK, conn.request(0))
+	return conn
+}
+
+// request sends a request with a pause within its headers. It returns the status of the
+// response, 0 if the connection was closed without one.
+func (c callerConn) request(pause time.Duration) int {
+	if _, err := c.Write([]byte(requestStart)); err != nil {
+		return 0
+	}
+	time.Sleep(pause)
+	if _, err := c.Write([]byte(requestEnd)); err != nil {
+		return 0
+	}
+	resp, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// Guards against requests without a response: a connection is not idle while a request is
+// being read from it, however long it was idle before.
+func TestConnectionWithRequestBeingReadIsNotClosedAsIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.idleTimeout = 3 * time.Second
+		f.startServing()
+		var statuses []int
+		for idle := 2 * time.Second; idle < 3500*time.Millisecond; idle += 100 * time.Millisecond {
+			c := f.dialCallers()
+			time.Sleep(idle)
+			statuses = append(statuses, c.request(2*time.Second))
+		}
+		f.shutDown()
+		for _, s := range statuses {
+			require.Equal(t, http.StatusOK, s, statuses)
+		}
+	})
+}
+
+// Guards against requests without a response around a planned stop: the same when the
+// instance closes its idle connections before it ends.
+func TestStopAnswersRequestBeingRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.startServing()
+		c := f.dialCallers()
+		status := make(chan int, 1)
+		f.stop()
+		time.Sleep(2700 * time.Millisecond)
+		go func() { status <- c.request(500 * time.Millisecond) }()
+		err := <-f.done
+		require.Equal(t, http.StatusOK, <-status)
+		require.NoError(t, err)
+	})
+}
