internal/entry: a connection is not idle once a part of a request has been read

Cause: the server reports a connection as active only when the headers of a request have been read whole, and idle connections were closed from another goroutine: check, then close, with the request read in between. The handler then ended such a request on purpose. The class: state observed through callbacks that lag behind what the connection has done.

A connection is now closed by making the Read that waits for its next request fail. Either that call returns a part of the request, and the connection is no longer idle, or it fails and nothing is read; a request that has arrived when the deadline passes is still read. So no request has to be ended, and the check in wrap is gone. A planned stop waits for requests that are being read, too.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -236,7 +236,7 @@
 		Handler: i.idleConns.wrap(i.handler), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
 		ConnContext: i.idleConns.register, ConnState: i.idleConns.track, ErrorLog: zap.NewStdLog(i.logger),
 	}
-	tree.Add(&service.Server{Listener: i.Callers, HTTP: callers})
+	tree.Add(&service.Server{Listener: callerListener{i.Callers, i.idleConns}, HTTP: callers})
 	tree.Add(&service.Server{Listener: i.Ready, HTTP: &http.Server{Handler: http.HandlerFunc(i.serveReady), ReadTimeout: headerTimeout}})
 	tree.Add(i.operators)
 	tree.Add(i.endpoints)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -128,6 +129,7 @@
 	done            chan error
 	endpointAddress string
 	processingTime  time.Duration // of a request at the endpoint
+	run             atomic.Int64  // requests that the endpoint has run
 	idleTimeout     time.Duration // of callers' connections; zero means the default
 }
 
@@ -181,6 +183,7 @@
 				}
 				_, _ = io.Copy(io.Discard, r.Body)
 				time.Sleep(f.processingTime)
+				f.run.Add(1)
 				body := "for " + r.Header.Get("Customer")
 				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Request-Id"), len(body), body)
 			}
--- a/internal/entry/idle.go
+++ b/internal/entry/idle.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -35,47 +37,88 @@
 
 	mu        sync.Mutex
 	open      int
-	idleSince map[net.Conn]time.Time
-	conns     map[net.Conn]*connection
+	idleSince map[*callerConn]time.Time
+	receiving int // connections from which the headers of a request are being read
 }
 
-// connection is the state of a caller's connection.
-type connection struct {
-	// closed is set before the connection is closed because it is idle.
-	closed atomic.Bool
+// callerConn is a connection of a caller. While it is idle, its server waits in Read for the
+// next request: a connection is closed by making that call fail, so that a request is either
+// not read at all or gets a response.
+type callerConn struct {
+	net.Conn
+	conns *idleConns
 	// promisedIdleNanos is the idle time that was stated to the caller; zero means that
 	// the limit of the configuration applies.
 	promisedIdleNanos atomic.Int64
+	// waiting is set while nothing of the next request has been read.
+	waiting atomic.Bool
+	// expired is set while Read is to fail unless a request has arrived.
+	expired atomic.Bool
+	// receiving is set while the headers of a request are being read. It is guarded by
+	// conns.mu.
+	receiving bool
+}
+
+// lastReadTimeout is how long Read waits, before it fails on an expired connection, for a
+// request that has arrived already.
+const lastReadTimeout = time.Millisecond
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.waiting.Load() && c.expired.Load() {
+		_ = c.SetReadDeadline(time.Now().Add(lastReadTimeout))
+		n, err = c.Conn.Read(p)
+	}
+	if n > 0 && c.waiting.Load() {
+		c.conns.received(c)
+	}
+	return n, err
+}
+
+// CloseWrite shuts down the writing side, if the connection can. The server does so before it
+// closes a connection from which the caller's body has not been read whole.
+func (c *callerConn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
+// callerListener accepts the connections of callers.
+type callerListener struct {
+	net.Listener
+	conns *idleConns
+}
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	conn := &callerConn{Conn: c, conns: l.conns}
+	conn.waiting.Store(true)
+	return conn, nil
 }
 
 // connectionKey is the context key of a request's connection.
 type connectionKey struct{}
 
-// register adds a new connection. It is the server's ConnContext.
+// register is the server's ConnContext.
 func (i *idleConns) register(ctx context.Context, c net.Conn) context.Context {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.conns == nil {
-		i.conns = map[net.Conn]*connection{}
-	}
-	conn := &connection{}
-	i.conns[c] = conn
-	return context.WithValue(ctx, connectionKey{}, conn)
+	return context.WithValue(ctx, connectionKey{}, c)
 }
 
-// wrap aborts requests that arrived just as their connection was closed: their callers get no
-// response, so these requests must not run. The responses to all others state how long their
-// connections may be idle, unless it is the limit of the configuration.
+// wrap states in responses how long their connections may be idle, unless it is the limit of
+// the configuration.
 func (i *idleConns) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, ok := r.Context().Value(connectionKey{}).(*connection)
+		c, ok := r.Context().Value(connectionKey{}).(*callerConn)
 		if !ok {
 			next.ServeHTTP(w, r)
 			return
 		}
-		if c.closed.Load() {
-			panic(http.ErrAbortHandler)
-		}
 		limit := i.IdleTimeout()
 		switch allowed := i.allowedIdle(limit); {
 		case allowed == 0:
@@ -108,24 +151,53 @@
 	return max(limit-time.Duration(excess*float64(limit-minIdle)), minIdle).Truncate(time.Second)
 }
 
-// track records the states of connections. It is the server's ConnState.
-func (i *idleConns) track(c net.Conn, s http.ConnState) {
+// received records that a part of a request has been read from a connection.
+func (i *idleConns) received(c *callerConn) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.idleSince == nil {
-		i.idleSince = map[net.Conn]time.Time{}
+	delete(i.idleSince, c)
+	c.receiving = true
+	i.receiving++
+	c.resume()
+}
+
+// resume records that a connection is no longer idle.
+func (c *callerConn) resume() {
+	c.waiting.Store(false)
+	if c.expired.CompareAndSwap(true, false) {
+		_ = c.SetReadDeadline(time.Time{})
 	}
+}
+
+// track records the states of connections. It is the server's ConnState.
+func (i *idleConns) track(conn net.Conn, s http.ConnState) {
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	switch s {
 	case http.StateNew:
 		i.open++
+		return
 	case http.StateIdle:
+		if i.idleSince == nil {
+			i.idleSince = map[*callerConn]time.Time{}
+		}
 		i.idleSince[c] = time.Now()
+		c.waiting.Store(true)
 		return
+	case http.StateActive:
+		c.resume()
 	case http.StateClosed, http.StateHijacked:
 		i.open--
-		delete(i.conns, c)
 	}
 	delete(i.idleSince, c)
+	if c.receiving {
+		c.receiving = false
+		i.receiving--
+	}
 }
 
 // sweep closes connections that are idle for longer than limit or than the time stated to
@@ -135,36 +207,35 @@
 	defer i.mu.Unlock()
 	for c, at := range i.idleSince {
 		allowed := limit
-		if conn := i.conns[c]; conn != nil && conn.promisedIdleNanos.Load() > 0 {
-			allowed = min(limit, time.Duration(conn.promisedIdleNanos.Load())+idleMargin)
+		if promised := c.promisedIdleNanos.Load(); promised > 0 {
+			allowed = min(limit, time.Duration(promised)+idleMargin)
 		}
 		if now.Sub(at) > allowed {
-			i.close(c)
+			c.expire()
 		}
 	}
 	if i.MaxConns > 0 && i.open > i.MaxConns {
-		i.closeLongestIdle(i.open - i.MaxConns)
+		i.expireLongestIdle(i.open - i.MaxConns)
 	}
 }
 
-func (i *idleConns) closeLongestIdle(n int) {
-	idle := make([]net.Conn, 0, len(i.idleSince))
+func (i *idleConns) expireLongestIdle(n int) {
+	idle := make([]*callerConn, 0, len(i.idleSince))
 	for c := range i.idleSince {
 		idle = append(idle, c)
 	}
-	slices.SortFunc(idle, func(a, b net.Conn) int { return i.idleSince[a].Compare(i.idleSince[b]) })
+	slices.SortFunc(idle, func(a, b *callerConn) int { return i.idleSince[a].Compare(i.idleSince[b]) })
 	for _, c := range idle[:min(n, len(idle))] {
-		i.close(c)
+		c.expire()
 	}
 }
 
-// close closes an idle connection. It counts as open until the server calls track.
-func (i *idleConns) close(c net.Conn) {
-	delete(i.idleSince, c)
-	if conn := i.conns[c]; conn != nil {
-		conn.closed.Store(true)
-	}
-	_ = c.Close()
+// expire makes the server close an idle connection unless a request has arrived. The server
+// may clear the deadline when it begins to wait for a request, so that expire is called again
+// until the connection is closed.
+func (c *callerConn) expire() {
+	c.expired.Store(true)
+	_ = c.SetReadDeadline(time.Unix(1, 0))
 }
 
 // openCount returns how many connections of callers are open.
@@ -173,3 +244,10 @@
 	defer i.mu.Unlock()
 	return i.open
 }
+
+// receivingCount returns from how many connections the headers of a request are being read.
+func (i *idleConns) receivingCount() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.receiving
+}
--- a/internal/entry/partial_test.go
+++ b/internal/entry/partial_test.go
@@ -87,3 +87,29 @@
 		require.NoError(t, err)
 	})
 }
+
+// Guards against requests that run though their connection is being closed, so that their
+// callers get no response: whenever a request arrives, it is answered or it does not run.
+func TestRequestOnClosingConnectionIsAnsweredOrNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.idleTimeout = 3 * time.Second
+		f.startServing()
+		answered, closed := 0, 0
+		for idle := 3400 * time.Millisecond; idle < 4100*time.Millisecond; idle += 7 * time.Millisecond {
+			c := f.dialCallers()
+			answered++
+			time.Sleep(idle)
+			switch status := c.request(0); status {
+			case http.StatusOK:
+				answered++
+			default:
+				require.Zero(t, status)
+				closed++
+			}
+		}
+		f.shutDown()
+		require.NotZero(t, closed)
+		require.EqualValues(t, answered, f.run.Load())
+	})
+}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -21,7 +21,7 @@
 	for time.Since(start) < grace-exitReserve {
 		if time.Since(start) >= drainDelay {
 			i.idleConns.sweep(time.Millisecond, time.Now())
-			if i.handler.Active() == 0 {
+			if i.handler.Active() == 0 && i.idleConns.receivingCount() == 0 {
 				break
 			}
 		}
