--- a/internal/entry/partial_test.go
+++ b/internal/entry/partial_test.go
@@ -29,26 +29,27 @@
 	require.NoError(f.t, err)
 	f.t.Cleanup(func() { _ = c.Close() })
 	conn := callerConn{Conn: c, br: bufio.NewReader(c)}
-	require.Equal(f.t, http.StatusOK, conn.request(0))
+	status, _ := conn.request(0)
+	require.Equal(f.t, http.StatusOK, status)
 	return conn
 }
 
-// request sends a request with a pause within its headers. It returns the status of the
-// response, 0 if the connection was closed without one.
-func (c callerConn) request(pause time.Duration) int {
+// request sends a request with a pause within its headers. It returns the status and the
+// Keep-Alive header of the response; the status is 0 if the connection was closed without one.
+func (c callerConn) request(pause time.Duration) (status int, keepAlive string) {
 	if _, err := c.Write([]byte(requestStart)); err != nil {
-		return 0
+		return 0, ""
 	}
 	time.Sleep(pause)
 	if _, err := c.Write([]byte(requestEnd)); err != nil {
-		return 0
+		return 0, ""
 	}
 	resp, err := http.ReadResponse(c.br, nil)
 	if err != nil {
-		return 0
+		return 0, ""
 	}
 	_ = resp.Body.Close()
-	return resp.StatusCode
+	return resp.StatusCode, resp.Header.Get("Keep-Alive")
 }
 
 // Guards against requests without a response: a connection is not idle while a request is
@@ -62,7 +63,8 @@
 		for idle := 2 * time.Second; idle < 3500*time.Millisecond; idle += 100 * time.Millisecond {
 			c := f.dialCallers()
 			time.Sleep(idle)
-			statuses = append(statuses, c.request(2*time.Second))
+			status, _ := c.request(2 * time.Second)
+			statuses = append(statuses, status)
 		}
 		f.shutDown()
 		for _, s := range statuses {
@@ -78,12 +80,15 @@
 		f := newFixture(t)
 		f.startServing()
 		c := f.dialCallers()
-		status := make(chan int, 1)
+		statuses := make(chan int, 1)
 		f.stop()
 		time.Sleep(2700 * time.Millisecond)
-		go func() { status <- c.request(500 * time.Millisecond) }()
+		go func() {
+			status, _ := c.request(500 * time.Millisecond)
+			statuses <- status
+		}()
 		err := <-f.done
-		require.Equal(t, http.StatusOK, <-status)
+		require.Equal(t, http.StatusOK, <-statuses)
 		require.NoError(t, err)
 	})
 }
@@ -100,7 +105,7 @@
 			c := f.dialCallers()
 			answered++
 			time.Sleep(idle)
-			switch status := c.request(0); status {
+			switch status, _ := c.request(0); status {
 			case http.StatusOK:
 				answered++
 			default:
@@ -113,3 +118,32 @@
 		require.EqualValues(t, answered, f.run.Load())
 	})
 }
+
+// Guards against requests that cross the closing of their idle connection: responses state how
+// long it may be idle, and it is not closed before, whatever a later configuration says.
+func TestConnectionIsKeptForStatedIdleTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.idleTimeout = 10 * time.Second
+		f.startServing()
+		var statuses []int
+		var stated []string
+		request := func(c callerConn) {
+			status, keepAlive := c.request(0)
+			statuses, stated = append(statuses, status), append(stated, keepAlive)
+		}
+		c := f.dialCallers()
+		request(c)
+		f.idleTimeout = 3 * time.Second
+		f.publish(6, "/a/")
+		time.Sleep(9 * time.Second)
+		request(c)
+		time.Sleep(2 * time.Second)
+		request(c)
+		time.Sleep(5 * time.Second)
+		request(c)
+		f.shutDown()
+		require.Equal(t, []string{"timeout=10", "timeout=3", "timeout=3", ""}, stated)
+		require.Equal(t, []int{http.StatusOK, http.StatusOK, http.StatusOK, 0}, statuses)
+	})
+}
