internal/entry: state in each response how long its connection may be idle

Cause: callers were told how long a connection may be idle only when many were open; otherwise they guess, use connections again that have been idle for as long as the instance keeps them, and their requests cross the close. A configuration with a shorter limit closed connections that had been idle for longer at once. The class: a limit that one side enforces and the other does not know.

Each response now carries Keep-Alive: timeout=N, and its connection is kept for that time and a margin, whatever a later configuration says. A planned stop still closes all idle connections.

TestIdleTimeShrinksAsConnectionsOpen expected no header while few connections are open; that was the fault, it expects timeout=15 now.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -308,7 +308,7 @@
 func (i *Instance) sweep(context.Context) {
 	now := time.Now()
 	i.pool.Sweep(now)
-	i.idleConns.sweep(i.handler.IdleTimeout()+idleMargin, now)
+	i.idleConns.sweep(now)
 	i.tracker.RemoveExpired(now)
 }
 
--- a/internal/entry/idle.go
+++ b/internal/entry/idle.go
@@ -25,10 +25,10 @@
 	minIdle = 2 * time.Second
 )
 
-// idleConns closes connections of callers that are idle for too long: by the limit of the
-// configuration in force, or sooner when many are open. A Keep-Alive header states to callers
-// how long their connections may be idle if that is less than the limit. Exported fields are
-// set before the first connection. It is safe for concurrent use.
+// idleConns closes connections of callers that are idle for too long. A Keep-Alive header
+// states to callers how long their connections may be idle: for the limit of the configuration
+// in force, or less when many are open. A later configuration does not change what was
+// stated. Exported fields are set before the first connection. It is safe for concurrent use.
 type idleConns struct {
 	// MaxConns bounds the connections of callers; zero means no bound.
 	MaxConns int
@@ -47,9 +47,8 @@
 type callerConn struct {
 	net.Conn
 	conns *idleConns
-	// promisedIdleNanos is the idle time that was stated to the caller; zero means that
-	// the limit of the configuration applies.
-	promisedIdleNanos atomic.Int64
+	// allowedIdleNanos is how long the connection may be idle after its last response.
+	allowedIdleNanos atomic.Int64
 	// waiting is set while nothing of the next request has been read.
 	waiting atomic.Bool
 	// expired is set while Read is to fail unless a request has arrived.
@@ -110,8 +109,7 @@
 	return context.WithValue(ctx, connectionKey{}, c)
 }
 
-// wrap states in responses how long their connections may be idle, unless it is the limit of
-// the configuration.
+// wrap states in responses how long their connections may be idle.
 func (i *idleConns) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, ok := r.Context().Value(connectionKey{}).(*callerConn)
@@ -120,15 +118,16 @@
 			return
 		}
 		limit := i.IdleTimeout()
-		switch allowed := i.allowedIdle(limit); {
+		allowed := i.allowedIdle(limit)
+		switch seconds := int(allowed.Seconds()); {
 		case allowed == 0:
+			// The server closes the connection itself.
 			w.Header().Set("Connection", "close")
-		case allowed < limit:
-			w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(allowed.Seconds())))
-			c.promisedIdleNanos.Store(int64(allowed))
-		default:
-			c.promisedIdleNanos.Store(0)
+			allowed = limit
+		case seconds > 0:
+			w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(seconds))
 		}
+		c.allowedIdleNanos.Store(int64(allowed))
 		next.ServeHTTP(w, r)
 	})
 }
@@ -200,17 +199,13 @@
 	}
 }
 
-// sweep closes connections that are idle for longer than limit or than the time stated to
-// their callers, and the longest idle ones if more than MaxConns are open.
-func (i *idleConns) sweep(limit time.Duration, now time.Time) {
+// sweep closes connections that are idle for longer than they may be, and the longest idle ones
+// if more than MaxConns are open.
+func (i *idleConns) sweep(now time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for c, at := range i.idleSince {
-		allowed := limit
-		if promised := c.promisedIdleNanos.Load(); promised > 0 {
-			allowed = min(limit, time.Duration(promised)+idleMargin)
-		}
-		if now.Sub(at) > allowed {
+		if now.Sub(at) > time.Duration(c.allowedIdleNanos.Load())+idleMargin {
 			c.expire()
 		}
 	}
@@ -219,6 +214,15 @@
 	}
 }
 
+// closeIdle closes all idle connections.
+func (i *idleConns) closeIdle() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c := range i.idleSince {
+		c.expire()
+	}
+}
+
 func (i *idleConns) expireLongestIdle(n int) {
 	idle := make([]*callerConn, 0, len(i.idleSince))
 	for c := range i.idleSince {
--- a/internal/entry/idle_test.go
+++ b/internal/entry/idle_test.go
@@ -80,7 +80,7 @@
 		if arrived {
 			conn.arrived = []byte("GET / HTTP/1.1\r\n")
 		}
-		i.sweep(0, time.Now().Add(time.Second))
+		i.sweep(time.Now().Add(time.Second))
 		require.Equal(t, 1, i.expiredCount())
 		n, err := c.Read(make([]byte, 100))
 		if !arrived {
@@ -103,7 +103,7 @@
 func TestIdleTimeShrinksAsConnectionsOpen(t *testing.T) {
 	i, handled := newIdleConns(100), 0
 	header := openIdle(t, i, &handled)
-	require.Empty(t, header.Get("Keep-Alive"))
+	require.Equal(t, "timeout=15", header.Get("Keep-Alive"))
 	for range 73 {
 		header = openIdle(t, i, &handled)
 	}
@@ -118,9 +118,9 @@
 	require.Equal(t, "close", header.Get("Connection"))
 	require.Empty(t, header.Get("Keep-Alive"))
 	i.open = 0 // so that MaxConns has no effect on sweep
-	i.sweep(idleTimeout, time.Now().Add(2*time.Second))
+	i.sweep(time.Now().Add(2 * time.Second))
 	require.Zero(t, i.expiredCount())
 	before := len(i.idleSince)
-	i.sweep(idleTimeout, time.Now().Add(9*time.Second))
+	i.sweep(time.Now().Add(9 * time.Second))
 	require.Equal(t, 78, before-i.expiredCount(), "connections with a stated idle time of less than nine seconds are closed")
 }
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -20,7 +20,7 @@
 	i.logger.Info(event.Stopping, zap.Int64("active", i.handler.Active()))
 	for time.Since(start) < grace-exitReserve {
 		if time.Since(start) >= drainDelay {
-			i.idleConns.sweep(time.Millisecond, time.Now())
+			i.idleConns.closeIdle()
 			if i.handler.Active() == 0 && i.idleConns.receivingCount() == 0 {
 				break
 			}
