--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -59,6 +59,9 @@
 	Secret fleet.WriteOnceValue
 	// Directory is where instances find each other's addresses.
 	Directory fleet.KeyValueStore
+	// Quarantine holds what requests that crash endpoints have in common, for instances
+	// that restart; nil means that it is lost when all of them restart at once.
+	Quarantine fleet.KeyValueStore
 	// Grace is how long a planned stop may take.
 	Grace time.Duration
 	// RetryRatio and RetrySlack bound the retries for a service in any RetryWindow:
@@ -84,6 +87,7 @@
 	balancer   *placement.Balancer
 	pool       *upstream.Pool
 	tracker    *watch.EndpointTracker
+	quarantine *quarantine.List
 	handler    *gateway.Handler
 	lagMeter   *overload.Meter
 	idleConns  *idleConns
@@ -173,16 +177,16 @@
 	i.idleConns = &idleConns{MaxConns: i.maxCallerConns(), IdleTimeout: func() time.Duration { return i.handler.IdleTimeout() }}
 	i.lagMeter = &overload.Meter{OnChange: i.overloadChanged}
 	i.ledger = &admission.Ledger{}
-	crashQuarantine := quarantine.New(&audit.Trail{Instance: i.Name, Logger: i.logger})
+	i.quarantine = quarantine.New(&audit.Trail{Instance: i.Name, Logger: i.logger})
 	i.handler = &gateway.Handler{
 		HeaderCodec: i.HeaderCodec, Balancer: i.balancer, Overload: i.lagMeter, Ledger: i.ledger, RetryDetector: &admission.RetryDetector{},
-		Pool: i.pool, Quarantine: crashQuarantine, Metrics: &gauge.Set{Gauges: i.gauges}, Logger: i.logger,
+		Pool: i.pool, Quarantine: i.quarantine, Metrics: &gauge.Set{Gauges: i.gauges}, Logger: i.logger,
 		Budget: &budget.Budget{
 			Ratio: i.RetryRatio, Slack: i.RetrySlack, Window: i.RetryWindow,
 			Instances: func() int { return 1 + i.peers.Peers(time.Now()) },
 		},
 	}
-	crashQuarantine.OnCrash = func(string) { i.handler.Metrics.Count("endpoint_crashes_total") }
+	i.quarantine.OnCrash = func(string) { i.handler.Metrics.Count("endpoint_crashes_total") }
 	i.operators = &watch.Follower[watch.VersionedConfiguration]{
 		Name: "operators", Feed: i.Operators, Wait: operatorsWait, MaxRecent: configurationsKept, Timeout: feedTimeout, MaxAge: i.maxAge(operatorsMaxAge, operatorsWait),
 		OnBatch: i.applyConfigurations, OnUnreachable: i.logUnreachable("operators"), OnReachable: i.logReachable("operators"),
@@ -196,7 +200,7 @@
 	i.peers = &peer.Exchange{
 		Self:     peer.Member{Name: i.Name, Domain: i.Domain, Address: i.Peers.Addr().String(), Start: now.UnixNano()},
 		Balancer: i.balancer, Ledger: i.ledger, Logger: i.logger,
-		Crashes: crashQuarantine,
+		Crashes: i.quarantine,
 		Key:     &peer.Key{Storage: i.Secret, Logger: i.logger},
 		Feeds:   map[string]watch.Relay{"operators": i.operators, "endpoints": i.endpoints},
 	}
@@ -247,7 +251,7 @@
 		Handler: i.idleConns.wrap(i.handler), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
 		ConnContext: i.idleConns.register, ConnState: i.idleConns.track, ErrorLog: zap.NewStdLog(i.logger),
 	}
-	tree.Add(&service.Server{Listener: i.Callers, HTTP: callers})
+	tree.Add(&service.Server{Listener: callerListener{i.Callers, i.idleConns}, HTTP: callers})
 	tree.Add(&service.Server{Listener: i.Ready, HTTP: &http.Server{Handler: http.HandlerFunc(i.serveReady), ReadTimeout: headerTimeout}})
 	tree.Add(i.operators)
 	tree.Add(i.endpoints)
@@ -260,6 +264,10 @@
 	tree.Add(i.lagMeter)
 	tree.Add(i.peers.Key)
 	tree.Add(i.peers)
+	if i.Quarantine != nil {
+		rank := func() int { return i.peers.Rank(time.Now()) }
+		tree.Add(&quarantine.Store{List: i.quarantine, Storage: i.Quarantine, Rank: rank, Logger: i.logger})
+	}
 	tree.Add(&peer.Finder{Directory: i.Directory, Exchange: i.peers, Logger: i.logger})
 	tree.Add(&service.Server{Listener: i.Peers, HTTP: &http.Server{Handler: i.peerMux(), ReadTimeout: headerTimeout, IdleTimeout: peerIdleTimeout}})
 	tree.Add(&service.Loop{Name: "sweep", Interval: sweepInterval, Run: i.sweep})
@@ -316,7 +324,7 @@
 func (i *Instance) sweep(context.Context) {
 	now := time.Now()
 	i.pool.Sweep(now)
-	i.idleConns.sweep(i.handler.IdleTimeout()+idleMargin, now)
+	i.idleConns.sweep(now)
 }
 
 func (i *Instance) removeExpired(context.Context) { i.tracker.RemoveExpired(time.Now()) }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -107,6 +108,28 @@
 func (*fakeStore) Put(context.Context, string, []byte) error       { return nil }
 func (*fakeStore) List(context.Context) (map[string][]byte, error) { return nil, nil }
 
+// fakeKeyValueStore is a fleet.KeyValueStore in memory.
+type fakeKeyValueStore struct {
+	mu     sync.Mutex
+	values map[string][]byte
+}
+
+func (s *fakeKeyValueStore) Put(_ context.Context, key string, value []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.values == nil {
+		s.values = map[string][]byte{}
+	}
+	s.values[key] = value
+	return nil
+}
+
+func (s *fakeKeyValueStore) List(context.Context) (map[string][]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.values), nil
+}
+
 // fixture is one instance with one endpoint, connected in memory, under a fake clock.
 type fixture struct {
 	t               *testing.T
@@ -116,30 +139,42 @@
 	metrics         net.Listener
 	operators       *fakeFeed[watch.VersionedConfiguration]
 	endpoints       *fakeFeed[fleet.EndpointInfo]
+	quarantine      *fakeKeyValueStore
 	stop            context.CancelFunc
 	done            chan error
 	endpointAddress string
 	processingTime  time.Duration // of a request at the endpoint
 	answerHeader    string        // header lines that the endpoint adds to its answers
 	endpointConns   atomic.Int64  // open connections to the endpoint
+	run             atomic.Int64  // requests that the endpoint has run
+	idleTimeout     time.Duration // of callers' connections; zero means the default
 }
 
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{t: t, net: &standin.MemoryNetwork{}, operators: &fakeFeed[watch.VersionedConfiguration]{}, endpoints: &fakeFeed[fleet.EndpointInfo]{}, done: make(chan error, 1)}
-	f.callers, f.ready, f.metrics = f.listen(), f.listen(), f.listen()
+	f := &fixture{
+		t: t, net: &standin.MemoryNetwork{}, operators: &fakeFeed[watch.VersionedConfiguration]{}, endpoints: &fakeFeed[fleet.EndpointInfo]{},
+		quarantine: &fakeKeyValueStore{}, done: make(chan error, 1),
+	}
 	endpoint := f.listen()
 	t.Cleanup(func() { _ = endpoint.Close() })
 	f.endpointAddress = endpoint.Addr().String()
 	go f.serveEndpoint(endpoint)
+	f.start()
+	return f
+}
+
+// start starts the instance with no state of its own.
+func (f *fixture) start() {
+	f.callers, f.ready, f.metrics = f.listen(), f.listen(), f.listen()
 	store := &fakeStore{}
 	i := &entry.Instance{
 		Name: "front-1", Domain: "a", Callers: f.callers, Ready: f.ready, Metrics: f.metrics, Peers: f.listen(), HeaderCodec: testHeaderCodec{},
-		Operators: f.operators, Endpoints: f.endpoints, Secret: store, Directory: store, Grace: 8 * time.Second, Dial: f.net.Dial,
+		Operators: f.operators, Endpoints: f.endpoints, Secret: store, Directory: store, Quarantine: f.quarantine,
+		Grace: 8 * time.Second, Dial: f.net.Dial,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
 	go func() { f.done <- i.Run(ctx) }()
-	return f
 }
 
 func (f *fixture) listen() net.Listener {
@@ -167,6 +202,7 @@
 				}
 				_, _ = io.Copy(io.Discard, r.Body)
 				time.Sleep(f.processingTime)
+				f.run.Add(1)
 				body := "for " + r.Header.Get("Customer")
 				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", r.Header.Get("Request-Id"), f.answerHeader, len(body), body)
 			}
@@ -205,6 +241,7 @@
 
 func (f *fixture) publish(version int64, paths ...string) {
 	c := &watch.VersionedConfiguration{Version: version, Config: arrangement.Config{Customers: []arrangement.Customer{{Name: "saar", Keys: []string{"k"}}}}}
+	c.Config.Limits.IdleTimeoutMillis = int(f.idleTimeout.Milliseconds())
 	for _, p := range paths {
 		c.Config.Routes = append(c.Config.Routes, arrangement.Route{Name: p, Path: p, Targets: []arrangement.Target{{Service: "m", Weight: 1}}})
 	}
