internal/upstream: watch the delivery of a request until its response

Cause: the delivery was checked at two moments only. It is checked every 150 ms now until the head of the response has arrived, and a request is given up once the same bytes have been unacknowledged for 1.6 s, so that it ends within 1.9 s.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -28,10 +28,11 @@
 	// defaultDialTimeout bounds the time to establish a connection: endpoints
 	// in the region accept within milliseconds.
 	defaultDialTimeout = 400 * time.Millisecond
-	// deliveryTimeout is how long the endpoint's host may leave a request unacknowledged
-	// until the request is given up: the path to it is lost. A path may be lost, and an
-	// endpoint silent, for a second or so.
-	deliveryTimeout = 1900 * time.Millisecond
+	// deliveryTimeout is how long the endpoint's host may leave the same bytes of a request
+	// unacknowledged until the request is given up: the path to it is lost. A path may be
+	// lost, and an endpoint silent, for a second or so.
+	deliveryTimeout       = 1600 * time.Millisecond
+	deliveryCheckInterval = 150 * time.Millisecond
 	// keepAliveInterval is the time between two keepalive probes of a connection without
 	// traffic; the kernel counts it in whole seconds. Connections whose peers acknowledge
 	// none of keepAliveCount end: nothing else does where requests have no deadline.
@@ -182,7 +183,7 @@
 		t := time.AfterFunc(r.HeaderTimeout, a.Abandon)
 		defer t.Stop()
 	}
-	defer a.watchDelivery()()
+	defer a.watchDelivery().stop()
 	a.writeResult = c.send(r)
 	if err := a.readHeader(r, id); err != nil {
 		a.Close()
@@ -202,22 +203,48 @@
 
 var errNotDelivered = errors.New("endpoint did not acknowledge the request in time")
 
-// watchDelivery aborts the exchange if the request makes no progress for the second half of
-// deliveryTimeout, until stop is called. The kernel's own time limits would not do: they end the
-// connection without dropping what is left to send.
-func (a *Answer) watchDelivery() (stop func()) {
-	var pending atomic.Int64
-	half := time.AfterFunc(deliveryTimeout/2, func() { pending.Store(int64(a.conn.unacknowledged())) })
-	full := time.AfterFunc(deliveryTimeout, func() {
-		if n := a.conn.unacknowledged(); n > 0 && int64(n) == pending.Load() {
-			a.notDelivered.Store(true)
-			a.Abandon()
-		}
-	})
-	return func() {
-		half.Stop()
-		full.Stop()
+// deliveryWatch aborts an exchange whose request makes no progress. The kernel's own time limits
+// would not do: they end the connection without dropping what is left to send.
+type deliveryWatch struct {
+	answer *Answer
+
+	mu      sync.Mutex
+	timer   *time.Timer // nil once the watch has stopped
+	pending int         // unacknowledged bytes at the last check
+	since   time.Time   // when a check first found this many
+}
+
+func (a *Answer) watchDelivery() *deliveryWatch {
+	w := &deliveryWatch{answer: a}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(deliveryCheckInterval, w.check)
+	return w
+}
+
+func (w *deliveryWatch) check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer == nil {
+		return
+	}
+	now, pending := time.Now(), w.answer.conn.unacknowledged()
+	if pending == 0 || pending != w.pending {
+		w.pending, w.since = pending, now
+	}
+	if pending > 0 && now.Sub(w.since) >= deliveryTimeout {
+		w.answer.notDelivered.Store(true)
+		w.answer.Abandon()
+		return
 	}
+	w.timer.Reset(deliveryCheckInterval)
+}
+
+func (w *deliveryWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer.Stop()
+	w.timer = nil
 }
 
 // acknowledger is a connection that knows how many bytes its peer has not acknowledged.
