internal/entry: a pause between reads is no outage

Found in review: in a fleet of more than 32 peers the fourth instance that could take over reads the feed 2.4 s after the last read, which is as long as records need to expire. When the first three were lost together, the others took the pause for an outage of the platform and kept endpoints that left. With short heartbeat intervals each pause between two reads counted.

TestPauseBetweenReadsIsNoOutage failed before (expected 503, actual 200).

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -148,6 +148,7 @@
 	endpointConns   atomic.Int64  // open connections to the endpoint
 	run             atomic.Int64  // requests that the endpoint has run
 	idleTimeout     time.Duration // of callers' connections; zero means the default
+	heartbeat       time.Duration // at which endpoints write their records; zero means the default
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -170,7 +171,7 @@
 	i := &entry.Instance{
 		Name: "front-1", Domain: "a", Callers: f.callers, Ready: f.ready, Metrics: f.metrics, Peers: f.listen(), HeaderCodec: testHeaderCodec{},
 		Operators: f.operators, Endpoints: f.endpoints, Secret: store, Directory: store, Quarantine: f.quarantine,
-		Grace: 8 * time.Second, Dial: f.net.Dial,
+		Grace: 8 * time.Second, Dial: f.net.Dial, HeartbeatInterval: f.heartbeat,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
@@ -342,6 +343,25 @@
 	})
 }
 
+// Endpoints that had left got requests for two more seconds where records are written often: each
+// pause between two reads counted as an outage in which records expire.
+func TestPauseBetweenReadsIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.shutDown()
+		f.heartbeat = 200 * time.Millisecond
+		f.start()
+		f.startServing()
+		status, _ := f.request(f.callers, "/a/x", "k")
+		require.Equal(t, http.StatusOK, status)
+		f.endpoints.write("i-1", nil)
+		time.Sleep(time.Second)
+		status, _ = f.request(f.callers, "/a/x", "k")
+		require.Equal(t, http.StatusServiceUnavailable, status)
+		f.shutDown()
+	})
+}
+
 // Endpoints whose records were not written again after an outage of the platform got requests
 // for up to half a second longer than they were to be kept, until the next check. The platform
 // binds an instance to its records three seconds after an outage.
