internal/watch: an outage of the platform takes a failed read

The floor stood for what was meant: a pause in which nobody read is no outage, whatever its length. An instance now takes a pause for an outage only if a read of its own failed in it, or if another instance says that the platform responded again only after it. The floor goes, and with it the dependence on the size of the fleet.

--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -54,19 +54,14 @@
 // defaultHeartbeatInterval is how often endpoints write their records if it is not known.
 const defaultHeartbeatInterval = 1200 * time.Millisecond
 
-// longestReadPause is how long the platform may go without being read although it responds: the
-// instances that read the feed have just been lost, and the next one takes over.
-const longestReadPause = endpointsMaxAge + relayedStandbyAge + maxRank*rankAge + feedTimeout
-
-// expiryTime returns how long the platform must not have responded for records of endpoints to
+// expiryTime returns how long an outage of the platform must last for records of endpoints to
 // expire: three intervals after the last write, which was up to one interval before the outage.
-// A pause between reads is no outage.
 func (i *Instance) expiryTime() time.Duration {
 	interval := i.HeartbeatInterval
 	if interval == 0 {
 		interval = defaultHeartbeatInterval
 	}
-	return max(2*interval, longestReadPause)
+	return 2 * interval
 }
 
 // platformRecovered is called when the platform is reachable again after an outage, as seen by
--- a/internal/watch/follow.go
+++ b/internal/watch/follow.go
@@ -115,6 +115,7 @@
 	retryDelay       time.Duration
 	retryAt          time.Time
 	unreachableSince time.Time // zero while the platform responds
+	failedReadAt     time.Time // when the last read that failed began
 	// The platform responded to some instance from responsiveSince to responsiveUntil
 	// without a pause of ExpiryTime. Both are zero until the first read.
 	responsiveSince, responsiveUntil time.Time
@@ -310,20 +311,39 @@
 	}
 }
 
-// responded records that the platform responded to this or another instance. The lock is held.
+// responded records that the platform responded to a read of this instance. If the reads before
+// it failed, the pause since the last known response was an outage of the platform, unless it was
+// too short for records to expire. A pause without a failed read shows nothing: another instance
+// that read the feed for this one may have been lost. The lock is held.
 func (f *Follower[T]) responded(at time.Time) {
-	if f.ExpiryTime == 0 || !at.After(f.responsiveUntil) {
+	if f.ExpiryTime == 0 {
 		return
 	}
-	outage := !f.responsiveUntil.IsZero() && at.Sub(f.responsiveUntil) >= f.ExpiryTime
 	if f.responsiveUntil.IsZero() {
 		f.responsiveSince = at
 	}
-	if outage {
-		f.recovered = true
-		f.setResponsiveSince(at, false)
+	if f.outageBefore(at) && !f.failedReadAt.Before(f.responsiveUntil) {
+		f.platformRecovered(at, false)
 	}
-	f.responsiveUntil = at
+	f.extendResponsive(at)
+}
+
+// outageBefore reports whether records may have expired between the last known response of the
+// platform and a later time. The lock is held.
+func (f *Follower[T]) outageBefore(at time.Time) bool {
+	return !f.responsiveUntil.IsZero() && at.Sub(f.responsiveUntil) >= f.ExpiryTime
+}
+
+func (f *Follower[T]) extendResponsive(until time.Time) {
+	if until.After(f.responsiveUntil) {
+		f.responsiveUntil = until
+	}
+}
+
+// platformRecovered records that an outage of the platform ended. The lock is held.
+func (f *Follower[T]) platformRecovered(at time.Time, relayed bool) {
+	f.recovered = true
+	f.setResponsiveSince(at, relayed)
 }
 
 // setResponsiveSince records since when the platform has responded. The lock is held.
@@ -345,13 +365,19 @@
 	if f.ExpiryTime == 0 || p.ResponsiveAge == 0 {
 		return
 	}
+	since := now.Add(-time.Duration(p.ResponsiveAge) * time.Millisecond)
+	if f.responsiveUntil.IsZero() {
+		f.responsiveSince = since
+	}
 	// Each read counts only once, as in confirm.
 	if seqs := f.reads[p.ReaderID]; p.ReadSeq > seqs.heard {
 		seqs.heard = p.ReadSeq
 		f.setReads(p.ReaderID, seqs)
-		f.responded(until)
+		if f.outageBefore(since.Add(transitTolerance)) {
+			f.platformRecovered(since, true)
+		}
+		f.extendResponsive(until)
 	}
-	since := now.Add(-time.Duration(p.ResponsiveAge) * time.Millisecond)
 	overlaps := f.responsiveSince.Sub(until) < f.ExpiryTime
 	if overlaps && since.Before(f.responsiveSince.Add(-transitTolerance)) {
 		f.setResponsiveSince(since, true)
@@ -361,6 +387,7 @@
 // readFailed records a failed read and sets the time of the next one.
 func (f *Follower[T]) readFailed(err error, start, now time.Time) {
 	f.mu.Lock()
+	f.failedReadAt = start
 	firstFailure := f.unreachableSince.IsZero()
 	if firstFailure {
 		f.unreachableSince = now
