--- a/internal/standin/signals_test.go
+++ b/internal/standin/signals_test.go
@@ -1,6 +1,7 @@
 package standin_test
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -79,3 +80,23 @@
 		require.GreaterOrEqual(t, time.Since(started), 1900*time.Millisecond)
 	})
 }
+
+func TestSignalsAreSetOverHTTP(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &standin.PlainService{Name: "p0"}
+		require.Equal(t, http.StatusBadRequest, call(p, "test", http.MethodPost, "/signals", "leaving").StatusCode)
+		call(p, "test", http.MethodPost, "/signals", `{"leaving":true,"quiet":1.5}`)
+		refused := call(p, "e0", http.MethodGet, "/load", "")
+		require.Equal(t, "1.500", refused.Header.Get("Retry-After"))
+		require.Equal(t, "1", refused.Header.Get("Server-Leaving"))
+		time.Sleep(time.Second)
+		call(p, "e0", http.MethodGet, "/load", "")
+		answer := call(p, "test", http.MethodGet, "/signals", "")
+		require.Empty(t, answer.Header.Get("Server-Leaving"))
+		counts, err := io.ReadAll(answer.Body)
+		require.NoError(t, err)
+		require.JSONEq(t, `{"late":[{"sender":"e0","after":1000000000,"path":"/load"}],"quiet":{"e0":1},"told":["e0"],"asked":2}`, string(counts))
+		call(p, "test", http.MethodPost, "/signals", `{"restart":true}`)
+		require.Equal(t, http.StatusOK, call(p, "e0", http.MethodGet, "/load", "").StatusCode)
+	})
+}
