--- a/internal/watch/follow.go
+++ b/internal/watch/follow.go
@@ -115,7 +115,6 @@
 	retryDelay       time.Duration
 	retryAt          time.Time
 	unreachableSince time.Time // zero while the platform responds
-	failedReadAt     time.Time // when the last read that failed began
 	// The platform responded to some instance from responsiveSince to responsiveUntil
 	// without a pause of ExpiryTime. Both are zero until the first read.
 	responsiveSince, responsiveUntil time.Time
@@ -311,10 +310,6 @@
 	}
 }
 
-// maxRecoveryLag bounds how much later than the start of the last failed read the end of an
-// outage is assumed: the platform may have responded to others from that time on.
-const maxRecoveryLag = 800 * time.Millisecond
-
 // responded records that the platform responded to this or another instance. The lock is held.
 func (f *Follower[T]) responded(at time.Time) {
 	if f.ExpiryTime == 0 || !at.After(f.responsiveUntil) {
@@ -325,12 +320,8 @@
 		f.responsiveSince = at
 	}
 	if outage {
-		since := at
-		if latest := f.failedReadAt.Add(maxRecoveryLag); f.failedReadAt.After(f.responsiveUntil) && latest.Before(at) {
-			since = latest
-		}
 		f.recovered = true
-		f.setResponsiveSince(since, false)
+		f.setResponsiveSince(at, false)
 	}
 	f.responsiveUntil = at
 }
@@ -370,13 +361,17 @@
 // readFailed records a failed read and sets the time of the next one.
 func (f *Follower[T]) readFailed(err error, start, now time.Time) {
 	f.mu.Lock()
-	f.failedReadAt = start
 	firstFailure := f.unreachableSince.IsZero()
 	if firstFailure {
 		f.unreachableSince = now
 	}
 	f.retryDelay = min(max(2*f.retryDelay, minRetryDelay), maxRetryDelay)
-	f.retryAt = now.Add(f.retryDelay/2 + rand.N(f.retryDelay/2+1))
+	// The delay counts from the start of the read, so that reads that get no response do not
+	// put off noticing the end of an outage.
+	f.retryAt = start.Add(f.retryDelay/2 + rand.N(f.retryDelay/2+1))
+	if soonest := now.Add(minRetryDelay / 2); f.retryAt.Before(soonest) {
+		f.retryAt = soonest
+	}
 	f.mu.Unlock()
 	if firstFailure && f.OnUnreachable != nil {
 		f.OnUnreachable(err)
@@ -466,7 +461,7 @@
 	defer f.mu.Unlock()
 	f.heard(u.Position, at, now)
 	switch {
-	case u.Snapshot && (!f.initialized || u.Next > f.next):
+	case u.Snapshot && (u.Next > f.next || !f.initialized && u.Next == f.next):
 		f.reset(records, u.Next, u.Position, at)
 	case f.initialized && u.From == f.next && len(records) > 0:
 		f.relayedAt = now
--- a/internal/watch/follow_test.go
+++ b/internal/watch/follow_test.go
@@ -314,6 +314,90 @@
 	})
 }
 
+// Endpoints whose records expired in an outage were removed at once: an instance that had seen
+// the outage dropped it again when a message of another one arrived that did not know of its end.
+func TestOutageIsKeptWhenPeerDoesNotKnowItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeFeed{}
+		f.write("a", 1)
+		direct, other := newFollower(f, 0), newFollower(f, 0)
+		var recoveredAt time.Time
+		for _, r := range []*testFollower{direct, other} {
+			r.ExpiryTime = expiryTime
+			require.NoError(t, r.ReadOnce(t.Context()))
+		}
+		direct.OnRecovery = func(at time.Time, _ bool) { recoveredAt = at }
+		time.Sleep(time.Second)
+		for _, r := range []*testFollower{direct, other} {
+			require.NoError(t, r.ReadOnce(t.Context()))
+		}
+		lastResponse := time.Now()
+		time.Sleep(expiryTime / 2)
+		direct.ReadFailed(errPlatformDown, time.Now())
+		time.Sleep(expiryTime/2 + 200*time.Millisecond)
+		require.NoError(t, direct.ReadOnce(t.Context()))
+		now := time.Now()
+		direct.Apply(other.UpdateFrom(direct.Position(now).Next, false, now), now)
+		require.True(t, recoveredAt.After(lastResponse), recoveredAt.Sub(lastResponse))
+	})
+}
+
+// Endpoints whose records expired in an outage were removed at once: a message from before the
+// outage that arrived late seemed to show that the platform had just responded.
+func TestOutageIsKnownDespiteLateMessage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeFeed{}
+		f.write("a", 1)
+		local, other := newFollower(f, 0), newFollower(f, 0)
+		recovered := false
+		for _, r := range []*testFollower{local, other} {
+			r.ExpiryTime = expiryTime
+			require.NoError(t, r.ReadOnce(t.Context()))
+		}
+		local.OnRecovery = func(time.Time, bool) { recovered = true }
+		time.Sleep(time.Second)
+		for _, r := range []*testFollower{local, other} {
+			require.NoError(t, r.ReadOnce(t.Context()))
+		}
+		message, err := other.EncodeUpdate(local.Position(time.Now()).Next, false, time.Now())
+		require.NoError(t, err)
+		time.Sleep(expiryTime - 100*time.Millisecond)
+		_, err = local.Receive(message, false, time.Now())
+		require.NoError(t, err)
+		time.Sleep(expiryTime - 100*time.Millisecond)
+		require.NoError(t, local.ReadOnce(t.Context()))
+		require.True(t, recovered)
+	})
+}
+
+// An instance whose feed was trimmed just before the platform became unreachable took over the
+// older records of a peer: endpoints that had left got requests again.
+func TestTrimmedFeedIsNotReplacedByOlderSnapshot(t *testing.T) {
+	f := &fakeFeed{}
+	f.write("a", 1)
+	local, peer := newFollower(f, 0), newFollower(f, 0)
+	require.NoError(t, peer.ReadOnce(t.Context()))
+	f.write("a", 2)
+	require.NoError(t, local.ReadOnce(t.Context()))
+	older, err := peer.EncodeSnapshot(time.Now())
+	require.NoError(t, err)
+	f.oldest = f.next() + 1
+	require.NoError(t, local.ReadOnce(t.Context()), "the feed was trimmed")
+	f.unreachable = true
+	require.Error(t, local.ReadOnce(t.Context()))
+	_, err = local.Receive(older, false, time.Now())
+	require.NoError(t, err)
+	require.Equal(t, 2, local.value("a"))
+	f.unreachable = false
+	require.NoError(t, peer.ReadOnce(t.Context()), "the feed was trimmed")
+	require.NoError(t, peer.ReadOnce(t.Context()))
+	current, err := peer.EncodeSnapshot(time.Now())
+	require.NoError(t, err)
+	_, err = local.Receive(current, false, time.Now())
+	require.NoError(t, err)
+	require.NotZero(t, local.Position(time.Now()).Next, "current records are taken over")
+}
+
 // An instance that cannot reach the platform gets all records from a peer.
 func TestSnapshotFromPeer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
