--- /dev/null
+++ b/review/standin/main.go
@@ -0,0 +1,186 @@
+// Command standin plays one case of the review: it starts processes of the project, is the
+// store, the servers and the clients of a small deployment for them, and checks one rule by
+// what these see. It exits with 1 if the rule was broken, with 0 if it held and with 2 if the
+// case could not run.
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	exitHeld = iota
+	exitBroken
+	exitNotRun
+)
+
+// record is the file in which a case writes what was sent, answered and run. It is safe for
+// concurrent use.
+type record struct {
+	mu    sync.Mutex
+	file  *os.File
+	start time.Time
+	lines []string
+}
+
+func (r *record) note(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	line := fmt.Sprintf(format, args...)
+	r.lines = append(r.lines, line)
+	_, _ = fmt.Fprintf(r.file, "%9.3f %s\n", time.Since(r.start).Seconds(), line)
+}
+
+// has reports whether a line was written.
+func (r *record) has(format string, args ...any) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	want := fmt.Sprintf(format, args...)
+	for _, line := range r.lines {
+		if line == want {
+			return true
+		}
+	}
+	return false
+}
+
+// scene is a small deployment.
+type scene struct {
+	record       *record
+	store        *store
+	storeAddress string
+	servers      []*server
+	instances    []*instance
+	trouble      bool
+}
+
+// cases are the cases by their names. Each returns what broke the rule, nothing if it held.
+var cases = map[string]func(*scene) ([]string, error){}
+
+var errNoCase = errors.New("no such case")
+
+func main() {
+	name := flag.String("case", "", "the case to play")
+	wire := flag.String("wire", "review/standin/wire.json", "the file with the names of the wire")
+	out := flag.String("record", "record.txt", "the file that receives what was sent, answered and run")
+	flag.Parse()
+	os.Exit(play(*name, *wire, *out))
+}
+
+func play(name, wire, out string) int {
+	file, err := os.Create(out)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	defer file.Close()
+	r := &record{file: file, start: time.Now()}
+	broken, err := run(name, wire, r)
+	if err != nil {
+		r.note("the case could not run: %v", err)
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	for _, line := range broken {
+		r.note("BROKEN: %s", line)
+		fmt.Println(line)
+	}
+	if len(broken) > 0 {
+		return exitBroken
+	}
+	r.note("the rule held")
+	return exitHeld
+}
+
+func run(name, wire string, r *record) ([]string, error) {
+	play := cases[name]
+	if play == nil {
+		return nil, errNoCase
+	}
+	if err := loadNames(wire); err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "review")
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if os.Getenv("KEEP") == "" {
+			_ = os.RemoveAll(dir)
+		} else {
+			fmt.Println(dir)
+		}
+	}()
+	s := &scene{record: r, store: &store{}, trouble: os.Getenv("TROUBLE") != "0"}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s.storeAddress = l.Addr().String()
+	go func() { _ = http.Serve(l, s.store) }()
+	if err := s.setUp(dir); err != nil {
+		return nil, err
+	}
+	defer func() {
+		for _, i := range s.instances {
+			i.kill()
+		}
+	}()
+	return play(s)
+}
+
+// zones are the zones of the deployment: one instance each, and servers of each service.
+var zones = []string{"tartu", "viljandi", "polva"}
+
+// setUp writes the first configuration and starts the servers. The instances are only
+// prepared.
+func (s *scene) setUp(dir string) error {
+	if err := s.publish(1); err != nil {
+		return err
+	}
+	for _, service := range []string{"model", "portal"} {
+		for n, zone := range zones {
+			v, err := startServer(s.store, s.record, fmt.Sprintf("i-%s-%d", service, n+1), service, zone)
+			if err != nil {
+				return err
+			}
+			s.servers = append(s.servers, v)
+		}
+	}
+	var err error
+	s.instances, err = newInstances(dir, s.record, zones...)
+	return err
+}
+
+// startAll starts all instances and waits until they are ready.
+func (s *scene) startAll() error {
+	for _, i := range s.instances {
+		if err := i.writeSettings(s.storeAddress, s.seeds(), true); err != nil {
+			return err
+		}
+		if err := i.start(); err != nil {
+			return err
+		}
+	}
+	for _, i := range s.instances {
+		if err := i.awaitReady(20 * time.Second); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *scene) seeds() []string {
+	var list []string
+	for _, i := range s.instances {
+		list = append(list, i.control)
+	}
+	return list
+}
