--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -13,10 +13,13 @@
 // result is how one attempt of a client ended.
 type result struct {
 	id, path string
+	front    string // the address of the instance
 	sent     time.Time
 	ended    time.Time
 	status   int // zero if the connection ended without the head of an answer
 	sealed   bool
+	leaving  bool // the answer says that its server leaves
+	headAt   time.Time
 	body     string
 	err      error // that ended the answer early; nil if it came whole
 }
@@ -27,8 +30,8 @@
 }
 
 func (r result) String() string {
-	return fmt.Sprintf("%s %s: status %d, sealed %v, %d bytes, whole %v, after %v, error %v",
-		r.id, r.path, r.status, r.sealed, len(r.body), r.whole(), r.ended.Sub(r.sent).Round(time.Millisecond), r.err)
+	return fmt.Sprintf("%s %s: status %d, sealed %v, leaving %v, %d bytes, whole %v, after %v, error %v",
+		r.id, r.path, r.status, r.sealed, r.leaving, len(r.body), r.whole(), r.ended.Sub(r.sent).Round(time.Millisecond), r.err)
 }
 
 var requestCount atomic.Int64
@@ -48,7 +51,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	id := fmt.Sprintf("%016x", requestCount.Add(1))
-	r := result{id: id, path: path, sent: time.Now()}
+	r := result{id: id, path: path, front: front, sent: time.Now()}
 	defer func() { c.record.note("client got %s", r) }()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+front+path, strings.NewReader(body))
 	if err != nil {
@@ -71,6 +74,7 @@
 		return r
 	}
 	defer resp.Body.Close()
+	r.headAt, r.leaving = time.Now(), resp.Header.Get(names.LeavingHeader) == "1"
 	data, err := io.ReadAll(resp.Body)
 	r.status, r.sealed, r.body, r.err, r.ended = resp.StatusCode, resp.Header.Get(names.SealHeader) != "", string(data), err, time.Now()
 	return r
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -147,10 +147,13 @@
 	}
 	for _, service := range []string{"model", "portal"} {
 		for n, zone := range zones {
-			v, err := startServer(s.store, s.record, fmt.Sprintf("i-%s-%d", service, n+1), service, zone)
+			v, err := newServer(s.store, s.record, fmt.Sprintf("i-%s-%d", service, n+1), service, zone)
 			if err != nil {
 				return err
 			}
+			if err := v.start(); err != nil {
+				return err
+			}
 			s.servers = append(s.servers, v)
 		}
 	}
--- a/review/standin/names.go
+++ b/review/standin/names.go
@@ -22,6 +22,7 @@
 	ExpectHeader     string         `json:"expectHeader"`
 	InstanceHeader   string         `json:"instanceHeader"`
 	NotRunHeader     string         `json:"notRunHeader"`
+	LeavingHeader    string         `json:"leavingHeader"`
 	ModelHeader      string         `json:"modelHeader"`
 	UsageHeader      string         `json:"usageHeader"`
 	PrefixHeader     string         `json:"prefixHeader"`
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -19,10 +19,14 @@
 	id, service, zone string
 	address           string
 	record            *record
-	born              int64
+	store             *store
 
 	mu       sync.Mutex
+	http     *http.Server
+	done     chan struct{} // closed when the incarnation has ended
+	born     int64
 	sequence int
+	state    string
 }
 
 const (
@@ -33,32 +37,83 @@
 	heartbeatInterval = 1200 * time.Millisecond
 )
 
-// startServer starts a server and writes its entry, again and again, until the program ends.
-func startServer(s *store, r *record, id, service, zone string) (*server, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// newServer returns a server with an address of its own, which is not started.
+func newServer(s *store, r *record, id, service, zone string) (*server, error) {
+	address, err := freeAddress()
 	if err != nil {
 		return nil, err
 	}
-	v := &server{id: id, service: service, zone: zone, address: l.Addr().String(), record: r, born: time.Now().UnixMilli()}
-	go func() { _ = http.Serve(l, v) }()
-	v.beat(s)
+	return &server{id: id, service: service, zone: zone, address: address, record: r, store: s, state: "ready"}, nil
+}
+
+// start starts an incarnation, which writes its entry until it ends.
+func (v *server) start() error {
+	l, err := net.Listen("tcp", v.address)
+	if err != nil {
+		return err
+	}
+	v.mu.Lock()
+	v.http, v.done, v.born, v.sequence = &http.Server{Handler: v}, make(chan struct{}), time.Now().UnixMilli(), 0
+	server, done := v.http, v.done
+	v.mu.Unlock()
+	go func() { _ = server.Serve(l) }() // it ends with end
+	v.beat()
 	go func() {
-		for range time.Tick(heartbeatInterval) {
-			v.beat(s)
+		for {
+			select {
+			case <-time.After(heartbeatInterval):
+				v.beat()
+			case <-done:
+				return
+			}
 		}
 	}()
-	return v, nil
+	return nil
 }
 
-func (v *server) beat(s *store) {
+// end ends the incarnation at once, with all its connections.
+func (v *server) end() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	close(v.done)
+	_ = v.http.Close() // its connections are gone in any case
+	v.record.note("server %s has ended", v.id)
+}
+
+// entry returns the entry that the server writes next.
+func (v *server) entry() []byte {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.sequence++
 	entry := maps.Clone(names.ServerEntry)
-	entry["service"], entry["address"], entry["zone"] = v.service, v.address, v.zone
+	entry["service"], entry["address"], entry["zone"], entry["state"] = v.service, v.address, v.zone, v.state
 	entry["sequence"], entry["born"] = v.sequence, v.born
 	data, _ := json.Marshal(entry) // strings and numbers can always be encoded
-	s.put(names.ServerTopic, v.id, data)
+	return data
+}
+
+func (v *server) beat() { v.store.put(names.ServerTopic, v.id, v.entry()) }
+
+// leave lets the server say in all its answers that it leaves. Its entry says so from the next
+// heartbeat on.
+func (v *server) leave() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.state = "draining"
+	v.record.note("server %s leaves, and says so in its answers", v.id)
+}
+
+// sayLeaving adds to an answer that has not begun that the server leaves, if it does.
+func (v *server) sayLeaving(w http.ResponseWriter) {
+	if v.leaving() {
+		w.Header().Set(names.LeavingHeader, "1")
+	}
+}
+
+func (v *server) leaving() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.state == "draining"
 }
 
 func (v *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -79,6 +134,7 @@
 	w.Header().Set(names.SealHeader, sealOf(id))
 	if !strings.HasPrefix(r.URL.Path, "/stream/") && !strings.HasPrefix(r.URL.Path, "/resume/") {
 		time.Sleep(callTime)
+		v.sayLeaving(w)
 		_, _ = io.WriteString(w, callBody(id))
 		v.record.note("server %s ends %s", v.id, id)
 		return
@@ -93,6 +149,7 @@
 			v.record.note("server %s is left by the caller of %s after event %d of %d", v.id, id, n-1, count)
 			return
 		}
+		v.sayLeaving(w)
 		_, _ = io.WriteString(w, event(id, n))
 		_ = http.NewResponseController(w).Flush()
 	}
