--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -73,13 +73,25 @@
 
 // end ends the incarnation at once, with all its connections.
 func (v *server) end() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	close(v.done)
-	_ = v.http.Close() // its connections are gone in any case
+	v.silence()
+	v.endServing()
 	v.record.note("server %s has ended", v.id)
 }
 
+// silence ends the heartbeats.
+func (v *server) silence() { close(v.done) }
+
+// endServing closes the listener and all connections.
+func (v *server) endServing() {
+	_ = v.http.Close() // its connections are gone in any case
+}
+
+// lapse lets the store remove the entry, as it does after three heartbeat intervals of silence.
+func (v *server) lapse() {
+	v.store.put(names.ServerTopic, v.id, nil)
+	v.record.note("the store removes the entry of %s", v.id)
+}
+
 // entry returns the entry that the server writes next.
 func (v *server) entry() []byte {
 	v.mu.Lock()
