--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -10,7 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"syscall"
+	"sync"
 	"time"
 )
 
@@ -21,8 +21,10 @@
 	metricsPort           int
 	dir                   string
 	record                *record
-	process               *exec.Cmd
-	exited                chan struct{} // closed when the process has exited
+
+	mu      sync.Mutex
+	process *os.Process   // nil until it is started
+	exited  chan struct{} // closed when the process has exited
 }
 
 // freeAddress returns a loopback address on which nothing listens.
@@ -87,27 +89,38 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	i.process, i.exited = cmd, make(chan struct{})
+	exited := make(chan struct{})
+	i.mu.Lock()
+	i.process, i.exited = cmd.Process, exited
+	i.mu.Unlock()
 	i.record.note("%s starts as process %d", i.name, cmd.Process.Pid)
 	go func() {
 		_ = cmd.Wait() // how it exited stands in its state
 		_ = log.Close()
 		i.record.note("%s has exited: %s", i.name, cmd.ProcessState)
-		close(i.exited)
+		close(exited)
 	}()
 	return nil
 }
 
-// kill ends the process if it still runs.
+// kill ends the process if it was started and still runs.
 func (i *instance) kill() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	if i.process == nil {
 		return
 	}
-	_ = i.process.Process.Signal(syscall.SIGCONT) // it may have exited already
-	_ = i.process.Process.Kill()
+	_ = i.process.Kill() // it may have exited already
 	<-i.exited
 }
 
+// pid returns the ID of the process, which was started.
+func (i *instance) pid() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.process.Pid
+}
+
 // awaitReady waits until the instance says that it is ready.
 func (i *instance) awaitReady(limit time.Duration) error {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/standin/large_bodies.go
+++ b/review/standin/large_bodies.go
@@ -11,7 +11,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -137,11 +136,11 @@
 	most := 0
 	defer func() { s.record.note("%s used %d MB at most", i.name, most>>10) }()
 	for ctx.Err() == nil {
-		used := residentKB(i.process.Process.Pid)
+		used := residentKB(i.pid())
 		most = max(most, used)
 		if used > memoryMb<<10 {
 			s.record.note("the platform kills %s: it uses %d MB of %d", i.name, used>>10, memoryMb)
-			_ = i.process.Process.Signal(syscall.SIGKILL) // it may have exited already
+			i.kill()
 			return
 		}
 		time.Sleep(memoryCheck)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,7 +11,9 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -27,14 +29,14 @@
 	mu    sync.Mutex
 	file  *os.File
 	start time.Time
-	lines []string
+	lines map[string]bool
 }
 
 func (r *record) note(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	line := fmt.Sprintf(format, args...)
-	r.lines = append(r.lines, line)
+	r.lines[line] = true
 	_, _ = fmt.Fprintf(r.file, "%9.3f %s\n", time.Since(r.start).Seconds(), line)
 }
 
@@ -42,13 +44,7 @@
 func (r *record) has(format string, args ...any) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	want := fmt.Sprintf(format, args...)
-	for _, line := range r.lines {
-		if line == want {
-			return true
-		}
-	}
-	return false
+	return r.lines[fmt.Sprintf(format, args...)]
 }
 
 // scene is a small deployment.
@@ -81,7 +77,7 @@
 		return exitNotRun
 	}
 	defer file.Close()
-	r := &record{file: file, start: time.Now()}
+	r := &record{file: file, start: time.Now(), lines: map[string]bool{}}
 	broken, err := run(name, wire, r)
 	if err != nil {
 		r.note("the case could not run: %v", err)
@@ -111,13 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer func() {
-		if os.Getenv("KEEP") == "" {
-			_ = os.RemoveAll(dir)
-		} else {
-			fmt.Println(dir)
-		}
-	}()
+	defer os.RemoveAll(dir)
 	s := &scene{record: r, store: &store{}, trouble: os.Getenv("TROUBLE") != "0"}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -128,14 +118,25 @@
 	if err := s.setUp(dir); err != nil {
 		return nil, err
 	}
-	defer func() {
-		for _, i := range s.instances {
-			i.kill()
-		}
+	defer s.killAll()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		s.killAll()
+		_ = os.RemoveAll(dir)
+		os.Exit(exitNotRun)
 	}()
 	return play(s)
 }
 
+// killAll ends the processes that were started.
+func (s *scene) killAll() {
+	for _, i := range s.instances {
+		i.kill()
+	}
+}
+
 // zones are the zones of the deployment: one instance each, and servers of each service.
 var zones = []string{"tartu", "viljandi", "polva"}
 
