--- a/review/standin/config.go
+++ b/review/standin/config.go
@@ -3,8 +3,18 @@
 import (
 	"encoding/json"
 	"maps"
+	"time"
 )
 
+// setTimeout sets the time limit of the routes with a name in the configurations that follow.
+func setTimeout(route string, d time.Duration) {
+	for _, r := range names.Config["routes"].([]any) {
+		if r := r.(map[string]any); r["name"] == route {
+			r[names.TimeoutField] = d.Milliseconds()
+		}
+	}
+}
+
 // publish writes the configuration of the data file under a version.
 func (s *scene) publish(version int) error {
 	config := maps.Clone(names.Config)
--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -114,6 +115,25 @@
 	<-i.exited
 }
 
+// signal sends a signal to the process, which was started.
+func (i *instance) signal(sig syscall.Signal) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.record.note("%s is sent %s", i.name, sig)
+	_ = i.process.Signal(sig) // it may have exited already
+}
+
+// isReady reports whether the instance says that it is ready.
+func (i *instance) isReady() bool {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + i.ready + names.ReadyPath)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 // pid returns the ID of the process, which was started.
 func (i *instance) pid() int {
 	i.mu.Lock()
@@ -123,14 +143,8 @@
 
 // awaitReady waits until the instance says that it is ready.
 func (i *instance) awaitReady(limit time.Duration) error {
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		resp, err := client.Get("http://" + i.ready + names.ReadyPath)
-		if err != nil {
-			continue
-		}
-		_ = resp.Body.Close()
-		if resp.StatusCode == http.StatusOK {
+		if i.isReady() {
 			i.record.note("%s is ready", i.name)
 			return nil
 		}
--- a/review/standin/names.go
+++ b/review/standin/names.go
@@ -27,6 +27,7 @@
 	UsageHeader      string         `json:"usageHeader"`
 	PrefixHeader     string         `json:"prefixHeader"`
 	LastEventHeader  string         `json:"lastEventHeader"`
+	TimeoutField     string         `json:"timeoutField"`
 	Key              string         `json:"key"`
 	Host             string         `json:"host"`
 	Config           map[string]any `json:"config"`
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -27,6 +27,8 @@
 	born     int64
 	sequence int
 	state    string
+	// silentUntil is when a server that has fallen silent goes on.
+	silentUntil time.Time
 }
 
 const (
@@ -115,6 +117,22 @@
 	v.record.note("server %s leaves, and says so in its answers", v.id)
 }
 
+// fallSilent lets the server send nothing for a while.
+func (v *server) fallSilent(d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.silentUntil = time.Now().Add(d)
+	v.record.note("server %s sends nothing for %v", v.id, d)
+}
+
+// awaitSpeech waits until the server goes on, if it is silent.
+func (v *server) awaitSpeech() {
+	v.mu.Lock()
+	until := v.silentUntil
+	v.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
 // sayLeaving adds to an answer that has not begun that the server leaves, if it does.
 func (v *server) sayLeaving(w http.ResponseWriter) {
 	if v.leaving() {
@@ -146,6 +164,7 @@
 	w.Header().Set(names.SealHeader, sealOf(id))
 	if !strings.HasPrefix(r.URL.Path, "/stream/") && !strings.HasPrefix(r.URL.Path, "/resume/") {
 		time.Sleep(callTime)
+		v.awaitSpeech()
 		v.sayLeaving(w)
 		_, _ = io.WriteString(w, callBody(id))
 		v.record.note("server %s ends %s", v.id, id)
