--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"net"
@@ -11,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -28,16 +30,26 @@
 	exited  chan struct{} // closed when the process has exited
 }
 
+// Ports are taken below those that the kernel gives to connections.
+const firstPort, lastPort = 20000, 32000
+
+var portCount atomic.Int64
+
 // freeAddress returns a loopback address on which nothing listens.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range lastPort - firstPort {
+		port := firstPort + (int64(os.Getpid())*613+portCount.Add(1))%(lastPort-firstPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		return l.Addr().String(), l.Close()
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errNoPort
 }
 
+var errNoPort = errors.New("no free port")
+
 // newInstances returns instances that are not started, one for each zone.
 func newInstances(dir string, r *record, zones ...string) ([]*instance, error) {
 	var list []*instance
