--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	ended    time.Time
 	status   int // zero if the connection ended without the head of an answer
 	sealed   bool
+	kept     bool // it was sent on a connection that had been used before
 	leaving  bool // the answer says that its server leaves
 	headAt   time.Time
 	body     string
@@ -58,15 +60,8 @@
 		r.err, r.ended = err, time.Now()
 		return r
 	}
-	req.Host = names.Host
-	req.Header.Set(names.RequestHeader, id)
-	req.Header.Set(names.DeadlineHeader, fmt.Sprint(deadline.Milliseconds()))
-	req.Header.Set("Authorization", "Bearer "+names.Key)
-	if strings.HasPrefix(path, "/stream/") || strings.HasPrefix(path, "/resume/") {
-		req.Header.Set(names.ModelHeader, "m")
-		req.Header.Set(names.UsageHeader, "1460,280")
-		req.Header.Set(names.PrefixHeader, id+":1460")
-	}
+	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { r.kept = i.Reused }}))
+	setHeaders(req, id, path, deadline)
 	c.record.note("client sends %s %s %s to %s", id, method, path, front)
 	resp, err := c.http.Do(req)
 	if err != nil {
@@ -79,3 +74,16 @@
 	r.status, r.sealed, r.body, r.err, r.ended = resp.StatusCode, resp.Header.Get(names.SealHeader) != "", string(data), err, time.Now()
 	return r
 }
+
+// setHeaders sets what the pages want in a request.
+func setHeaders(req *http.Request, id, path string, deadline time.Duration) {
+	req.Host = names.Host
+	req.Header.Set(names.RequestHeader, id)
+	req.Header.Set(names.DeadlineHeader, fmt.Sprint(deadline.Milliseconds()))
+	req.Header.Set("Authorization", "Bearer "+names.Key)
+	if strings.HasPrefix(path, "/stream/") || strings.HasPrefix(path, "/resume/") {
+		req.Header.Set(names.ModelHeader, "m")
+		req.Header.Set(names.UsageHeader, "1460,280")
+		req.Header.Set(names.PrefixHeader, id+":1460")
+	}
+}
