internal/watch: late records of endpoints do not replace newer ones

Cause: Balancer.Put took any other start time for a later start. A heartbeat that the store carried out 5 s late named the start before, so the endpoint was listed as a new one, without what it had said since.

The tracker now classifies each record by start time and sequence before it is used. A start that a later one has replaced, and a lower sequence of the same start, change nothing. A start with an earlier time that was never read may be a restart beside a clock set back: it counts once the listed one has not written for two heartbeat intervals, as far as records can be read. Ignored records are logged and counted.

Ruled out: departures lost between instances (each had an answer of its own).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -171,9 +171,12 @@
 	i.graceNanos.Store(int64(i.Grace))
 	i.balancer = &placement.Balancer{LocalDomain: i.Domain, OnChange: i.endpointChanged}
 	i.pool = &upstream.Pool{HeaderCodec: i.HeaderCodec, Dial: i.Dial}
-	i.tracker = &watch.EndpointTracker{Balancer: i.balancer, OnMissing: i.logMissing, OnInvalid: func(key string, fault error) {
-		i.logger.Warn(event.InvalidData, zap.String("key", key), zap.Error(fault))
-	}}
+	i.tracker = &watch.EndpointTracker{
+		Balancer: i.balancer, OnMissing: i.logMissing, OnIgnored: i.logIgnored, DisputeTime: 2 * i.heartbeatInterval(),
+		OnInvalid: func(key string, fault error) {
+			i.logger.Warn(event.InvalidData, zap.String("key", key), zap.Error(fault))
+		},
+	}
 	i.idleConns = &idleConns{MaxConns: i.maxCallerConns(), IdleTimeout: func() time.Duration { return i.handler.IdleTimeout() }}
 	i.lagMeter = &overload.Meter{OnChange: i.overloadChanged}
 	i.ledger = &admission.Ledger{}
@@ -327,7 +330,13 @@
 	i.idleConns.sweep(now)
 }
 
-func (i *Instance) removeExpired(context.Context) { i.tracker.RemoveExpired(time.Now()) }
+func (i *Instance) removeExpired(context.Context) {
+	now := time.Now()
+	i.tracker.RemoveExpired(now)
+	if p := i.endpoints.Position(now); p.Next > 0 {
+		i.tracker.ResolveDisputes(now.Add(-time.Duration(p.Age) * time.Millisecond))
+	}
+}
 
 // probe tries to connect to endpoints that are down. It does so in the background, so that
 // no request waits for an attempt that may fail.
--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -6,7 +6,9 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagestep/greengagestep/internal/event"
+	"github.com/greengagestep/greengagestep/internal/gauge"
 	"github.com/greengagestep/greengagestep/internal/watch"
+	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
 // maxAge returns how old the data of a feed may become. Of the instances that reach each other,
@@ -56,12 +58,13 @@
 
 // expiryTime returns how long an outage of the platform must last for records of endpoints to
 // expire: three intervals after the last write, which was up to one interval before the outage.
-func (i *Instance) expiryTime() time.Duration {
-	interval := i.HeartbeatInterval
-	if interval == 0 {
-		interval = defaultHeartbeatInterval
+func (i *Instance) expiryTime() time.Duration { return 2 * i.heartbeatInterval() }
+
+func (i *Instance) heartbeatInterval() time.Duration {
+	if i.HeartbeatInterval == 0 {
+		return defaultHeartbeatInterval
 	}
-	return 2 * interval
+	return i.HeartbeatInterval
 }
 
 // platformRecovered is called when the platform is reachable again after an outage, as seen by
@@ -75,3 +78,11 @@
 func (i *Instance) logMissing(id, cause string, until time.Time) {
 	i.logger.Info(event.Endpoint, zap.String("endpoint", id), zap.String("to", "missing"), zap.String("cause", cause), zap.Duration("kept", time.Until(until)))
 }
+
+// logIgnored counts and logs a record of an endpoint that is not used because of its age, and a
+// disputed one that is used from now on.
+func (i *Instance) logIgnored(id string, e fleet.EndpointInfo, age watch.RecordAge) {
+	i.handler.Metrics.Count(gauge.Name("endpoint_records_total", "age", string(age)))
+	i.logger.Info(event.Endpoint, zap.String("endpoint", id), zap.String("to", string(age)+" record"),
+		zap.Int64("born", e.Born), zap.Int64("sequence", e.Sequence), zap.Bool("leaving", e.Leaving))
+}
--- a/internal/watch/endpoint_tracker.go
+++ b/internal/watch/endpoint_tracker.go
@@ -21,12 +21,20 @@
 	// OnMissing is called when a record is missing and its endpoint is kept until a time
 	// at which the record may have been written again; nil is allowed.
 	OnMissing func(id, cause string, until time.Time)
+	// OnIgnored is called with a record that is outdated or disputed, and with the age of a
+	// disputed one once it counts as current; nil is allowed.
+	OnIgnored func(id string, e fleet.EndpointInfo, age RecordAge)
+	// DisputeTime is how long an endpoint has to write its record again after one with a
+	// start time that contradicts the order of the log; zero means that such a record counts
+	// as current at the next call of ResolveDisputes.
+	DisputeTime time.Duration
 
 	mu          sync.Mutex
 	recoveredAt time.Time // when the last outage of the platform ended; zero means that there was none
 	// missing holds endpoints without a record that are kept until the grace has passed.
 	missing map[string]bool
 	known   map[string]bool
+	order   recordOrder
 	synced  bool
 }
 
@@ -59,6 +67,7 @@
 		t.applyRecord(r, b.At)
 	}
 	if b.Snapshot {
+		t.order.removeOthers(listed, b.At)
 		for id := range t.known {
 			if !listed[id] {
 				t.drop(id, b.At, "no record")
@@ -78,15 +87,42 @@
 	case r.Value == nil:
 		t.drop(r.Key, now, "record removed")
 	default:
-		t.known[r.Key] = true
-		delete(t.missing, r.Key)
-		t.Balancer.Put(placement.Endpoint{ID: r.Key, EndpointInfo: *r.Value, Seen: now})
+		if age := t.order.add(r.Key, *r.Value, now); age != RecordCurrent {
+			t.ignored(r.Key, *r.Value, age)
+			return
+		}
+		t.put(r.Key, *r.Value, now)
+	}
+}
+
+func (t *EndpointTracker) put(id string, e fleet.EndpointInfo, now time.Time) {
+	t.known[id] = true
+	delete(t.missing, id)
+	t.Balancer.Put(placement.Endpoint{ID: id, EndpointInfo: e, Seen: now})
+}
+
+func (t *EndpointTracker) ignored(id string, e fleet.EndpointInfo, age RecordAge) {
+	if t.OnIgnored != nil {
+		t.OnIgnored(id, e, age)
+	}
+}
+
+// ResolveDisputes accepts disputed records whose endpoints have not written another one for
+// DisputeTime. All records that were written until dataAt must have been applied. It has to be
+// called periodically.
+func (t *EndpointTracker) ResolveDisputes(dataAt time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, e := range t.order.resolve(dataAt.Add(-t.DisputeTime)) {
+		t.ignored(id, e, RecordCurrent)
+		t.put(id, e, dataAt)
 	}
 }
 
 // drop removes an endpoint whose record is missing. If the record may have expired only because
 // of an outage of the platform, the endpoint gets recoveryGrace to write it again first.
 func (t *EndpointTracker) drop(id string, now time.Time, cause string) {
+	t.order.remove(id, now)
 	switch {
 	case !t.known[id] || t.missing[id]:
 	case now.Before(t.graceEnd()):
--- a/pkg/fleet/feed.go
+++ b/pkg/fleet/feed.go
@@ -42,4 +42,7 @@
 	// Born identifies the start of the endpoint process: it differs between
 	// starts. Zero means unknown.
 	Born int64
+	// Sequence grows with each record that the endpoint writes after one start. Zero means
+	// unknown.
+	Sequence int64
 }
