internal/peer: hear an instance that restarts after its clock was set back

The start of a live peer is now replaced by a larger one that it reports itself, and by a smaller one once the known start has been silent for as long as makes a peer lost. What others say of a live peer's start no longer replaces it: they may still know the earlier one.

TestInstanceThatRestartsWithClockSetBackIsHeard fails before (0 peers).

--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -142,19 +142,32 @@
 		p = &peer{Member: m, lastAnnounced: now, positions: map[string]int64{}, ringHash: hashID(m.Name)}
 		x.peers[m.Address] = p
 	}
-	if m.Name != "" && (p.Name == "" || m.Start > p.Start) {
-		// State exchanged with an earlier start at this address is obsolete.
-		p.Member, p.sequence, p.cacheFillsSent, p.ringHash = m, 0, 0, hashID(m.Name)
-		p.departuresNext, p.hasDepartures = 0, false
-		clear(p.positions)
-		if x.Crashes != nil {
-			x.Crashes.Restarted(p.Address)
-		}
+	// A live peer says itself when it has restarted: others may still know its earlier start.
+	if m.Name != "" && (p.Name == "" || m.Start > p.Start && !x.live(p, now)) {
+		x.setStart(p, m)
 	}
 	p.lastAnnounced = now
 	return p
 }
 
+// setStart sets the start of a peer. State exchanged with another start at its address is
+// obsolete.
+func (x *Exchange) setStart(p *peer, m Member) {
+	p.Member, p.sequence, p.cacheFillsSent, p.ringHash = m, 0, 0, hashID(m.Name)
+	p.departuresNext, p.hasDepartures = 0, false
+	clear(p.positions)
+	if x.Crashes != nil {
+		x.Crashes.Restarted(p.Address)
+	}
+}
+
+// hasRestarted reports whether a message comes from a later start of a peer than the known one. Its
+// start is smaller if the clock was set back; then the known start has to be silent first. The
+// caller holds the lock.
+func (x *Exchange) hasRestarted(p *peer, m Member, now time.Time) bool {
+	return m.Name != "" && (m.Start > p.Start || m.Start < p.Start && now.Sub(p.lastReceived) > x.silenceLimit(p, now))
+}
+
 // Serve implements suture.Service.
 func (x *Exchange) Serve(ctx context.Context) error {
 	x.mu.Lock()
@@ -339,6 +352,9 @@
 func (x *Exchange) receive(m wireMessage, now time.Time) {
 	x.mu.Lock()
 	p := x.addPeer(m.From, now)
+	if p != nil && x.hasRestarted(p, m.From, now) {
+		x.setStart(p, m.From)
+	}
 	if p == nil || m.From.Start < p.Start || m.From.Start == p.Start && m.Sequence <= p.sequence {
 		x.mu.Unlock()
 		return
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -20,8 +20,8 @@
 	Domain string `json:"d"`
 	// Address is where the instance listens for its peers, IP:port.
 	Address string `json:"a"`
-	// Start identifies one start of the instance; later starts have larger
-	// values.
+	// Start identifies one start of the instance. Later starts have larger values, unless
+	// the clock was set back in between.
 	Start int64 `json:"i"`
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -85,6 +85,41 @@
 	require.InDelta(t, 1.0, runs(), 0.1)
 }
 
+// An instance restarts after its clock was set back, so that its new start has the smaller value.
+// Its messages were ignored for good. Those of the start before that are still on their way, and
+// other instances that know only that start, change nothing.
+func TestInstanceThatRestartsWithClockSetBackIsHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newExchange("key")
+		x.Balancer.Put(placement.Endpoint{ID: "i-1", EndpointInfo: fleet.EndpointInfo{Service: "m", Address: "e", Slots: 4}})
+		send := func(name, address string, start, sequence, runs int, members ...map[string]any) {
+			work := peer.Pack(map[string]placement.Work{"i-1": {Runs: runs}})
+			data, err := json.Marshal(map[string]any{"f": map[string]any{"n": name, "a": address, "i": start}, "q": sequence, "w": work, "m": members})
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, postMessage(x, x.Key.Sign("ask", data), string(data)))
+		}
+		runs := func() float64 { return x.Balancer.Services(time.Now())["m"].Runs }
+		send("p", "10.0.0.2:80", 200, 50, 3)
+		require.InDelta(t, 3.0, runs(), 0.1)
+		send("p", "10.0.0.2:80", 100, 1, 9)
+		require.InDelta(t, 3.0, runs(), 0.1, "the known start is not silent yet")
+		time.Sleep(2 * time.Second)
+		send("p", "10.0.0.2:80", 100, 2, 1)
+		require.Equal(t, 1, x.Peers(time.Now()))
+		require.InDelta(t, 1.0, runs(), 0.1)
+		send("q", "10.0.0.3:80", 1, 1, 0, map[string]any{"n": "p", "a": "10.0.0.2:80", "i": 200})
+		x.AddPeer(peer.Member{Name: "p", Address: "10.0.0.2:80", Start: 200}, time.Now())
+		send("p", "10.0.0.2:80", 100, 3, 2)
+		require.InDelta(t, 2.0, runs(), 0.1)
+		time.Sleep(time.Second)
+		send("p", "10.0.0.2:80", 100, 4, 1)
+		time.Sleep(time.Second)
+		require.Equal(t, 1, x.Peers(time.Now()), "p is live, q is silent")
+		send("p", "10.0.0.2:80", 300, 1, 4)
+		require.InDelta(t, 4.0, runs(), 0.1)
+	})
+}
+
 // memoryValue is an in-memory fleet.WriteOnceValue: the first value written is kept.
 type memoryValue struct {
 	mu            sync.Mutex
