internal/placement: probes and load reports count for their incarnation only

RecordProbe and RecordLoad take the endpoint's record instead of its ID and ignore another incarnation. TestEarlierStartDoesNotSpeakForNextOne fails before. Found by reading, not seen in a run.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -344,7 +344,7 @@
 	for _, e := range i.balancer.Probes(time.Now()) {
 		service.Go(i.logger, "probe", func() {
 			err := i.pool.Probe(ctx, e.Address)
-			i.balancer.RecordProbe(e.ID, err == nil, time.Now())
+			i.balancer.RecordProbe(e, err == nil, time.Now())
 		})
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -87,7 +87,7 @@
 		answer.Close()
 	}()
 	c.sends++
-	c.h.Balancer.RecordLoad(c.choice.Endpoint.ID, answer.Attrs, time.Now())
+	c.h.Balancer.RecordLoad(c.choice.Endpoint, answer.Attrs, time.Now())
 	if answer.Attrs.NotRun {
 		run.End(placement.ResultRefused, time.Now())
 		discardBody(answer)
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -58,7 +58,7 @@
 		if err == nil {
 			return
 		}
-		h.Balancer.RecordProbe(endpoint.ID, false, time.Now())
+		h.Balancer.RecordProbe(endpoint, false, time.Now())
 		for isTimeout(err) && time.Since(broken) < silenceLimit {
 			if !run.MayProbe(time.Now()) {
 				return
@@ -66,7 +66,7 @@
 			err = h.probe(endpoint.Address)
 		}
 		if err == nil {
-			h.Balancer.RecordProbe(endpoint.ID, true, time.Now())
+			h.Balancer.RecordProbe(endpoint, true, time.Now())
 			return
 		}
 		if h.Quarantine != nil {
--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -135,12 +135,20 @@
 // current returns the state of the same incarnation that is listed now, which differs from s if the
 // record lapsed and came back; it returns s if there is none.
 func (b *Balancer) current(s *endpointState) *endpointState {
-	if listed := b.byID[s.ID]; listed != nil && listed.incarnation() == s.incarnation() {
+	if listed := b.listed(s.Endpoint); listed != nil {
 		return listed
 	}
 	return s
 }
 
+// listed returns the state of an endpoint, nil if its incarnation is not listed.
+func (b *Balancer) listed(e Endpoint) *endpointState {
+	if s := b.byID[e.ID]; s != nil && s.incarnation() == e.incarnation() {
+		return s
+	}
+	return nil
+}
+
 // Unavailability returns why no new request may be sent to the endpoint of a choice now.
 func (b *Balancer) Unavailability(c Choice, now time.Time) Unavailability {
 	b.mu.Lock()
--- a/internal/placement/availability_test.go
+++ b/internal/placement/availability_test.go
@@ -114,6 +114,25 @@
 	}
 }
 
+// A probe and a load report of the start before come late. They made the restarted endpoint
+// unavailable, or full, until the next probe or answer.
+func TestEarlierStartDoesNotSpeakForNextOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &placement.Balancer{}
+		b.Put(incarnation(1))
+		first := listedEndpoint(b, "i-0")
+		b.Put(incarnation(2))
+		b.RecordProbe(first, false, time.Now())
+		b.RecordLoad(first, fleet.ResponseAttrs{HasLoad: true, Running: 8, Waiting: 9, Slots: 3}, time.Now())
+		begin(t, b)
+		require.Equal(t, placement.Counts{Listed: 1, Runs: 1, Slots: 8}, b.Services(time.Now())["model"])
+		b.RecordProbe(listedEndpoint(b, "i-0"), false, time.Now())
+		requireUnavailable(t, b)
+		b.RecordProbe(first, true, time.Now())
+		requireUnavailable(t, b)
+	})
+}
+
 // A request that was chosen an endpoint before that became unavailable is not sent to it.
 func TestBeginRefusesEndpointThatBecameUnavailable(t *testing.T) {
 	for reason, change := range map[placement.Unavailability]func(*placement.Balancer, *placement.Run){
@@ -129,7 +148,9 @@
 		placement.UnavailableQuiet: func(_ *placement.Balancer, run *placement.Run) {
 			run.RecordHead(fleet.ResponseAttrs{QuietFor: time.Second}, time.Now())
 		},
-		placement.UnavailableDown: func(b *placement.Balancer, _ *placement.Run) { b.RecordProbe("i-0", false, time.Now()) },
+		placement.UnavailableDown: func(b *placement.Balancer, _ *placement.Run) {
+			b.RecordProbe(listedEndpoint(b, "i-0"), false, time.Now())
+		},
 	} {
 		t.Run(string(reason), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -153,7 +174,7 @@
 		b := &placement.Balancer{}
 		b.Put(incarnation(1))
 		run := begin(t, b)
-		b.RecordProbe("i-0", false, time.Now())
+		b.RecordProbe(listedEndpoint(b, "i-0"), false, time.Now())
 		time.Sleep(time.Minute)
 		require.Len(t, b.Probes(time.Now()), 1)
 		require.True(t, run.MayProbe(time.Now()))
@@ -277,7 +298,7 @@
 		require.Empty(t, departures(b))
 		require.True(t, b.Grant("p", reservation("i-0"), time.Now()))
 		require.Equal(t, 8.0, b.Services(time.Now())["model"].Slots)
-		b.RecordProbe("i-0", false, time.Now())
+		b.RecordProbe(listedEndpoint(b, "i-0"), false, time.Now())
 		require.False(t, b.Grant("p", reservation("i-0"), time.Now()), "it is down")
 	})
 }
@@ -289,7 +310,7 @@
 		b.Put(incarnation(1))
 		run := begin(t, b)
 		run.RecordHead(fleet.ResponseAttrs{QuietFor: time.Minute}, time.Now())
-		b.RecordProbe("i-0", false, time.Now())
+		b.RecordProbe(listedEndpoint(b, "i-0"), false, time.Now())
 		time.Sleep(time.Minute - time.Nanosecond)
 		require.Empty(t, b.Probes(time.Now()))
 		require.False(t, run.MayProbe(time.Now()))
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -235,14 +235,14 @@
 }
 
 // RecordLoad records the load that an endpoint reported in the headers of a response.
-// Responses without a report and unknown endpoints are ignored.
-func (b *Balancer) RecordLoad(id string, r fleet.ResponseAttrs, now time.Time) {
+// Responses without a report are ignored, and those of another incarnation than the listed one.
+func (b *Balancer) RecordLoad(e Endpoint, r fleet.ResponseAttrs, now time.Time) {
 	if !r.HasLoad {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.byID[id]
+	s := b.listed(e)
 	if s == nil {
 		return
 	}
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -163,7 +163,7 @@
 	require.Empty(t, b.Probes(start))
 	due := b.Probes(start.Add(time.Second))
 	require.Len(t, due, 1)
-	b.RecordProbe("i-0", true, start.Add(time.Second))
+	b.RecordProbe(listedEndpoint(b, "i-0"), true, start.Add(time.Second))
 	_, ok = b.Choose(newRequest(1), start.Add(time.Second))
 	require.True(t, ok)
 }
--- a/internal/placement/fault.go
+++ b/internal/placement/fault.go
@@ -134,11 +134,12 @@
 }
 
 // RecordProbe records whether a connection to an endpoint could be made: if so, the
-// endpoint gets requests again, else it is down. An unknown ID is ignored.
-func (b *Balancer) RecordProbe(id string, ok bool, now time.Time) {
+// endpoint gets requests again, else it is down. An endpoint that is not listed is ignored, as is
+// another incarnation than the listed one.
+func (b *Balancer) RecordProbe(e Endpoint, ok bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.byID[id]
+	s := b.listed(e)
 	switch {
 	case s == nil:
 	case ok:
--- a/internal/placement/host_test.go
+++ b/internal/placement/host_test.go
@@ -10,8 +10,18 @@
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
+// listedEndpoint returns the record of an endpoint.
+func listedEndpoint(b *placement.Balancer, id string) placement.Endpoint {
+	for _, e := range b.Endpoints() {
+		if e.ID == id {
+			return e
+		}
+	}
+	panic("no endpoint " + id)
+}
+
 func reportHost(b *placement.Balancer, id string, slowdown float64, now time.Time) {
-	b.RecordLoad(id, fleet.ResponseAttrs{HasLoad: true, Slots: 8, HostSlowdown: slowdown}, now)
+	b.RecordLoad(listedEndpoint(b, id), fleet.ResponseAttrs{HasLoad: true, Slots: 8, HostSlowdown: slowdown}, now)
 }
 
 // Endpoints share their machines with others, whose load changes several times a second: of
--- a/internal/placement/silence_test.go
+++ b/internal/placement/silence_test.go
@@ -104,7 +104,7 @@
 	require.Zero(t, chosenOf(t, b, 50, now)["i-0"], "chosen while no connection can be made")
 	now = now.Add(700 * time.Millisecond)
 	require.Len(t, b.Probes(now), 1)
-	b.RecordProbe("i-0", false, now)
+	b.RecordProbe(listedEndpoint(b, "i-0"), false, now)
 	require.Zero(t, chosenOf(t, b, 50, now)["i-0"])
 	stream.RecordData(now)
 	require.InEpsilon(t, want, choose(t, b, r, now).Expected, 0.02)
@@ -126,7 +126,7 @@
 	stream.RecordData(now.Add(100 * time.Millisecond))
 	_, ok := b.Choose(shortRequest(), now.Add(100*time.Millisecond))
 	require.False(t, ok)
-	b.RecordProbe("i-0", true, now.Add(300*time.Millisecond))
+	b.RecordProbe(listedEndpoint(b, "i-0"), true, now.Add(300*time.Millisecond))
 	_, ok = b.Choose(shortRequest(), now.Add(300*time.Millisecond))
 	require.True(t, ok)
 }
