internal/gateway: check every event of a stream before the caller gets it

Cause: relayStream passed on any block that ends with an empty line and compared IDs only after a resumption, there only the first one of a read.

Every event now needs one numeric ID, the next in turn, and data, at the first attempt and later ones. At the first invalid event the attempt ends; the caller has what was sound before it, and another endpoint goes on where the route permits it. Comments, settings and unknown fields pass, as do IDs of services without streams.

Ruled out: damage in the framing, which ends the stream with an error already. TestSpoiledEventsDoNotReachCaller: 26 cases fail before, the 11 sound ones pass before and after.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -101,7 +101,7 @@
 		result = placement.ResultRefused
 	}
 	run.End(result, time.Now())
-	if o.kind == outcomeUnknown && ctx.Err() == nil {
+	if o.kind == outcomeUnknown && o.reason == fleet.ReasonEndpointFailed && ctx.Err() == nil {
 		c.probeForCrash()
 	}
 	return o
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/greengagestep/greengagestep/internal/placement"
 	"github.com/greengagestep/greengagestep/internal/upstream"
+	"github.com/greengagestep/greengagestep/pkg/arrangement"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
@@ -18,14 +19,13 @@
 
 var (
 	errEventTooLong    = errors.New("stream event exceeds the maximum size")
-	errEventOrder      = errors.New("stream events are missing or out of order")
 	errIncompleteEvent = errors.New("stream ended within an event")
 	errNoEvent         = errors.New("stream ended with its connection before the first event")
 )
 
 // relayStream copies an event stream to the caller, complete events only. If the
 // stream breaks, the caller has no partial event, so that another endpoint can resume the
-// stream after the last one.
+// stream after the last one. On a route for streams, an invalid event breaks it.
 func (c *call) relayStream(a *upstream.Answer, run *placement.Run) outcome {
 	timer := c.stallTimer(a)
 	if timer != nil {
@@ -34,7 +34,15 @@
 	buf := copyBuffers.Get().(*[copyBufferBytes]byte)
 	defer copyBuffers.Put(buf)
 	broken := func(err error) outcome {
-		return outcome{kind: outcomeUnknown, reason: fleet.ReasonEndpointFailed, cause: err}
+		reason := fleet.ReasonEndpointFailed
+		if errors.Is(err, errNotEvent) || errors.Is(err, errEventOrder) {
+			reason = fleet.ReasonInvalidResponse
+		}
+		return outcome{kind: outcomeUnknown, reason: reason, cause: err}
+	}
+	var sequence *eventSequence
+	if c.route.Stream || c.route.Repeat == arrangement.RepeatResume {
+		sequence = c.newEventSequence()
 	}
 	var pending []byte
 	firstEventAt, lastEventAt, events := time.Time{}, time.Time{}, 0
@@ -53,7 +61,11 @@
 			return broken(errEventTooLong)
 		}
 		end := completeEventsEnd(pending)
-		if end > 0 {
+		part, last, invalid := pending[:end], int64(0), error(nil)
+		if sequence != nil {
+			part, last, invalid = sequence.next(part)
+		}
+		if end > 0 && (invalid == nil || len(part) > 0) {
 			c.recordFirst(run)
 			now := time.Now()
 			if firstEventAt.IsZero() {
@@ -66,11 +78,14 @@
 			if timer != nil && hasData(pending[:end]) {
 				timer.Reset(silenceLimit)
 			}
-			if ferr := c.forward(a, pending[:end]); ferr != nil {
+			if ferr := c.forward(a, part, last); ferr != nil {
 				return broken(ferr)
 			}
-			pending = append(pending[:0], pending[end:]...)
 		}
+		if invalid != nil {
+			return broken(invalid)
+		}
+		pending = append(pending[:0], pending[end:]...)
 		if err == io.EOF && len(pending) > 0 {
 			return broken(errIncompleteEvent)
 		}
@@ -107,90 +122,18 @@
 	return time.AfterFunc(silenceLimit, a.Abandon)
 }
 
-// completeEventsEnd returns the offset after the last complete event, 0 if there is none.
-func completeEventsEnd(p []byte) int {
-	i := bytes.LastIndex(p, []byte("\n\n"))
-	j := bytes.LastIndex(p, []byte("\r\n\r\n"))
-	switch {
-	case j > i:
-		return j + len("\r\n\r\n")
-	case i >= 0:
-		return i + len("\n\n")
-	}
-	return 0
-}
-
-// firstEventEnd returns the offset after the first complete event, 0 if there is none.
-func firstEventEnd(p []byte) int {
-	end := 0
-	for _, separator := range []string{"\n\n", "\r\n\r\n"} {
-		if i := bytes.Index(p, []byte(separator)); i >= 0 && (end == 0 || i+len(separator) < end) {
-			end = i + len(separator)
-		}
-	}
-	return end
-}
-
-// forward writes complete events to the caller, without those that it already has. It
-// returns an error if the write fails or if events are missing after a resumption.
-func (c *call) forward(a *upstream.Answer, events []byte) error {
-	if c.headersSent && c.runs > 1 {
-		events = c.dropRelayed(events)
-	}
+// forward writes complete events to the caller. Last is the ID of the last one, zero if they have
+// none.
+func (c *call) forward(a *upstream.Answer, events []byte, last int64) error {
 	if len(events) == 0 {
 		return nil
 	}
-	first, last := eventIDs(events)
-	if before, ok := parseEventID(c.lastEventID); ok && c.runs > 1 {
-		if next, ok := parseEventID(first); ok && next > before+1 {
-			return errEventOrder
-		}
-	}
 	c.sendHeaders(a)
 	if _, err := c.w.Write(events); err != nil {
 		return err
 	}
-	if last != "" {
-		c.lastEventID = last
+	if last > 0 {
+		c.lastEventID = strconv.FormatInt(last, 10)
 	}
 	return http.NewResponseController(c.w).Flush()
 }
-
-// dropRelayed removes the leading events that the caller already has, by their IDs.
-// It stops at the first event without a numeric ID.
-func (c *call) dropRelayed(events []byte) []byte {
-	seen, ok := parseEventID(c.lastEventID)
-	if !ok {
-		return events
-	}
-	for len(events) > 0 {
-		end := firstEventEnd(events)
-		id, _ := eventIDs(events[:end])
-		if n, ok := parseEventID(id); end == 0 || !ok || n > seen {
-			return events
-		}
-		events = events[end:]
-	}
-	return nil
-}
-
-// eventIDs returns the first and the last ID in a sequence of events; they are empty if
-// no event has one.
-func eventIDs(events []byte) (first, last string) {
-	for line := range bytes.Lines(events) {
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
-			continue
-		}
-		last = string(bytes.TrimSpace(value))
-		if first == "" {
-			first = last
-		}
-	}
-	return first, last
-}
-
-func parseEventID(id string) (int64, bool) {
-	n, err := strconv.ParseInt(id, 10, 64)
-	return n, err == nil
-}
