internal/gateway: a silent stream moves only if another endpoint takes it

Cause: the stream was given up for the silence before it was known whether a retry was left and another endpoint took requests. Without either it was cut off, as the lines attempt and request how=broken of each lost request show.

A stream of which the caller has a part is now given up only once a retry is withdrawn and another endpoint has no queue; the check is repeated meanwhile.

Ruled out: the changes of the configuration themselves (14,398 requests beside them with silences of 1.2 s, none cut).

TestSilentStreamThatCannotMoveGoesOn and TestSilentStreamMovesOnceItCan fail before. That the users saw this is suspected only.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,8 +102,11 @@
 	lastAttempt quarantine.Attempt
 	stopWatch   func()        // ends the watch of the quarantine in the last attempt; nil without a quarantine
 	crashProbe  chan struct{} // closed when the endpoint of the last attempt was probed for a crash; nil if it is not
-	headersSent bool          // response headers were written to the caller
-	lastEventID string        // ID of the last event written to the caller; empty if none
+	// retryWithdrawn is set if the retry after the last attempt has been taken out of the
+	// budget already.
+	retryWithdrawn bool
+	headersSent    bool   // response headers were written to the caller
+	lastEventID    string // ID of the last event written to the caller; empty if none
 }
 
 // ServeHTTP implements http.Handler.
@@ -189,6 +192,10 @@
 
 // shouldRetry reports whether the request is retried at another endpoint.
 func (c *call) shouldRetry(o outcome) bool {
+	if c.retryWithdrawn {
+		c.retryWithdrawn = false
+		return true
+	}
 	if c.headersSent && o.kind == outcomeNotRun {
 		// The caller has a part of the response; another endpoint may still
 		// deliver the rest.
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/greengagestep/greengagestep/internal/audit"
+	"github.com/greengagestep/greengagestep/internal/budget"
 	"github.com/greengagestep/greengagestep/internal/placement"
 	"github.com/greengagestep/greengagestep/internal/quarantine"
 	"github.com/greengagestep/greengagestep/pkg/arrangement"
@@ -67,6 +68,75 @@
 	}
 }
 
+// A sound endpoint is silent in the middle of a stream for longer than another one would wait to
+// take over, but none can: there is no other endpoint, or no retry is left. The stream was cut off.
+func TestSilentStreamThatCannotMoveGoesOn(t *testing.T) {
+	const silence = 2300 * time.Millisecond
+	for name, prepare := range map[string]func(g *testGateway, serve endpointFunc){
+		"no other endpoint": func(*testGateway, endpointFunc) {},
+		"no retry left": func(g *testGateway, serve endpointFunc) {
+			g.addEndpoint("i-2", serve)
+			g.handler.Budget = &budget.Budget{Ratio: 1e-9}
+		},
+		"others leave": func(g *testGateway, serve endpointFunc) {
+			g.addEndpoint("i-2", serve)
+			for _, e := range g.balancer.Endpoints() {
+				e.Leaving = e.ID == "i-2"
+				g.balancer.Put(e)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				defer time.Sleep(time.Minute)
+				g := newTestGateway(t, streamConfig())
+				var runs atomic.Int64
+				serve := func(r *http.Request, _ string, w io.Writer) bool {
+					runs.Add(1)
+					startStream(w, r)
+					_ = writeChunk(w, "id: 1\ndata: a\n\n")
+					time.Sleep(silence)
+					_ = writeChunk(w, "id: 2\ndata: b\n\n")
+					_ = writeChunk(w, "")
+					return true
+				}
+				g.addEndpoint("i-1", serve)
+				prepare(g, serve)
+				body, err := g.stream(30 * time.Second)
+				require.NoError(t, err)
+				require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", body)
+				require.EqualValues(t, 1, runs.Load())
+			})
+		})
+	}
+}
+
+// Another endpoint becomes available while the first one is silent: the stream moves then.
+func TestSilentStreamMovesOnceItCan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(time.Minute)
+		g := newTestGateway(t, streamConfig())
+		serve := func(r *http.Request, _ string, w io.Writer) bool {
+			startStream(w, r)
+			if r.Header.Get("After") != "" {
+				_ = writeChunk(w, "id: 2\ndata: b\n\n")
+				_ = writeChunk(w, "")
+				return true
+			}
+			_ = writeChunk(w, "id: 1\ndata: a\n\n")
+			_, _ = w.(io.Reader).Read(make([]byte, 1))
+			return false
+		}
+		g.addEndpoint("i-1", serve)
+		time.AfterFunc(5*time.Second, func() { g.addEndpoint("i-2", serve) })
+		start := time.Now()
+		body, err := g.stream(30 * time.Second)
+		require.NoError(t, err)
+		require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", body)
+		require.Less(t, time.Since(start), 5500*time.Millisecond)
+	})
+}
+
 // An endpoint stays silent in a stream that another one can resume: its work must be ended before
 // the other one begins, and the caller, who leaves after two seconds, must get the rest in time.
 func TestSilentStreamMovesBeforeCallerLeaves(t *testing.T) {
--- /dev/null
+++ b/internal/gateway/stall.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/greengagestep/greengagestep/internal/upstream"
+)
+
+// silenceLimit is how long an endpoint may send nothing until work that another one can take over
+// is taken from it: sound endpoints pause for a second or so, and callers of streams leave after a
+// pause of two seconds or more.
+const silenceLimit = 1700 * time.Millisecond
+
+// stallRecheckInterval is the pause between two checks whether another endpoint can take over a
+// stream whose endpoint has been silent for silenceLimit.
+const stallRecheckInterval = 100 * time.Millisecond
+
+// stallWatch abandons the attempt of a stream that makes no progress, so that another endpoint
+// resumes it. A stream of which the caller has a part is abandoned only if another endpoint and a
+// retry are available: a silent endpoint may be sound. It is safe for concurrent use.
+type stallWatch struct {
+	call   *call
+	answer *upstream.Answer
+
+	mu      sync.Mutex
+	timer   *time.Timer // nil once the watch has ended
+	relayed bool        // the caller has a part of the stream
+	moved   bool        // the attempt was abandoned, and its retry has been withdrawn
+}
+
+// watchStall starts a watch. It returns nil if no other endpoint may resume the stream: then it is
+// read to its end, however long it pauses.
+func (c *call) watchStall(a *upstream.Answer) *stallWatch {
+	if !c.repeatable() || c.runs >= c.maxRuns() {
+		return nil
+	}
+	w := &stallWatch{call: c, answer: a, relayed: c.headersSent}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(silenceLimit, w.check)
+	return w
+}
+
+func (w *stallWatch) check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer == nil {
+		return
+	}
+	if w.relayed && !w.call.withdrawMove() {
+		w.timer.Reset(stallRecheckInterval)
+		return
+	}
+	w.moved = w.relayed
+	w.answer.Abandon()
+}
+
+// relay records that the caller gets a part of the stream. Only one with data is progress.
+func (w *stallWatch) relay(progress bool) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.relayed = true
+	if progress {
+		w.timer.Reset(silenceLimit)
+	}
+}
+
+// end ends the watch. It reports whether the retry of the attempt has been withdrawn.
+func (w *stallWatch) end() (moved bool) {
+	if w == nil {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer.Stop()
+	w.timer = nil
+	return w.moved
+}
+
+// withdrawMove withdraws a retry if another endpoint than the one of the current attempt takes
+// requests and has none waiting: one that is full would refuse the stream, which then has no
+// endpoint left. It reports whether it did. It may be called while the attempt is in progress.
+func (c *call) withdrawMove() bool {
+	if c.sends >= maxSends {
+		return false
+	}
+	now := time.Now()
+	r := c.placementRequest()
+	r.Avoid = append(r.Avoid, c.choice.Endpoint.ID)
+	if choice, ok := c.h.Balancer.Choose(r, now); !ok || choice.Wait > 0 {
+		return false
+	}
+	return c.h.Budget.Withdraw(c.service, now)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,10 +27,8 @@
 // stream breaks, the caller has no partial event, so that another endpoint can resume the
 // stream after the last one. On a route for streams, an invalid event breaks it.
 func (c *call) relayStream(a *upstream.Answer, run *placement.Run) outcome {
-	timer := c.stallTimer(a)
-	if timer != nil {
-		defer timer.Stop()
-	}
+	watch := c.watchStall(a)
+	defer func() { c.retryWithdrawn = watch.end() }()
 	buf := copyBuffers.Get().(*[copyBufferBytes]byte)
 	defer copyBuffers.Put(buf)
 	broken := func(err error) outcome {
@@ -75,9 +73,7 @@
 				c.longestGap = max(c.longestGap, now.Sub(lastEventAt))
 			}
 			lastEventAt = now
-			if timer != nil && hasData(pending[:end]) {
-				timer.Reset(silenceLimit)
-			}
+			watch.relay(hasData(pending[:end]))
 			if ferr := c.forward(a, part, last); ferr != nil {
 				return broken(ferr)
 			}
@@ -108,20 +104,6 @@
 	return bytes.HasPrefix(events, []byte("data:")) || bytes.Contains(events, []byte("\ndata:"))
 }
 
-// silenceLimit is how long an endpoint may send nothing until work that another one can take over
-// is taken from it: sound endpoints pause for a second or so, and callers of streams leave after a
-// pause of two seconds or more.
-const silenceLimit = 1700 * time.Millisecond
-
-// stallTimer returns a timer that abandons a stalled stream. It returns nil if no other
-// endpoint may resume the stream: then it is read to its end, however long it pauses.
-func (c *call) stallTimer(a *upstream.Answer) *time.Timer {
-	if !c.repeatable() || c.runs >= c.maxRuns() {
-		return nil
-	}
-	return time.AfterFunc(silenceLimit, a.Abandon)
-}
-
 // forward writes complete events to the caller. Last is the ID of the last one, zero if they have
 // none.
 func (c *call) forward(a *upstream.Answer, events []byte, last int64) error {
