--- a/internal/watch/endpoint_tracker.go
+++ b/internal/watch/endpoint_tracker.go
@@ -16,7 +16,8 @@
 // fields are set before the first call. It is safe for concurrent use.
 type EndpointTracker struct {
 	Balancer *placement.Balancer
-	// OnInvalid is called with a record that cannot be used; nil is allowed.
+	// OnInvalid is called with a record that cannot be used; nil is allowed. What the
+	// records before it said holds.
 	OnInvalid func(key string, fault error)
 	// OnMissing is called when a record is missing and its endpoint is kept until a time
 	// at which the record may have been written again; nil is allowed.
@@ -83,7 +84,6 @@
 		if t.OnInvalid != nil {
 			t.OnInvalid(r.Key, r.Err)
 		}
-		t.remove(r.Key, "its record cannot be read")
 	case r.Value == nil:
 		t.drop(r.Key, now, "record removed")
 	default:
--- a/internal/watch/follow.go
+++ b/internal/watch/follow.go
@@ -251,7 +251,13 @@
 func (f *Follower[T]) reset(records []fleet.KeyedRecord[T], next int64, read Position, at time.Time) {
 	f.initialized, f.next, f.confirmedAt = true, next, time.Time{}
 	f.confirm(read, at)
+	old := f.latest
 	f.recent, f.latest = nil, map[string]*Encoded[T]{}
+	for _, r := range records {
+		if v := old[r.Key]; r.Err != nil && v != nil {
+			f.latest[r.Key] = v
+		}
+	}
 	f.retain(records)
 	f.recent = nil
 	f.OnBatch(Batch[T]{Records: records, Snapshot: true, At: time.Now()})
@@ -280,9 +286,13 @@
 func (f *Follower[T]) retain(records []fleet.KeyedRecord[T]) {
 	for _, k := range records {
 		r := Record[T]{Key: k.Key}
-		if k.Value == nil {
+		switch {
+		case k.Err != nil:
+			// The record before it still holds.
+			r.Invalid = true
+		case k.Value == nil:
 			delete(f.latest, k.Key)
-		} else {
+		default:
 			r.Value = &Encoded[T]{value: k.Value}
 			f.latest[k.Key] = r.Value
 		}
@@ -356,11 +366,13 @@
 	Snapshot bool `json:"w,omitempty"`
 }
 
-// Record is a record in an Update. A nil value means that the key was removed or its value
-// could not be read.
+// Record is a record in an Update. A nil value means that the key was removed, unless Invalid is
+// set.
 type Record[T any] struct {
 	Key   string      `json:"k"`
 	Value *Encoded[T] `json:"v,omitempty"`
+	// Invalid is set if the value could not be read.
+	Invalid bool `json:"x,omitempty"`
 }
 
 // relayDelay is how long an instance does not pass on records that it got from another one:
@@ -395,7 +407,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for key, v := range f.latest {
-		u.Records = append(u.Records, Record[T]{key, v})
+		u.Records = append(u.Records, Record[T]{Key: key, Value: v})
 	}
 	return u
 }
--- a/internal/watch/follow_test.go
+++ b/internal/watch/follow_test.go
@@ -513,3 +513,36 @@
 	require.Equal(t, 1, endpointCount(b))
 	require.Equal(t, 1, invalid)
 }
+
+// A record that cannot be used does not remove the one before it, neither at the instance that read
+// it nor at others that get it from there or read a snapshot.
+func TestInvalidRecordKeepsTheOneBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &endpointLog{refused: map[string]bool{}}
+		ctx := t.Context()
+		var balancers []*placement.Balancer
+		newFollower := func() *watch.Follower[fleet.EndpointInfo] {
+			b := &placement.Balancer{}
+			balancers = append(balancers, b)
+			return newEndpointFollower(endpointFeed{log, "a"}, &watch.EndpointTracker{Balancer: b}, time.Second)
+		}
+		log.append("e1", endpointInfo("e1:80"))
+		reader, peer, late := newFollower(), newFollower(), newFollower()
+		require.NoError(t, reader.ReadOnce(ctx))
+		require.NoError(t, peer.ReadOnce(ctx))
+		log.records = append(log.records, fleet.KeyedRecord[fleet.EndpointInfo]{Key: "e1", Err: errors.New("incomplete")})
+		require.NoError(t, reader.ReadOnce(ctx))
+		data, err := reader.EncodeUpdate(peer.Position(time.Now()).Next, true, time.Now())
+		require.NoError(t, err)
+		_, err = peer.Receive(data, true, time.Now())
+		require.NoError(t, err)
+		require.Equal(t, reader.Position(time.Now()).Next, peer.Position(time.Now()).Next)
+		data, err = reader.EncodeSnapshot(time.Now())
+		require.NoError(t, err)
+		_, err = late.Receive(data, false, time.Now())
+		require.NoError(t, err)
+		for _, b := range balancers {
+			require.Equal(t, []string{"e1"}, endpointIDs(b))
+		}
+	})
+}
--- a/internal/watch/incarnation_test.go
+++ b/internal/watch/incarnation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -64,6 +65,7 @@
 //
 //	write ENDPOINT [born=N] [sequence=N] [leaving]   the platform's log gets a record
 //	remove ENDPOINT      the record is removed
+//	spoil ENDPOINT       another writer writes a record that cannot be used
 //	snapshot ENDPOINT [born=N] [sequence=N] [leaving]   all records are read at once; this is the only one
 //	answer ENDPOINT      the endpoint says in an answer that it leaves
 //	outage, recover      the log cannot be read; it can be again
@@ -76,6 +78,8 @@
 	switch words[0] {
 	case "write":
 		apply(s.tracker, now, false, parseRecord(s.t, args))
+	case "spoil":
+		apply(s.tracker, now, false, fleet.KeyedRecord[fleet.EndpointInfo]{Key: args[0], Err: errors.New("fields are missing")})
 	case "remove":
 		apply(s.tracker, now, false, fleet.KeyedRecord[fleet.EndpointInfo]{Key: args[0]})
 	case "snapshot":
--- a/internal/watch/record.go
+++ b/internal/watch/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"sync"
 
 	"github.com/greengagestep/greengagestep/pkg/fleet"
@@ -42,9 +43,15 @@
 	return n
 }
 
+// errInvalidRecord is the error of a record that another instance could not read.
+var errInvalidRecord = errors.New("watch: record that another instance could not read")
+
 // toKeyed returns a record in the form in which a feed returns it.
 func (r Record[T]) toKeyed() fleet.KeyedRecord[T] {
 	k := fleet.KeyedRecord[T]{Key: r.Key}
+	if r.Invalid {
+		k.Err = errInvalidRecord
+	}
 	if r.Value != nil {
 		k.Value = r.Value.value
 	}
