internal/upstream: an attempt does not reuse a connection of an earlier one

Cause: a response is matched by the ID of the request, which is the same for all its attempts, and the pool is by address, so that a request that was rejected under an old ID of an endpoint goes over the same connection under the new one.

TestLateCopyOfRejectionDoesNotAnswerNextAttempt fails before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -187,7 +187,7 @@
 	c.h.HeaderCodec.RewriteForEndpoint(header, fleet.ForwardAttrs{
 		Endpoint: c.choice.Endpoint.ID, Customer: c.customer, Remaining: c.timeLeft(), LastEventID: after,
 	})
-	return upstream.Request{Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body, HeaderTimeout: c.responseTimeout()}
+	return upstream.Request{Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body, HeaderTimeout: c.responseTimeout(), Earlier: &c.connections}
 }
 
 const (
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,6 +93,7 @@
 	sends       int                     // attempts that may have reached an endpoint
 	runs        int                     // attempts that an endpoint may have run
 	avoid       []string                // endpoints whose attempts failed or were refused
+	connections upstream.Connections    // of all attempts
 	refusedBy   []string                // endpoints whose home instance refused a reservation
 	grant       fleet.ReservationResult // result of the last reservation; empty if none was requested
 	choice      placement.Choice
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -79,6 +80,9 @@
 	// HeaderTimeout bounds the wait for the header of the response; zero means
 	// that only the context does.
 	HeaderTimeout time.Duration
+	// Earlier holds the connections of earlier attempts of the same request; the one of this
+	// attempt is added. Nil means that there are no other attempts.
+	Earlier *Connections
 	// Permit is called when a connection is ready, right before the request is sent; if it
 	// returns an error, the request is not sent. Nil means that it always is.
 	Permit func() error
@@ -87,6 +91,22 @@
 	OnHead func(fleet.ResponseAttrs)
 }
 
+// Connections are the connections over which one request has been sent. An endpoint may send a
+// second copy of an answer late, and the copy has the ID of the request: on a connection of an
+// earlier attempt it could not be told from the answer to a later one. The zero value is empty. It
+// is not safe for concurrent use.
+type Connections struct {
+	list []*conn
+}
+
+func (c *Connections) add(n *conn) {
+	if c != nil {
+		c.list = append(c.list, n)
+	}
+}
+
+func (c *Connections) contains(n *conn) bool { return c != nil && slices.Contains(c.list, n) }
+
 // Pool sends requests to endpoints and keeps idle connections to them for reuse.
 // Exported fields must be set before the first call. It is safe for concurrent use.
 type Pool struct {
@@ -154,7 +174,7 @@
 // connection is closed, so that the endpoint stops processing. It returns a *Failure if
 // there is no response.
 func (p *Pool) Send(ctx context.Context, address string, r Request, id string) (*Answer, error) {
-	c, err := p.get(ctx, address)
+	c, err := p.get(ctx, address, r.Earlier)
 	if err != nil && ctx.Err() != nil {
 		// The request ended; this says nothing about the endpoint.
 		return nil, &Failure{Reason: fleet.ReasonCancelled, Cause: err}
@@ -172,6 +192,7 @@
 			return nil, &Failure{Reason: fleet.ReasonNoEndpoint, Cause: err}
 		}
 	}
+	r.Earlier.add(c)
 	a := &Answer{pool: p, conn: c}
 	a.stopAfterFunc = context.AfterFunc(ctx, c.abort)
 	if r.HeaderTimeout > 0 {
@@ -345,10 +366,10 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
-// get returns the most recently used idle connection, or a new one.
-func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+// get returns the most recently used idle connection that is not excluded, or a new one.
+func (p *Pool) get(ctx context.Context, address string, excluded *Connections) (*conn, error) {
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(address, excluded)
 		if c == nil {
 			break
 		}
@@ -360,16 +381,17 @@
 	return p.dial(ctx, address)
 }
 
-func (p *Pool) popIdle(address string) *conn {
+func (p *Pool) popIdle(address string, excluded *Connections) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !excluded.contains(c) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // Probe checks that a connection can be established, and keeps it in the pool for a
