internal/gateway: bound the memory of request bodies

Cause: each body was read whole before anything else was decided, into a buffer that grows by doubling, and nothing bounded their sum.

One that finds no room is refused at once with 503 and Retry-After, reason body-memory-short; the gauge body_bytes shows the sum.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -113,6 +113,8 @@
 	// library.
 	callerMemoryShare = 0.2
 	connectionBytes   = 24 << 10
+	// bodyMemoryShare is the fraction of the memory that the bodies of requests may take.
+	bodyMemoryShare = 0.3
 	// endpointsMaxAge and operatorsMaxAge are how old the data about endpoints and the
 	// configuration may become before the platform is read: a leaving endpoint and a
 	// new version must be known well within two seconds.
@@ -184,6 +186,7 @@
 	i.handler = &gateway.Handler{
 		HeaderCodec: i.HeaderCodec, Balancer: i.balancer, Overload: i.lagMeter, Ledger: i.ledger, RetryDetector: &admission.RetryDetector{},
 		Pool: i.pool, Quarantine: i.quarantine, Metrics: &gauge.Set{Gauges: i.gauges}, Logger: i.logger,
+		Bodies: gateway.BodyMemory{MaxBytes: int64(bodyMemoryShare * float64(i.MaxMemoryBytes))},
 		Budget: &budget.Budget{
 			Ratio: i.RetryRatio, Slack: i.RetrySlack, Window: i.RetryWindow,
 			Instances: func() int { return 1 + i.peers.Peers(time.Now()) },
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -16,6 +16,7 @@
 		"peers_heard":           float64(i.peers.Peers(now)),
 		"lag_milliseconds":      float64(i.lagMeter.Lag().Milliseconds()),
 		"log_lines_dropped":     float64(i.Log.DroppedLines()),
+		"body_bytes":            float64(i.handler.Bodies.Used()),
 		"caller_connections":    float64(i.idleConns.openCount()),
 		"platform_calls_away":   0,
 		"quarantine_rules":      float64(i.peers.Crashes.Size()),
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
-	"errors"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"time"
 
@@ -16,9 +13,6 @@
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
-// bodyReadTimeout is the time limit for reading a request body.
-const bodyReadTimeout = 10 * time.Second
-
 // accept runs all checks that do not depend on endpoints, and reads the body. If it
 // returns false, the request has been answered.
 func (c *call) accept() bool {
@@ -83,36 +77,6 @@
 	return targets[len(targets)-1].Service
 }
 
-func (c *call) readBody() bool {
-	if c.r.ContentLength > c.config.limits.MaxBodyBytes {
-		c.reject(http.StatusRequestEntityTooLarge, "body-too-large")
-		return false
-	}
-	if c.r.Body == nil || c.r.Body == http.NoBody {
-		return true
-	}
-	rc := http.NewResponseController(c.w)
-	_ = rc.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, c.config.limits.MaxBodyBytes))
-	_ = rc.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		c.reject(http.StatusRequestEntityTooLarge, "body-too-large")
-		return false
-	}
-	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() {
-		c.reject(http.StatusRequestTimeout, "slow-body")
-		return false
-	}
-	if err != nil {
-		c.recordEnd(0, "left", "body not read")
-		panic(http.ErrAbortHandler)
-	}
-	c.body = body
-	return true
-}
-
 // quarantined refuses a request like others that crashed endpoints, and reports whether it
 // did. It sets the signatures by which crashes are attributed to the request.
 func (c *call) quarantined() bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,8 @@
 	// Quarantine finds out which requests crash endpoints, so that they are refused;
 	// nil means that no request is quarantined.
 	Quarantine fleet.Quarantine
+	// Bodies bounds the memory for the bodies of requests.
+	Bodies BodyMemory
 	// Metrics receives the counters and latencies of requests, reservations and
 	// failed attempts.
 	Metrics *gauge.Set
@@ -86,6 +88,7 @@
 	service    string
 	customer   string
 	body       []byte
+	bodyHeld   int64     // bytes that are reserved for body
 	signatures []uint64  // of the shared parts of the prompt, then of the request itself; nil without a quarantine
 	pastTarget bool      // retry whose target latency has already passed
 	deadline   time.Time // for the complete response; zero means no deadline
@@ -123,6 +126,7 @@
 	if h.stopping.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
+	defer c.releaseBody()
 	if !c.accept() {
 		return
 	}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -42,6 +42,9 @@
 	ReasonInvalidResponse Reason = "endpoint-answered-garbage"
 	ReasonRetryBudget     Reason = "retry-budget-spent"
 	ReasonCPUOverload     Reason = "processor-behind"
+	// ReasonBodyMemory means that the bodies of requests in progress take all memory that
+	// there is for bodies.
+	ReasonBodyMemory Reason = "body-memory-short"
 	// ReasonQuiet means that all endpoints of the service want no requests for a while.
 	ReasonQuiet Reason = "endpoint-quiet"
 )
