internal/gateway: a stopping instance refuses calls that may outlast it

Cause: calls were accepted until 1.5 s before the end, whatever their time limit.

Once an instance is out of rotation, calls whose time limit, the caller's or the route's, lies after the end of the process are refused with 503 at once.

TestStopRefusesCallsThatItMayCutOff fails before.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -411,3 +411,51 @@
 		require.Equal(t, http.StatusOK, <-statuses)
 	})
 }
+
+// A call that arrives late in a planned stop was accepted although its time limit lay after the end
+// of the process, which cut it off while its endpoint was silent. It is refused.
+func TestStopRefusesCallsThatItMayCutOff(t *testing.T) {
+	const limit = 3 * time.Second
+	for arrival := 3 * time.Second; arrival < 7600*time.Millisecond; arrival += 200 * time.Millisecond {
+		t.Run(arrival.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				f.startServing()
+				f.operators.write("config", &watch.VersionedConfiguration{Version: 6, Config: arrangement.Config{
+					Customers: []arrangement.Customer{{Name: "saar", Keys: []string{"k"}}},
+					Routes:    []arrangement.Route{{Name: "r", Path: "/a/", TimeoutMillis: int(limit.Milliseconds()), Targets: []arrangement.Target{{Service: "m", Weight: 1}}}},
+				}})
+				time.Sleep(2 * time.Second)
+				f.processingTime = limit - 100*time.Millisecond
+				// One call keeps the process from ending early.
+				var wg sync.WaitGroup
+				for _, at := range []time.Duration{2700 * time.Millisecond, 4600 * time.Millisecond} {
+					wg.Go(func() {
+						time.Sleep(at)
+						status, _ := f.request(f.callers, "/a/x", "k")
+						require.Equal(t, http.StatusOK, status)
+					})
+				}
+				status, body, sentAt := 0, "", time.Time{}
+				wg.Go(func() {
+					time.Sleep(arrival)
+					sentAt = time.Now()
+					status, body = f.request(f.callers, "/a/x", "k")
+				})
+				f.stop()
+				require.NoError(t, <-f.done)
+				endedAt := time.Now()
+				wg.Wait()
+				switch {
+				case status == http.StatusServiceUnavailable:
+					require.Greater(t, arrival, 4600*time.Millisecond)
+					require.Equal(t, "stopping", strings.TrimSpace(body))
+				case status == 0:
+					require.Less(t, endedAt.Sub(sentAt), 200*time.Millisecond, "cut off, or refused without an answer")
+				default:
+					require.Equal(t, http.StatusOK, status)
+				}
+			})
+		})
+	}
+}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -16,7 +16,7 @@
 func (i *Instance) stop(callers *http.Server) {
 	start, grace := time.Now(), time.Duration(i.graceNanos.Load())
 	close(i.stopping)
-	i.handler.Stop(gateway.ShutdownTimes{RefuseStreams: start.Add(drainDelay), RefuseAll: start.Add(grace - callReserve)})
+	i.handler.Stop(gateway.ShutdownTimes{RefuseStreams: start.Add(drainDelay), RefuseAll: start.Add(grace - callReserve), End: start.Add(grace - exitReserve)})
 	i.logger.Info(event.Stopping, zap.Int64("active", i.handler.Active()))
 	for time.Since(start) < grace-exitReserve {
 		if time.Since(start) >= drainDelay {
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -29,7 +29,7 @@
 	if !c.resolveRoute() {
 		return false
 	}
-	if s := c.h.stopping.Load(); s != nil && (c.arrived.After(s.RefuseAll) || c.route.Stream && c.arrived.After(s.RefuseStreams)) {
+	if s := c.h.stopping.Load(); s != nil && s.refuses(c.route.Stream, c.arrived, c.timeLimit()) {
 		c.refuse(fleet.ReasonStopping)
 		return false
 	}
@@ -100,17 +100,24 @@
 	return true
 }
 
-// requestContext returns a context that is canceled when the caller disconnects and at
-// the deadline: the caller's own timeout or the route's, whichever ends first.
+// timeLimit returns how long after its arrival the request has to be answered: the caller's own
+// timeout or the route's, whichever is shorter. Zero means that there is no limit.
+func (c *call) timeLimit() time.Duration {
+	limit := max(c.attrs.Timeout, 0)
+	if d := c.route.TimeoutDuration(); d > 0 && (limit == 0 || d < limit) {
+		limit = d
+	}
+	return limit
+}
+
+// requestContext returns a context that is canceled when the caller disconnects and at the time
+// limit of the request.
 func (c *call) requestContext() (context.Context, context.CancelFunc) {
-	for _, d := range []time.Duration{c.attrs.Timeout, c.route.TimeoutDuration()} {
-		if at := c.arrived.Add(d); d > 0 && (c.deadline.IsZero() || at.Before(c.deadline)) {
-			c.deadline = at
-		}
-	}
-	if c.deadline.IsZero() {
+	limit := c.timeLimit()
+	if limit == 0 {
 		return context.WithCancel(c.r.Context())
 	}
+	c.deadline = c.arrived.Add(limit)
 	return context.WithDeadline(c.r.Context(), c.deadline)
 }
 
