internal/watch: time in which the platform cannot be read is no grace

Cause: the grace was counted by the clock alone. A pause of over 1.2 s between two reads now prolongs it by that pause, and nothing is removed while the data is older than 0.6 s, unless it covers the whole grace. The periodic call gets the time until which records have been read.

The test of the tracker calls RemoveExpired periodically, as the instance does; its bounds are the same.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -335,9 +335,10 @@
 
 func (i *Instance) removeExpired(context.Context) {
 	now := time.Now()
-	i.tracker.RemoveExpired(now)
 	if p := i.endpoints.Position(now); p.Next > 0 {
-		i.tracker.ResolveDisputes(now.Add(-time.Duration(p.Age) * time.Millisecond))
+		dataAt := now.Add(-time.Duration(p.Age) * time.Millisecond)
+		i.tracker.RemoveExpired(now, dataAt)
+		i.tracker.ResolveDisputes(dataAt)
 	}
 }
 
--- a/internal/watch/endpoint_tracker.go
+++ b/internal/watch/endpoint_tracker.go
@@ -8,9 +8,16 @@
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
-// recoveryGrace is how long an endpoint whose record expired during an outage of the
-// platform has to write it again.
-const recoveryGrace = 2 * time.Second
+const (
+	// recoveryGrace is how long an endpoint whose record expired during an outage of the
+	// platform has to write it again.
+	recoveryGrace = 2 * time.Second
+	// maxReadPause is the longest pause between two reads in which endpoints count as having
+	// reached the platform. A longer one does not count as a part of recoveryGrace.
+	maxReadPause = 1200 * time.Millisecond
+	// freshAge is the age up to which data shows that the platform can be read now.
+	freshAge = 600 * time.Millisecond
+)
 
 // EndpointTracker maintains the endpoints of a placement.Balancer from their records. Exported
 // fields are set before the first call. It is safe for concurrent use.
@@ -34,8 +41,10 @@
 	recoveredAt time.Time // when the last outage of the platform ended; zero means that there was none
 	// missing holds endpoints without a record that are kept until the grace has passed.
 	missing map[string]bool
-	known   map[string]bool
-	order   recordOrder
+	// dataAt is until when records had been read at the last call of RemoveExpired.
+	dataAt time.Time
+	known  map[string]bool
+	order  recordOrder
 	synced  bool
 }
 
@@ -145,12 +154,23 @@
 	t.Balancer.Remove(id, cause)
 }
 
-// RemoveExpired removes endpoints that did not write their records again in time. It has to
-// be called periodically.
-func (t *EndpointTracker) RemoveExpired(now time.Time) {
+// RemoveExpired removes endpoints that did not write their records again in time. All records that
+// were written until dataAt must have been applied; zero means that none have. It has to be called
+// periodically.
+func (t *EndpointTracker) RemoveExpired(now, dataAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.removeExpired(now)
+	from := t.dataAt
+	if from.Before(t.recoveredAt) {
+		from = t.recoveredAt
+	}
+	if pause := dataAt.Sub(from); pause > maxReadPause && from.Before(t.graceEnd()) {
+		t.recoveredAt = t.recoveredAt.Add(pause)
+	}
+	t.dataAt = dataAt
+	if now.Sub(dataAt) <= freshAge || !dataAt.Before(t.graceEnd()) {
+		t.removeExpired(now)
+	}
 }
 
 func (t *EndpointTracker) removeExpired(now time.Time) {
--- a/internal/watch/follow_test.go
+++ b/internal/watch/follow_test.go
@@ -498,9 +498,15 @@
 	apply(tracker, recovered, true)
 	require.Equal(t, 2, endpointCount(b), "no endpoint is removed yet")
 	apply(tracker, recovered.Add(time.Second), false, fleet.KeyedRecord[fleet.EndpointInfo]{Key: "i-1", Value: endpointInfo("e1")})
-	tracker.RemoveExpired(recovered.Add(1900 * time.Millisecond))
+	checked := recovered
+	removeExpired := func(until time.Time) {
+		for ; !checked.After(until); checked = checked.Add(removeInterval) {
+			tracker.RemoveExpired(checked, checked)
+		}
+	}
+	removeExpired(recovered.Add(1900 * time.Millisecond))
 	require.Equal(t, 2, endpointCount(b))
-	tracker.RemoveExpired(recovered.Add(2300 * time.Millisecond))
+	removeExpired(recovered.Add(2300 * time.Millisecond))
 	require.Equal(t, 1, endpointCount(b), "the endpoint that did not write its record again is removed")
 }
 
--- a/internal/watch/incarnation_test.go
+++ b/internal/watch/incarnation_test.go
@@ -120,7 +120,7 @@
 		if !s.dataAt.IsZero() {
 			dataAt = s.dataAt
 		}
-		s.tracker.RemoveExpired(time.Now())
+		s.tracker.RemoveExpired(time.Now(), dataAt)
 		s.tracker.ResolveDisputes(dataAt)
 	}
 }
--- a/internal/watch/outage_test.go
+++ b/internal/watch/outage_test.go
@@ -125,7 +125,12 @@
 	i.follower = newEndpointFollower(endpointFeed{s.log, name}, i.tracker, maxAge)
 	s.instances = append(s.instances, i)
 	go func() { _ = i.follower.Serve(ctx) }()
-	go every(ctx, removeInterval, func() { i.tracker.RemoveExpired(time.Now()) })
+	go every(ctx, removeInterval, func() {
+		now := time.Now()
+		if p := i.follower.Position(now); p.Next > 0 {
+			i.tracker.RemoveExpired(now, now.Add(-time.Duration(p.Age)*time.Millisecond))
+		}
+	})
 }
 
 // every calls a function at an interval until ctx is done.
