internal/peer, internal/watch: a late message does not hide an outage

Cause: a message says how old its data is, but not how long it was on its way. Messages now name the newest one that their sender has received and its age, from which the receiver knows the longest possible transit. Data that was on its way for over 0.3 s counts as that much older.

The test required an outage without a failed read, which contradicts TestPauseBetweenReadsIsNoOutage: without the late message it failed as well. It now has a failed read and the transit of the message; so it passed without the message and failed with it before, and passes now.

--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -92,8 +92,9 @@
 	lastReceived   time.Time
 	sequence       int64 // of the newest message received
 	lastSent       time.Time
-	inFlight       bool // a message to it awaits its response
-	sent           int  // messages sent to it
+	sentMessages   []sentMessage // the newest ones, oldest first
+	inFlight       bool          // a message to it awaits its response
+	sent           int           // messages sent to it
 	lost           bool
 	lastAnnounced  time.Time        // when its address was last given to addPeer
 	cacheFillsSent int64            // number of the last cache fill reported to it
@@ -251,6 +252,10 @@
 	m.Work, m.Partial = x.composeWork(to, full, now)
 	if to != nil {
 		m.receiverStart = to.Start
+		if to.sequence > 0 {
+			m.ReceivedSequence, m.ReceivedAge = to.sequence, now.Sub(to.lastReceived).Milliseconds()
+		}
+		to.recordSent(x.sequence, now)
 		m.CacheFills, to.cacheFillsSent = x.Balancer.CacheFillsSince(to.cacheFillsSent)
 		if excess := len(m.CacheFills) - maxBackgroundFills; x.sparse && !to.neighbor && excess > 0 {
 			m.CacheFills = m.CacheFills[excess:]
@@ -362,6 +367,7 @@
 	if p.lost || p.lastReceived.IsZero() {
 		x.Logger.Info(event.DependencyRecovered, zap.String("peer", m.From.Name), zap.String("address", m.From.Address))
 	}
+	transit := p.maxTransit(m, now)
 	p.sequence, p.lastReceived, p.lost = m.Sequence, now, false
 	p.membersDigest, p.wantsRecords = m.MembersDigest, m.WantRecords
 	for _, other := range m.Members {
@@ -374,7 +380,7 @@
 	if m.Usage != nil {
 		x.Ledger.SetRemoteUsage(m.From.Address, m.Usage, now)
 	}
-	x.receiveFeeds(p, m.Feeds, now)
+	x.receiveFeeds(p, m.Feeds, now, transit)
 	if x.Crashes != nil && m.Crashes != nil {
 		if err := x.Crashes.Receive(m.Crashes); err != nil {
 			x.Logger.Warn(event.InvalidData, zap.String("peer", m.From.Name), zap.Error(err))
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -37,6 +37,10 @@
 	receiverStart int64
 	// Sequence grows with each message of one start.
 	Sequence int64 `json:"q"`
+	// ReceivedSequence is that of the newest message that the sender has received from the
+	// receiver, zero if there is none, and ReceivedAge how long ago that was, in milliseconds.
+	ReceivedSequence int64 `json:"z,omitempty"`
+	ReceivedAge      int64 `json:"y,omitempty"`
 	// Feeds holds the records that the receiver lacks of each feed.
 	Feeds map[string]json.RawMessage `json:"e,omitempty"`
 	// Work is the work at endpoints from requests that the sender forwarded, packed.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -35,11 +35,16 @@
 }
 
 func postMessage(x *peer.Exchange, signature, body string) int {
+	_, status := postForReply(x, signature, body)
+	return status
+}
+
+func postForReply(x *peer.Exchange, signature, body string) (reply []byte, status int) {
 	r := httptest.NewRequest(http.MethodPost, peer.Path, strings.NewReader(body))
 	r.Header.Set("Signature", signature)
 	w := httptest.NewRecorder()
 	x.ServeHTTP(w, r)
-	return w.Code
+	return w.Body.Bytes(), w.Code
 }
 
 // A sender without the fleet key receives no data and changes no state.
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -51,15 +51,16 @@
 	return feeds
 }
 
-// receiveFeeds applies the records of feeds in a message from a peer.
-func (x *Exchange) receiveFeeds(p *peer, feeds map[string]json.RawMessage, now time.Time) {
+// receiveFeeds applies the records of feeds in a message from a peer that was on its way for transit
+// at most.
+func (x *Exchange) receiveFeeds(p *peer, feeds map[string]json.RawMessage, now time.Time, transit time.Duration) {
 	relay := x.Sparse()
 	for name, data := range feeds {
 		f := x.Feeds[name]
 		if f == nil {
 			continue
 		}
-		position, err := f.Receive(data, relay, now)
+		position, err := f.Receive(data, relay, now, transit)
 		if err != nil {
 			x.Logger.Warn(event.InvalidData, zap.String("feed", name), zap.String("peer", p.Name), zap.Error(err))
 			continue
@@ -102,6 +103,7 @@
 	}
 	signature := x.Key.sign(purposeSnapshot, []byte(name))
 	req.Header.Set(headerSignature, signature)
+	sent := time.Now()
 	resp, err := x.client.Do(req)
 	if err != nil {
 		// The next check retries, possibly with another peer.
@@ -112,7 +114,8 @@
 	if err != nil || resp.StatusCode != http.StatusOK || !x.Key.verify(purposeResponse+signature, data, resp.Header.Get(headerSignature)) {
 		return
 	}
-	if _, err := f.Receive(data, false, time.Now()); err != nil {
+	now := time.Now()
+	if _, err := f.Receive(data, false, now, now.Sub(sent)); err != nil {
 		x.Logger.Warn(event.InvalidData, zap.String("feed", name), zap.String("address", address), zap.Error(err))
 		return
 	}
--- a/internal/watch/endpoint_tracker.go
+++ b/internal/watch/endpoint_tracker.go
@@ -45,7 +45,7 @@
 	dataAt time.Time
 	known  map[string]bool
 	order  recordOrder
-	synced  bool
+	synced bool
 }
 
 // SetRecovered sets when the last outage of the platform ended. An earlier time than before
--- a/internal/watch/follow.go
+++ b/internal/watch/follow.go
@@ -64,6 +64,9 @@
 	// maxUpdateBytes bounds the records of one message: an instance that misses more
 	// reads the platform.
 	maxUpdateBytes = 512 << 10
+	// maxTransit is how long an update from another instance may be on its way without
+	// counting as older than it says.
+	maxTransit = 300 * time.Millisecond
 	// checkInterval is the longest time between two checks of the age of the data.
 	checkInterval = 50 * time.Millisecond
 )
@@ -412,13 +415,17 @@
 	return u
 }
 
-// Apply processes an update from another instance. It reports whether this follower is
-// still behind the other instance afterwards.
-func (f *Follower[T]) Apply(u Update[T], now time.Time) (behind bool) {
+// Apply processes an update from another instance that was on its way for transit at most. It
+// reports whether this follower is still behind the other instance afterwards.
+func (f *Follower[T]) Apply(u Update[T], now time.Time, transit time.Duration) (behind bool) {
 	if u.Next == 0 {
 		return false
 	}
 	at := now.Add(-time.Duration(u.Age) * time.Millisecond)
+	if transit > maxTransit {
+		// The message says nothing of the time since it was sent.
+		at = at.Add(-transit)
+	}
 	records := make([]fleet.KeyedRecord[T], 0, len(u.Records))
 	for _, r := range u.Records {
 		records = append(records, r.toKeyed())
--- a/internal/watch/follow_test.go
+++ b/internal/watch/follow_test.go
@@ -139,7 +139,7 @@
 			for {
 				select {
 				case <-time.After(100 * time.Millisecond):
-					second.Apply(first.UpdateFrom(second.Position(time.Now()).Next, false, time.Now()), time.Now())
+					second.Apply(first.UpdateFrom(second.Position(time.Now()).Next, false, time.Now()), time.Now(), 0)
 				case <-stop:
 					return
 				}
@@ -179,7 +179,7 @@
 				for ctx.Err() == nil {
 					for _, to := range followers {
 						update := from.UpdateFrom(to.Position(time.Now()).Next, false, time.Now())
-						time.AfterFunc(transit, func() { to.Apply(update, time.Now()) })
+						time.AfterFunc(transit, func() { to.Apply(update, time.Now(), 0) })
 					}
 					time.Sleep(interval)
 				}
@@ -212,7 +212,7 @@
 			for _, update := range []watch.Update[int]{ahead, behind} {
 				data, err := json.Marshal(update)
 				require.NoError(t, err)
-				_, err = r.Receive(data, false, time.Now())
+				_, err = r.Receive(data, false, time.Now(), 0)
 				require.NoError(t, err)
 			}
 			time.Sleep(10 * time.Millisecond)
@@ -235,7 +235,7 @@
 	require.NoError(t, direct.ReadOnce(t.Context()))
 	now := time.Now()
 	offset := third.Position(now).Next
-	relayed.Apply(direct.UpdateFrom(offset, false, now), now)
+	relayed.Apply(direct.UpdateFrom(offset, false, now), now, 0)
 	require.Equal(t, 2, relayed.value("a"))
 	require.Empty(t, relayed.UpdateFrom(offset, false, now).Records)
 	require.NotEmpty(t, relayed.UpdateFrom(offset, false, now.Add(400*time.Millisecond)).Records, "the instance that read the record may be gone")
@@ -309,7 +309,7 @@
 		f.write("a", 2)
 		require.NoError(t, direct.ReadOnce(t.Context()))
 		now := time.Now()
-		relayed.Apply(direct.UpdateFrom(relayed.Position(now).Next, false, now), now)
+		relayed.Apply(direct.UpdateFrom(relayed.Position(now).Next, false, now), now, 0)
 		require.Equal(t, []string{"reads back", "reads batch", "told back", "told batch"}, order)
 	})
 }
@@ -337,7 +337,7 @@
 		time.Sleep(expiryTime/2 + 200*time.Millisecond)
 		require.NoError(t, direct.ReadOnce(t.Context()))
 		now := time.Now()
-		direct.Apply(other.UpdateFrom(direct.Position(now).Next, false, now), now)
+		direct.Apply(other.UpdateFrom(direct.Position(now).Next, false, now), now, 0)
 		require.True(t, recoveredAt.After(lastResponse), recoveredAt.Sub(lastResponse))
 	})
 }
@@ -361,10 +361,12 @@
 		}
 		message, err := other.EncodeUpdate(local.Position(time.Now()).Next, false, time.Now())
 		require.NoError(t, err)
-		time.Sleep(expiryTime - 100*time.Millisecond)
-		_, err = local.Receive(message, false, time.Now())
+		const transit = expiryTime - 100*time.Millisecond
+		time.Sleep(transit)
+		_, err = local.Receive(message, false, time.Now(), transit)
 		require.NoError(t, err)
 		time.Sleep(expiryTime - 100*time.Millisecond)
+		local.ReadFailed(errPlatformDown, time.Now())
 		require.NoError(t, local.ReadOnce(t.Context()))
 		require.True(t, recovered)
 	})
@@ -385,7 +387,7 @@
 	require.NoError(t, local.ReadOnce(t.Context()), "the feed was trimmed")
 	f.unreachable = true
 	require.Error(t, local.ReadOnce(t.Context()))
-	_, err = local.Receive(older, false, time.Now())
+	_, err = local.Receive(older, false, time.Now(), 0)
 	require.NoError(t, err)
 	require.Equal(t, 2, local.value("a"))
 	f.unreachable = false
@@ -393,7 +395,7 @@
 	require.NoError(t, peer.ReadOnce(t.Context()))
 	current, err := peer.EncodeSnapshot(time.Now())
 	require.NoError(t, err)
-	_, err = local.Receive(current, false, time.Now())
+	_, err = local.Receive(current, false, time.Now(), 0)
 	require.NoError(t, err)
 	require.NotZero(t, local.Position(time.Now()).Next, "current records are taken over")
 }
@@ -410,14 +412,14 @@
 		require.True(t, isolated.Unreachable())
 		data, err := connected.EncodeSnapshot(time.Now())
 		require.NoError(t, err)
-		_, err = isolated.Receive(data, false, time.Now())
+		_, err = isolated.Receive(data, false, time.Now(), 0)
 		require.NoError(t, err)
 		require.Equal(t, 2, isolated.value("b"))
 		f.write("b", 3)
 		time.Sleep(300 * time.Millisecond)
 		data, err = connected.EncodeUpdate(isolated.Position(time.Now()).Next, false, time.Now())
 		require.NoError(t, err)
-		_, err = isolated.Receive(data, false, time.Now())
+		_, err = isolated.Receive(data, false, time.Now(), 0)
 		require.NoError(t, err)
 		require.Equal(t, 3, isolated.value("b"))
 	})
@@ -453,7 +455,7 @@
 			case 5:
 				if len(messages) > 0 {
 					i := rapid.IntRange(0, len(messages)-1).Draw(t, "letter")
-					_, err := local.Receive(messages[i], false, time.Now())
+					_, err := local.Receive(messages[i], false, time.Now(), 0)
 					require.NoError(t, err)
 				}
 			}
@@ -540,12 +542,12 @@
 		require.NoError(t, reader.ReadOnce(ctx))
 		data, err := reader.EncodeUpdate(peer.Position(time.Now()).Next, true, time.Now())
 		require.NoError(t, err)
-		_, err = peer.Receive(data, true, time.Now())
+		_, err = peer.Receive(data, true, time.Now(), 0)
 		require.NoError(t, err)
 		require.Equal(t, reader.Position(time.Now()).Next, peer.Position(time.Now()).Next)
 		data, err = reader.EncodeSnapshot(time.Now())
 		require.NoError(t, err)
-		_, err = late.Receive(data, false, time.Now())
+		_, err = late.Receive(data, false, time.Now(), 0)
 		require.NoError(t, err)
 		for _, b := range balancers {
 			require.Equal(t, []string{"e1"}, endpointIDs(b))
--- a/internal/watch/outage_test.go
+++ b/internal/watch/outage_test.go
@@ -169,7 +169,7 @@
 		panic(err)
 	}
 	time.AfterFunc(transitTime, func() {
-		if _, err := to.follower.Receive(data, true, time.Now()); err != nil {
+		if _, err := to.follower.Receive(data, true, time.Now(), 0); err != nil {
 			panic(err)
 		}
 	})
--- a/internal/watch/relay.go
+++ b/internal/watch/relay.go
@@ -20,8 +20,9 @@
 	EncodeSnapshot(now time.Time) (json.RawMessage, error)
 	// Receive decodes and applies an update from another instance, and returns the
 	// position of that instance. Relay is set if records reach this instance along a
-	// chain of others.
-	Receive(data json.RawMessage, relay bool, now time.Time) (Position, error)
+	// chain of others. The update was on its way for transit at most; zero means that
+	// this is not known, or not longer than usual.
+	Receive(data json.RawMessage, relay bool, now time.Time, transit time.Duration) (Position, error)
 }
 
 // EncodeUpdate implements Relay.
@@ -36,7 +37,7 @@
 
 // Receive implements Relay. A follower that has been behind for longer than aheadTimeout
 // reads the feed at once.
-func (f *Follower[T]) Receive(data json.RawMessage, relay bool, now time.Time) (Position, error) {
+func (f *Follower[T]) Receive(data json.RawMessage, relay bool, now time.Time, transit time.Duration) (Position, error) {
 	var u Update[T]
 	if err := json.Unmarshal(data, &u); err != nil {
 		return Position{}, fmt.Errorf("watch: update of feed %s cannot be decoded: %w", f.Name, err)
@@ -45,7 +46,7 @@
 	if relay {
 		timeout = relayedAheadTimeout
 	}
-	if f.Apply(u, now) && f.behindTooLong(u.Next, timeout, now) {
+	if f.Apply(u, now, transit) && f.behindTooLong(u.Next, timeout, now) {
 		f.ReadNow()
 	}
 	return u.Position, nil
