--- a/internal/entry/partial_test.go
+++ b/internal/entry/partial_test.go
@@ -78,6 +78,7 @@
 func TestStopAnswersRequestBeingRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t)
+		f.routeTimeout = time.Second
 		f.startServing()
 		c := f.dialCallers()
 		statuses := make(chan int, 1)
