internal/gateway: a refusal does not wait for the rest of a body

What callers saw (fake time): the body of a request stops arriving. The 408 for it, and a 401, 404 or 503 that was decided on the head alone, did not come until the caller closed its connection; the request held its goroutine and its place for as long. Ruled out: that the gateway itself waits; with 'Connection: close' set, as in a stop, the response came at once. Change: a response of the gateway itself waits 100 ms at most for the rest of a body. If that has not come, net/http closes the connection after the response; the server removes the bound before the next request. Evidence: TestResponseIsNotHeldBackForRestOfBody failed before with no response within a minute. TestRefusalWithWholeBodyKeepsConnection (passes before and after): a body that comes whole, up to 50 ms after its head, leaves the connection open for the next request 15 s later.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -65,6 +65,7 @@
 // reject responds with an error that the gateway itself generates: the reason as plain
 // text.
 func (c *call) reject(status int, reason string) {
+	c.limitUnreadBody()
 	c.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	c.w.WriteHeader(status)
 	_, _ = fmt.Fprintln(c.w, reason)
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -19,6 +19,9 @@
 	largeBodyBytes = 256 << 10
 	// largeBodyShare is the fraction of that memory that large bodies may take.
 	largeBodyShare = 2.0 / 3
+	// unreadBodyTimeout bounds how long a response of the gateway itself waits for the rest of
+	// a body, which the server reads before it responds on a connection that it keeps.
+	unreadBodyTimeout = 100 * time.Millisecond
 	// firstBodyBytes is the first buffer for a body of unknown length.
 	firstBodyBytes = 8 << 10
 )
@@ -87,7 +90,7 @@
 		c.reject(http.StatusRequestEntityTooLarge, "body-too-large")
 		return false
 	}
-	if c.r.Body == nil || c.r.Body == http.NoBody {
+	if c.hasNoBody() {
 		return true
 	}
 	rc := http.NewResponseController(c.w)
@@ -97,6 +100,7 @@
 	var netErr net.Error
 	switch {
 	case err == nil:
+		c.bodyRead = true
 		return true
 	case errors.Is(err, errBodyTooLarge):
 		c.w.Header().Set("Connection", "close")
@@ -114,6 +118,19 @@
 	return false
 }
 
+func (c *call) hasNoBody() bool { return c.r.Body == nil || c.r.Body == http.NoBody }
+
+// limitUnreadBody bounds the time for which a response waits for the rest of the body. The server
+// closes the connection after the response if the rest has not arrived by then, and removes the
+// bound before the next request.
+func (c *call) limitUnreadBody() {
+	if c.bodyRead || c.hasNoBody() {
+		return
+	}
+	// An error means that the connection is closed, which the write of the response reports.
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+}
+
 // readWholeBody reads the body into a buffer of its length, or into one that doubles if the length
 // is not known.
 func (c *call) readWholeBody() error {
--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -1,8 +1,10 @@
 package gateway_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -120,3 +122,93 @@
 		})
 	}
 }
+
+// The body of a request stops arriving: the server reads the rest of it before it responds on a
+// connection that it keeps, so that the response was held back until the caller closed the connection.
+func TestResponseIsNotHeldBackForRestOfBody(t *testing.T) {
+	for _, c := range []struct {
+		path     string
+		status   int
+		answered time.Duration
+	}{
+		{"/", http.StatusRequestTimeout, 10 * time.Second},
+		{"/closed/", http.StatusUnauthorized, 0},
+		{"/empty/", http.StatusServiceUnavailable, 0},
+	} {
+		for _, framing := range []string{"Content-Length: 2\r\n\r\nx", "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"} {
+			synctest.Test(t, func(t *testing.T) {
+				g := refusingGateway(t)
+				conn := g.dial()
+				sent := time.Now()
+				_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n%s", c.path, framing)
+				require.NoError(t, err)
+				require.NoError(t, conn.SetReadDeadline(sent.Add(time.Minute)))
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				answered := time.Since(sent)
+				_ = conn.Close()
+				time.Sleep(time.Minute)
+				require.NoError(t, err)
+				_ = resp.Body.Close()
+				require.Equal(t, c.status, resp.StatusCode)
+				require.Less(t, answered, c.answered+200*time.Millisecond)
+			})
+		}
+	}
+}
+
+// A request whose body arrives whole, if a little later than its head, is refused on a connection that
+// stays open for the next one.
+func TestRefusalWithWholeBodyKeepsConnection(t *testing.T) {
+	for _, pause := range []time.Duration{0, 50 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			g := refusingGateway(t)
+			conn := g.dial()
+			responses := bufio.NewReader(conn)
+			var statuses []int
+			for _, path := range []string{"/closed/", "/empty/", "/"} {
+				_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nContent-Length: 2\r\n\r\n", path)
+				require.NoError(t, err)
+				go func() {
+					time.Sleep(pause)
+					_, _ = io.WriteString(conn, "xx")
+				}()
+				resp, err := http.ReadResponse(responses, nil)
+				require.NoError(t, err)
+				_, err = io.Copy(io.Discard, resp.Body)
+				require.NoError(t, err)
+				require.False(t, resp.Close)
+				statuses = append(statuses, resp.StatusCode)
+				// Longer than any time limit for the body.
+				time.Sleep(15 * time.Second)
+			}
+			_ = conn.Close()
+			time.Sleep(time.Minute)
+			require.Equal(t, []int{http.StatusUnauthorized, http.StatusServiceUnavailable, http.StatusOK}, statuses)
+		})
+	}
+}
+
+// refusingGateway is a gateway with a route that serves requests, one that needs a key, and one whose
+// service has no endpoint.
+func refusingGateway(t *testing.T) *testGateway {
+	g := newTestGateway(t, arrangement.Config{
+		Customers: []arrangement.Customer{{Name: "saar", Keys: []string{"k"}}},
+		Routes: []arrangement.Route{
+			{Name: "open", Path: "/", Public: true, Targets: []arrangement.Target{{Service: "portal", Weight: 1}}},
+			{Name: "closed", Path: "/closed/", Targets: []arrangement.Target{{Service: "portal", Weight: 1}}},
+			{Name: "empty", Path: "/empty/", Public: true},
+		},
+	})
+	g.addEndpoint("i-1", func(r *http.Request, body string, w io.Writer) bool {
+		writeResponse(w, r, http.StatusOK, body)
+		return true
+	})
+	return g
+}
+
+// dial opens a connection of a caller.
+func (g *testGateway) dial() net.Conn {
+	conn, err := g.client.Transport.(*http.Transport).DialContext(g.t.Context(), "tcp", "")
+	require.NoError(g.t, err)
+	return conn
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,7 @@
 	customer   string
 	body       []byte
 	bodyHeld   int64     // bytes that are reserved for body
+	bodyRead   bool      // body is whole
 	signatures []uint64  // of the shared parts of the prompt, then of the request itself; nil without a quarantine
 	pastTarget bool      // retry whose target latency has already passed
 	deadline   time.Time // for the complete response; zero means no deadline
