internal/gateway: a stop judges a request by when its body has been read

What callers saw (fake time): the head of a request arrives before the times from which a stopping instance refuses requests, the rest of its body after them. The request was passed on by the time of its head and cut off with the process; one whose body was still being read at the end got a 408 or nothing. Cause: the check compared the arrival of the head alone, and the time limit of a body, 10 s, is longer than a stop. Change: the check runs again when the body has been read, with that time. Bodies that are still being read when all requests are refused are given up, and the request is refused: it has not run. Evidence: TestStopRefusesRequestsWhoseBodiesArriveLate, eight cases; six failed before (200 for requests that may outlast the process, 408 for bodies never whole). Ruled out: that a request suffers whose body arrives late and whose time limit fits; 'late but fitting' is served.

--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -1,6 +1,9 @@
 package entry_test
 
 import (
+	"bufio"
+	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -39,3 +42,80 @@
 		})
 	}
 }
+
+// The head of a request came before the time from which requests are refused in a planned stop, the
+// rest of its body after it: it was accepted by the time of its head and cut off at the end of the
+// process, or its body was still being read then. It is refused without having run.
+func TestStopRefusesRequestsWhoseBodiesArriveLate(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// head and rest are when the two parts of the request are sent, after the signal; a rest
+		// of zero is never sent.
+		head, rest time.Duration
+		// limit is that of the route.
+		limit time.Duration
+		// status is that of the response, which arrives at answered at the latest.
+		status   int
+		answered time.Duration
+	}{
+		{"in time", 2 * time.Second, 2600 * time.Millisecond, 6 * time.Second, http.StatusOK, 5 * time.Second},
+		{"late but fitting", 2 * time.Second, 4 * time.Second, 5 * time.Second, http.StatusOK, 6400 * time.Millisecond},
+		{"past the end of the process", 2 * time.Second, 4 * time.Second, 6 * time.Second, http.StatusServiceUnavailable, 4100 * time.Millisecond},
+		{"no limit", 2 * time.Second, 4 * time.Second, 0, http.StatusServiceUnavailable, 4100 * time.Millisecond},
+		{"head before the signal", -time.Second, 4 * time.Second, 0, http.StatusServiceUnavailable, 4100 * time.Millisecond},
+		{"never whole", 2 * time.Second, 0, 0, http.StatusServiceUnavailable, 6700 * time.Millisecond},
+		{"never whole, head before the signal", -time.Second, 0, 0, http.StatusServiceUnavailable, 6700 * time.Millisecond},
+		{"never whole, a fitting limit", 4500 * time.Millisecond, 0, 3 * time.Second, http.StatusServiceUnavailable, 6700 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				defer time.Sleep(time.Minute)
+				f := newFixture(t)
+				f.routeTimeout = c.limit
+				f.startServing()
+				f.processingTime = 2300 * time.Millisecond
+				signal := time.Now().Add(2 * time.Second)
+				statuses := make(chan int, 1)
+				go func() {
+					// This call keeps the process from ending early.
+					time.Sleep(time.Until(signal.Add(2700 * time.Millisecond)))
+					f.request(f.callers, "/a/x", "k")
+				}()
+				var answered time.Duration
+				go func() {
+					status := f.requestInParts(signal.Add(c.head), c.rest, signal)
+					answered = time.Since(signal)
+					statuses <- status
+				}()
+				time.Sleep(time.Until(signal))
+				f.stop()
+				require.NoError(t, <-f.done)
+				require.Equal(t, c.status, <-statuses)
+				require.LessOrEqual(t, answered, c.answered)
+			})
+		})
+	}
+}
+
+// requestInParts sends the head and a part of the body of a request at head, and the rest of the body
+// at a time after the signal; zero means never. It returns the status of the response, zero if there
+// is none.
+func (f *fixture) requestInParts(head time.Time, rest time.Duration, signal time.Time) int {
+	time.Sleep(time.Until(head))
+	c, err := f.net.Dial(context.Background(), "tcp", f.callers.Addr().String())
+	require.NoError(f.t, err)
+	defer c.Close()
+	go func() {
+		fmt.Fprint(c, "POST /a/x HTTP/1.1\r\nHost: front\r\nKey: k\r\nRequest-Id: 1\r\nContent-Length: 2\r\n\r\nx")
+		if rest > 0 {
+			time.Sleep(time.Until(signal.Add(rest)))
+			fmt.Fprint(c, "x")
+		}
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -29,11 +29,10 @@
 	if !c.resolveRoute() {
 		return false
 	}
-	if s := c.h.stopping.Load(); s != nil && s.refuses(c.route.Stream, c.arrived, c.timeLimit()) {
-		c.refuse(fleet.ReasonStopping)
+	if c.refuseStopping(c.arrived) {
 		return false
 	}
-	return c.readBody() && !c.quarantined()
+	return c.readBody() && !c.refuseStopping(time.Now()) && !c.quarantined()
 }
 
 // resolveRoute finds the route, the customer and the service of the request. If it
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -93,10 +93,9 @@
 	if c.hasNoBody() {
 		return true
 	}
-	rc := http.NewResponseController(c.w)
-	_ = rc.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	read := c.h.bodyReads.begin(c.w, bodyReadTimeout)
 	err := c.readWholeBody()
-	_ = rc.SetReadDeadline(time.Time{})
+	read.end()
 	var netErr net.Error
 	switch {
 	case err == nil:
@@ -109,6 +108,7 @@
 		// The rest of the body is not read.
 		c.w.Header().Set("Connection", "close")
 		c.refuse(fleet.ReasonBodyMemory)
+	case errors.As(err, &netErr) && netErr.Timeout() && c.refuseStopping(time.Now()):
 	case errors.As(err, &netErr) && netErr.Timeout():
 		c.reject(http.StatusRequestTimeout, "slow-body")
 	default:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,7 @@
 	active      atomic.Int64
 	crashProbes sync.WaitGroup // running probes of endpoints that closed a connection early
 	stopping    atomic.Pointer[ShutdownTimes]
+	bodyReads   bodyReads
 }
 
 // Active returns the number of requests in progress.
