internal/entry, internal/gateway: a stop answers the requests that it ends

What callers saw: a request that was accepted before a planned stop, or early in it, and whose endpoint had not answered by the end of the grace period, ended with its connection: neither an answer nor a refusal, though the process knew 0.3 s before that it would end. Cause: the end of the grace period went straight to the shutdown of the server, which waits for handlers that nothing ends. Change: at the end, before the shutdown, Handler.EndRequests cancels the requests in progress with a cause of its own. One that has not run is refused (503, true by the outcome of its attempts), one that may have run gets 502, both with reason 'stopping' in response, log and requests_total; a stream whose beginning the caller has is cut off as before, so that it does not look complete. A caller of a safe request may repeat it at once, one of an unsafe request knows that the outcome is unknown. What is left after that is closed. Ruled out: that an answer is lost for it. It comes at the time at which the process stopped waiting before.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -12,7 +12,8 @@
 )
 
 // stop drains the instance: responses close their connections, active requests are completed,
-// and late requests are refused.
+// and late requests are refused. Shortly before the end of the grace period, the requests that are
+// left are ended.
 func (i *Instance) stop(callers *http.Server) {
 	start, grace := time.Now(), time.Duration(i.graceNanos.Load())
 	close(i.stopping)
@@ -27,9 +28,13 @@
 		}
 		time.Sleep(stopPollInterval)
 	}
+	callers.SetKeepAlivesEnabled(false)
+	i.handler.EndRequests()
 	ctx, cancel := context.WithTimeout(context.Background(), exitReserve/2)
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		i.logger.Warn(event.Stopped, zap.String("cause", "grace period ended; active requests were aborted"), zap.Int64("active", i.handler.Active()), zap.Error(err))
+		// An error means that a listener is closed already.
+		_ = callers.Close()
 	}
 }
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -119,3 +120,42 @@
 	_ = resp.Body.Close()
 	return resp.StatusCode
 }
+
+// Requests that were accepted before a planned stop and that no endpoint has answered by its end
+// were cut off without an answer. Each gets one while the process still runs.
+func TestStopAnswersRequestsThatItEnds(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// sent is when the request is sent, after the signal.
+		sent time.Duration
+	}{
+		{"in progress before the signal", -time.Second},
+		{"accepted after the signal", time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				defer time.Sleep(time.Minute)
+				f := newFixture(t)
+				f.startServing()
+				f.processingTime = 20 * time.Second
+				signal := time.Now().Add(2 * time.Second)
+				status, body, answered := 0, "", time.Duration(0)
+				var sent sync.WaitGroup
+				sent.Go(func() {
+					time.Sleep(time.Until(signal.Add(c.sent)))
+					status, body = f.request(f.callers, "/a/x", "k")
+					answered = time.Since(signal)
+				})
+				time.Sleep(time.Until(signal))
+				f.stop()
+				require.NoError(t, <-f.done)
+				ended := time.Since(signal)
+				sent.Wait()
+				require.Equal(t, http.StatusBadGateway, status)
+				require.Equal(t, "stopping", strings.TrimSpace(body))
+				require.LessOrEqual(t, answered, ended)
+				require.Less(t, ended, 8*time.Second)
+			})
+		})
+	}
+}
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -109,15 +109,20 @@
 	return limit
 }
 
-// requestContext returns a context that is canceled when the caller disconnects and at the time
-// limit of the request.
+// requestContext returns a context that is canceled when the caller disconnects, at the time limit
+// of the request, and by EndRequests.
 func (c *call) requestContext() (context.Context, context.CancelFunc) {
+	ctx, cancel := c.h.ending.join(c.r.Context())
 	limit := c.timeLimit()
 	if limit == 0 {
-		return context.WithCancel(c.r.Context())
+		return ctx, cancel
 	}
 	c.deadline = c.arrived.Add(limit)
-	return context.WithDeadline(c.r.Context(), c.deadline)
+	ctx, cancelDeadline := context.WithDeadline(ctx, c.deadline)
+	return ctx, func() {
+		cancelDeadline()
+		cancel()
+	}
 }
 
 func (c *call) timeLeft() time.Duration {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -86,21 +88,26 @@
 	}
 }
 
-// endExpired ends a request whose deadline passed or whose caller disconnected. It
-// panics with http.ErrAbortHandler if no error response can be written any more.
-func (c *call) endExpired() {
+// endExpired ends a request whose context is done: its deadline passed, its caller disconnected, or
+// the instance ends. It panics with http.ErrAbortHandler if no error response can be written any
+// more.
+func (c *call) endExpired(ctx context.Context) {
 	if c.r.Context().Err() != nil {
 		c.recordEnd(0, "left", "caller closed the connection")
 		panic(http.ErrAbortHandler)
 	}
+	reason, status := fleet.ReasonDeadline, http.StatusGatewayTimeout
+	if errors.Is(context.Cause(ctx), errEnding) {
+		reason, status = fleet.ReasonStopping, http.StatusBadGateway
+	}
 	switch {
 	case c.headersSent:
-		c.recordEnd(0, "broken", string(fleet.ReasonDeadline))
+		c.recordEnd(0, "broken", string(reason))
 		panic(http.ErrAbortHandler)
 	case c.runs == 0:
-		c.refuse(fleet.ReasonDeadline)
+		c.refuse(reason)
 	default:
-		c.reject(http.StatusGatewayTimeout, string(fleet.ReasonDeadline))
+		c.reject(status, string(reason))
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,7 @@
 	crashProbes sync.WaitGroup // running probes of endpoints that closed a connection early
 	stopping    atomic.Pointer[ShutdownTimes]
 	bodyReads   bodyReads
+	ending      endSignal
 }
 
 // Active returns the number of requests in progress.
@@ -153,7 +154,7 @@
 	c.h.Ledger.RecordDemand(c.customer, c.tokenCost(), c.arrived)
 	for {
 		if ctx.Err() != nil {
-			c.endExpired()
+			c.endExpired(ctx)
 			return
 		}
 		if !c.chooseEndpoint(ctx) {
@@ -170,7 +171,7 @@
 		}
 		c.avoid = append(c.avoid, c.choice.Endpoint.ID)
 		if ctx.Err() != nil {
-			c.endExpired()
+			c.endExpired(ctx)
 			return
 		}
 		if !c.shouldRetry(o) {
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -34,6 +36,42 @@
 	time.AfterFunc(time.Until(s.RefuseAll), h.bodyReads.expireAll)
 }
 
+// EndRequests ends the requests in progress: one whose response has not begun is refused if it has not
+// run, and gets an error status if it may have run. The response of any other is cut off. It is meant
+// to be called when there is just enough time left to write the responses.
+func (h *Handler) EndRequests() { h.ending.cancel() }
+
+// errEnding is the cause with which EndRequests cancels the contexts of requests.
+var errEnding = errors.New("the instance ends")
+
+// endSignal cancels the contexts of all requests in progress. The zero value is ready to use. It is
+// safe for concurrent use.
+type endSignal struct {
+	once      sync.Once
+	ctx       context.Context
+	cancelCtx context.CancelFunc
+}
+
+func (e *endSignal) init() {
+	e.once.Do(func() { e.ctx, e.cancelCtx = context.WithCancel(context.Background()) })
+}
+
+func (e *endSignal) cancel() {
+	e.init()
+	e.cancelCtx()
+}
+
+// join returns a context that is canceled with its parent, and with errEnding by cancel.
+func (e *endSignal) join(parent context.Context) (context.Context, context.CancelFunc) {
+	e.init()
+	ctx, cancel := context.WithCancelCause(parent)
+	stop := context.AfterFunc(e.ctx, func() { cancel(errEnding) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // refuseStopping refuses the request if the instance is stopping and may end before the response is
 // complete. It reports whether it did. whole is when the request was read.
 func (c *call) refuseStopping(whole time.Time) bool {
