internal/entry: a stop ends before the grace period although its signal came late

What callers see on a loaded machine: the times of a stop began when the process read the signal, while the platform counts from when it sent it. With a lag of more than 0.15 s before and at the end, SIGKILL came before the requests that were left had been answered or closed in order, and no log line told so. The lines 'stopping' and the new 'ending' tell the lag at both ends and how long the stop took. Ruled out: to subtract the largest lag of the whole stop. A freeze within the stop would cut sound streams short by its length. Evidence: TestStopEndsBeforeGraceDespiteLag failed before for lags of 0.4 s and 5 s (the stop ended 7.7 s after the signal was read whatever the lag).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -74,6 +74,9 @@
 	MaxMemoryBytes int64
 	// MaxFiles is how many files the process may open; zero means no bound.
 	MaxFiles int
+	// Lag returns the scheduling lag of the process, with which a signal to stop arrives; nil
+	// means that it is measured.
+	Lag func() time.Duration
 	// Settings delivers changed settings; nil means that they never change.
 	Settings <-chan Settings
 	// Dial connects to endpoints; nil means net.Dialer.
@@ -156,6 +159,12 @@
 	// exitReserve is the part of Grace that is kept for the end of the process.
 	exitReserve      = 300 * time.Millisecond
 	stopPollInterval = 20 * time.Millisecond
+	// lagSettleTime is the time after a signal until the lag with which the process got it
+	// has been measured.
+	lagSettleTime = 40 * time.Millisecond
+	// maxSignalLag bounds the time that a signal is taken to have waited: a longer lag comes
+	// from a freeze, which may have ended before the signal was sent.
+	maxSignalLag = 500 * time.Millisecond
 	// heapShare is the fraction of the memory to which the heap may grow before the
 	// garbage collector runs more often.
 	heapShare = 0.6
@@ -181,6 +190,9 @@
 	}
 	i.idleConns = &idleConns{MaxConns: i.maxCallerConns(), IdleTimeout: func() time.Duration { return i.handler.IdleTimeout() }}
 	i.lagMeter = &overload.Meter{OnChange: i.overloadChanged}
+	if i.Lag == nil {
+		i.Lag = i.lagMeter.Lag
+	}
 	i.ledger = &admission.Ledger{}
 	i.quarantine = quarantine.New(&audit.Trail{Instance: i.Name, Logger: i.logger})
 	i.handler = &gateway.Handler{
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -149,6 +149,7 @@
 	run             atomic.Int64  // requests that the endpoint has run
 	idleTimeout     time.Duration // of callers' connections; zero means the default
 	routeTimeout    time.Duration // of published routes; zero means none
+	lag             atomic.Int64  // scheduling lag of the process, in nanoseconds
 	heartbeat       time.Duration // at which endpoints write their records; zero means the default
 }
 
@@ -173,6 +174,7 @@
 		Name: "front-1", Domain: "a", Callers: f.callers, Ready: f.ready, Metrics: f.metrics, Peers: f.listen(), HeaderCodec: testHeaderCodec{},
 		Operators: f.operators, Endpoints: f.endpoints, Secret: store, Directory: store, Quarantine: f.quarantine,
 		Grace: 8 * time.Second, Dial: f.net.Dial, HeartbeatInterval: f.heartbeat,
+		Lag: func() time.Duration { return time.Duration(f.lag.Load()) },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -15,10 +15,14 @@
 // and late requests are refused. Shortly before the end of the grace period, the requests that are
 // left are ended.
 func (i *Instance) stop(callers *http.Server) {
-	start, grace := time.Now(), time.Duration(i.graceNanos.Load())
+	received := time.Now()
 	close(i.stopping)
+	time.Sleep(lagSettleTime)
+	// The grace period began when the signal was sent.
+	lag := i.Lag()
+	start, grace := received.Add(-min(lag, maxSignalLag)), time.Duration(i.graceNanos.Load())
 	i.handler.Stop(gateway.ShutdownTimes{RefuseStreams: start.Add(drainDelay), RefuseAll: start.Add(grace - callReserve), End: start.Add(grace - exitReserve)})
-	i.logger.Info(event.Stopping, zap.Int64("active", i.handler.Active()))
+	i.logger.Info(event.Stopping, zap.Int64("active", i.handler.Active()), zap.Duration("grace", grace), zap.Duration("lag", lag))
 	for time.Since(start) < grace-exitReserve {
 		if time.Since(start) >= drainDelay {
 			i.idleConns.closeIdle()
@@ -28,6 +32,7 @@
 		}
 		time.Sleep(stopPollInterval)
 	}
+	i.logger.Info(event.Ending, zap.Int64("active", i.handler.Active()), zap.Duration("took", time.Since(received)), zap.Duration("lag", i.Lag()))
 	callers.SetKeepAlivesEnabled(false)
 	i.handler.EndRequests()
 	ctx, cancel := context.WithTimeout(context.Background(), exitReserve/2)
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -159,3 +159,39 @@
 		})
 	}
 }
+
+// A loaded machine delivers the signal to stop late, and the platform kills the process when the grace
+// period after the signal was sent has passed: the requests that were left got no answer.
+func TestStopEndsBeforeGraceDespiteLag(t *testing.T) {
+	for _, c := range []struct {
+		lag  time.Duration
+		ends time.Duration // after the instance got the signal
+	}{
+		{0, 7700 * time.Millisecond},
+		{400 * time.Millisecond, 7300 * time.Millisecond},
+		// A process that was frozen may have got the signal after that: its work keeps most of
+		// the grace period.
+		{5 * time.Second, 7200 * time.Millisecond},
+	} {
+		t.Run(c.lag.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				defer time.Sleep(time.Minute)
+				f := newFixture(t)
+				f.startServing()
+				f.lag.Store(int64(c.lag))
+				f.processingTime = 20 * time.Second
+				status := make(chan int, 1)
+				go func() {
+					s, _ := f.request(f.callers, "/a/x", "k")
+					status <- s
+				}()
+				time.Sleep(time.Second)
+				signal := time.Now()
+				f.stop()
+				require.Equal(t, http.StatusBadGateway, <-status)
+				require.InDelta(t, c.ends.Seconds(), time.Since(signal).Seconds(), 0.05)
+				require.NoError(t, <-f.done)
+			})
+		})
+	}
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -6,9 +6,10 @@
 const (
 	// Start is logged once the listeners of the instance are open.
 	Start = "start"
-	// Stopping is logged when the instance receives the signal to stop, Stopped just
-	// before the process exits.
+	// Stopping is logged when the instance receives the signal to stop, Ending when it
+	// ends the requests that are left, Stopped just before the process exits.
 	Stopping = "stopping"
+	Ending   = "ending"
 	Stopped  = "stopped"
 	// Reload is logged when the settings have changed.
 	Reload = "reload"
