internal/entry, platform: a stop heeds a grace period that changes beside it

What callers would see: the settings file gets a shorter graceS just before a SIGTERM, without a signal of its own, or during the stop with SIGHUP. The process went by the old one, so that SIGKILL came before it had answered what was left: LOST. Settings without a graceS ended the grace period at once. A shorter period holds at once, a longer one only if it is known when the stop begins, since the platform may have set its time already; a missing one changes nothing. Ruled out: that SIGHUP in a stop ends the process.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,7 +77,7 @@
 	// Lag returns the scheduling lag of the process, with which a signal to stop arrives; nil
 	// means that it is measured.
 	Lag func() time.Duration
-	// Settings delivers changed settings; nil means that they never change.
+	// Settings delivers changed settings, also during a stop; nil means that they never change.
 	Settings <-chan Settings
 	// Dial connects to endpoints; nil means net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -259,9 +259,6 @@
 // error if the instance cannot serve.
 func (i *Instance) Run(ctx context.Context) error {
 	i.initialize()
-	if i.Settings != nil {
-		service.Go(i.logger, "settings", func() { i.followSettings(ctx) })
-	}
 	tree := suture.New("entry", suture.Spec{EventHook: func(e suture.Event) {
 		i.logger.Warn("supervisor", zap.String("event", e.String()))
 	}})
@@ -294,6 +291,9 @@
 	treeCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	done := tree.ServeBackground(treeCtx)
+	if i.Settings != nil {
+		service.Go(i.logger, "settings", func() { i.followSettings(treeCtx) })
+	}
 	i.logger.Info(event.Start, zap.String("callers", i.Callers.Addr().String()))
 	select {
 	case <-ctx.Done():
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -140,6 +140,7 @@
 	operators       *fakeFeed[watch.VersionedConfiguration]
 	endpoints       *fakeFeed[fleet.EndpointInfo]
 	quarantine      *fakeKeyValueStore
+	settings        chan entry.Settings
 	stop            context.CancelFunc
 	done            chan error
 	endpointAddress string
@@ -156,7 +157,7 @@
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{
 		t: t, net: &standin.MemoryNetwork{}, operators: &fakeFeed[watch.VersionedConfiguration]{}, endpoints: &fakeFeed[fleet.EndpointInfo]{},
-		quarantine: &fakeKeyValueStore{}, done: make(chan error, 1),
+		quarantine: &fakeKeyValueStore{}, settings: make(chan entry.Settings, 1), done: make(chan error, 1),
 	}
 	endpoint := f.listen()
 	t.Cleanup(func() { _ = endpoint.Close() })
@@ -173,7 +174,7 @@
 	i := &entry.Instance{
 		Name: "front-1", Domain: "a", Callers: f.callers, Ready: f.ready, Metrics: f.metrics, Peers: f.listen(), HeaderCodec: testHeaderCodec{},
 		Operators: f.operators, Endpoints: f.endpoints, Secret: store, Directory: store, Quarantine: f.quarantine,
-		Grace: 8 * time.Second, Dial: f.net.Dial, HeartbeatInterval: f.heartbeat,
+		Grace: 8 * time.Second, Dial: f.net.Dial, HeartbeatInterval: f.heartbeat, Settings: f.settings,
 		Lag: func() time.Duration { return time.Duration(f.lag.Load()) },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -20,10 +20,15 @@
 	time.Sleep(lagSettleTime)
 	// The grace period began when the signal was sent.
 	lag := i.Lag()
-	start, grace := received.Add(-min(lag, maxSignalLag)), time.Duration(i.graceNanos.Load())
-	i.handler.Stop(gateway.ShutdownTimes{RefuseStreams: start.Add(drainDelay), RefuseAll: start.Add(grace - callReserve), End: start.Add(grace - exitReserve)})
+	start, grace := received.Add(-min(lag, maxSignalLag)), i.currentGrace()
+	i.handler.Stop(shutdownTimes(start, grace))
 	i.logger.Info(event.Stopping, zap.Int64("active", i.handler.Active()), zap.Duration("grace", grace), zap.Duration("lag", lag))
 	for time.Since(start) < grace-exitReserve {
+		// A longer period may not hold for a stop that has begun.
+		if current := i.currentGrace(); current < grace {
+			grace = current
+			i.handler.Stop(shutdownTimes(start, grace))
+		}
 		if time.Since(start) >= drainDelay {
 			i.idleConns.closeIdle()
 			if i.handler.Active() == 0 && i.idleConns.receivingCount() == 0 {
@@ -43,3 +48,8 @@
 		_ = callers.Close()
 	}
 }
+
+// shutdownTimes returns the times of a stop whose grace period began at start.
+func shutdownTimes(start time.Time, grace time.Duration) gateway.ShutdownTimes {
+	return gateway.ShutdownTimes{RefuseStreams: start.Add(drainDelay), RefuseAll: start.Add(grace - callReserve), End: start.Add(grace - exitReserve)}
+}
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/greengagestep/greengagestep/internal/entry"
 )
 
 // A call whose caller and route set no time limit was accepted until shortly before the end of a
@@ -195,3 +197,45 @@
 		})
 	}
 }
+
+// The settings change during a planned stop. A shorter grace period was not heeded, and the platform
+// killed the process before it had answered the requests that were left.
+func TestShorterGraceHoldsDuringStop(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		changed time.Duration // when the settings change, after the signal
+		grace   time.Duration // from then on
+		ends    time.Duration // after the signal
+	}{
+		{"shorter", 2 * time.Second, 5 * time.Second, 4700 * time.Millisecond},
+		{"shorter than the time passed", 6 * time.Second, 5 * time.Second, 6 * time.Second},
+		{"longer", 2 * time.Second, 20 * time.Second, 7700 * time.Millisecond},
+		{"missing", 2 * time.Second, 0, 7700 * time.Millisecond},
+		{"missing, before the signal", -500 * time.Millisecond, 0, 7700 * time.Millisecond},
+		{"longer, before the signal was handled", 0, 20 * time.Second, 19700 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				defer time.Sleep(time.Minute)
+				f := newFixture(t)
+				f.startServing()
+				f.processingTime = 30 * time.Second
+				status := make(chan int, 1)
+				go func() {
+					s, _ := f.request(f.callers, "/a/x", "k")
+					status <- s
+				}()
+				go func() {
+					time.Sleep(time.Second + c.changed)
+					f.settings <- entry.Settings{Grace: c.grace}
+				}()
+				time.Sleep(time.Second)
+				signal := time.Now()
+				f.stop()
+				require.Equal(t, http.StatusBadGateway, <-status)
+				require.InDelta(t, c.ends.Seconds(), time.Since(signal).Seconds(), 0.05)
+				require.NoError(t, <-f.done)
+			})
+		})
+	}
+}
