internal/stream, internal/caller: on the path of run, events reach a caller by their IDs

A caller that resumes a stream, which then breaks again: 5 of 6 got events that they had. Cause: the path of 'run' counted events and never looked at their IDs. A spoiled event counted as a sound one, and the next engine was told the count of this response in Last-Event-ID, also when the caller had begun after 30. Evidence: the scenarios spoiled and resumed failed before ('ran 3 ... wrong 9', 'ran 1 ... wrong 5'). An event that does not end is held up to 1 MiB, not without a bound. Ruled out: that sound engines suffer. All scenarios pass; the stand-in numbers events 1, 2, ... and ends with a named event that has no ID, which passes. Streams of services without 'resume' are forwarded as before.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/greengagestep/greengagestep/internal/dispatch"
 	"github.com/greengagestep/greengagestep/internal/endpoint"
 	"github.com/greengagestep/greengagestep/internal/quarantine"
+	"github.com/greengagestep/greengagestep/internal/stream"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
@@ -102,8 +103,8 @@
 	req.Header.Del("Authorization")
 	req.Header.Set(HeaderRequestID, c.id)
 	req.Header.Set("Customer", c.key.Customer)
-	if c.eventsSent > 0 {
-		req.Header.Set(headerResume, strconv.Itoa(c.eventsSent))
+	if c.lastEventID != "" {
+		req.Header.Set(headerResume, c.lastEventID)
 	}
 	return req
 }
@@ -123,8 +124,12 @@
 // the customer.
 func (c *call) forwardResponse(resp *http.Response, slot *dispatch.Slot) *endpoint.Failure {
 	c.writeHeader(resp)
-	s := &eventStream{completeOnly: c.service.Resume}
 	isEventStream := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	s := &eventStream{}
+	if c.service.Resume {
+		s.sequence = stream.New(c.lastEventID, c.r.Header.Get(headerResume))
+		s.sequence.AllowNamed = true
+	}
 	// A caller does not wait for the parts of a response with a known length one
 	// by one, so they need no flush.
 	flushEachRead := isEventStream || resp.ContentLength < 0
@@ -133,10 +138,10 @@
 	defer copyBuffers.Put(buf)
 	for {
 		n, err := resp.Body.Read(buf[:])
-		data := buf[:n]
+		data, last, invalid := buf[:n], int64(0), error(nil)
 		if isEventStream {
 			tokens := 0
-			data, tokens = s.process(data)
+			data, tokens, last, invalid = s.process(data)
 			c.eventsSent += tokens
 			c.lastAttempt.AddEvents(tokens)
 			slot.Charge(float64(tokens))
@@ -145,10 +150,16 @@
 			if failure := c.writeBody(data, slot); failure != nil {
 				return failure
 			}
+			if last > 0 {
+				c.lastEventID = strconv.FormatInt(last, 10)
+			}
 			if flushEachRead {
 				_ = flusher.Flush()
 			}
 		}
+		if invalid != nil {
+			return &endpoint.Failure{Endpoint: slot.Endpoint, Reason: fleet.ReasonInvalidResponse, Reached: true, Cause: invalid}
+		}
 		if err == io.EOF && isEventStream {
 			if broken := s.checkEnd(isFramed(resp)); broken != nil {
 				err = broken
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -104,8 +104,10 @@
 	// reached is set once a byte of the request may have reached an endpoint, so
 	// that the endpoint may have executed it.
 	reached bool
-	// eventsSent counts the server-sent events that were sent to the caller.
+	// eventsSent counts the server-sent events that were sent to the caller. lastEventID is the
+	// ID of the last one, empty before the first or if they are not checked.
 	eventsSent  int
+	lastEventID string
 	lastAttempt quarantine.Attempt
 	recorder    *recorder
 }
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -3,15 +3,18 @@
 import (
 	"errors"
 	"strings"
+
+	"github.com/greengagestep/greengagestep/internal/stream"
 )
 
 // eventStream parses server-sent events that arrive in chunks, which may end
 // anywhere. An event ends with an empty line. An event with data and without a name
 // counts as one token.
 type eventStream struct {
-	// completeOnly holds back incomplete events, so that a stream whose
-	// connection breaks can be resumed after the last complete event.
-	completeOnly bool
+	// sequence checks the events of a stream that another endpoint can resume. Incomplete
+	// events are held back then, so that the stream can go on after the last complete one. Nil
+	// means that the chunks are forwarded as they come.
+	sequence *stream.Sequence
 
 	linePrefix  []byte
 	hasName     bool
@@ -21,29 +24,27 @@
 	incomplete  []byte
 }
 
-// process parses a chunk. It returns the bytes that may be sent to the caller and the
-// number of tokens in them. The bytes are valid until the next call.
-func (s *eventStream) process(p []byte) ([]byte, int) {
-	tokens, end := s.scan(p)
-	if !s.completeOnly {
-		return p, tokens
-	}
-	if len(s.incomplete) == 0 && end == len(p) {
-		return p, tokens
+// process parses a chunk. It returns the bytes that may be sent to the caller, the
+// number of tokens in them and the ID of the last one, zero if they have none or no sequence is
+// checked. The bytes are valid until the next call. The error is that of an invalid event after them.
+func (s *eventStream) process(p []byte) (part []byte, tokens int, last int64, err error) {
+	tokens = s.scan(p)
+	if s.sequence == nil {
+		return p, tokens, 0, nil
 	}
-	if end == 0 {
-		s.incomplete = append(s.incomplete, p...)
-		return nil, tokens
+	s.incomplete = append(s.incomplete, p...)
+	if len(s.incomplete) > stream.MaxEventBytes {
+		return nil, 0, 0, stream.ErrTooLong
 	}
-	out := append(s.incomplete, p[:end]...)
-	s.incomplete = append([]byte(nil), p[end:]...)
-	return out, tokens
+	end, before := stream.CompleteEnd(s.incomplete), s.sequence.Count()
+	part, last, err = s.sequence.Next(s.incomplete[:end])
+	s.incomplete = append([]byte(nil), s.incomplete[end:]...)
+	return part, s.sequence.Count() - before, last, err
 }
 
-// scan returns the number of tokens that end in a chunk and the offset after the last
-// complete event.
-func (s *eventStream) scan(p []byte) (tokens, end int) {
-	for i, b := range p {
+// scan returns the number of tokens that end in a chunk.
+func (s *eventStream) scan(p []byte) (tokens int) {
+	for _, b := range p {
 		if b == '\r' {
 			continue
 		}
@@ -55,7 +56,6 @@
 			continue
 		}
 		if len(s.linePrefix) == 0 {
-			end = i + 1
 			s.received = s.received || s.withinEvent
 			s.withinEvent = false
 			if s.hasData && !s.hasName {
@@ -67,7 +67,7 @@
 		s.hasData = s.hasData || strings.HasPrefix(string(s.linePrefix), "data:")
 		s.linePrefix = s.linePrefix[:0]
 	}
-	return tokens, end
+	return tokens
 }
 
 var (
--- a/internal/demo/scenario_test.go
+++ b/internal/demo/scenario_test.go
@@ -279,7 +279,7 @@
 	}
 }
 
-// engine NAME|all up|down|break=N|poison=TEXT|unframed|leave|reset replaces the faults of model
+// engine NAME|all up|down|break=N|spoil=N|poison=TEXT|unframed|leave|reset replaces the faults of model
 // engines; leave makes them report that they are leaving, reset unloads their models. The
 // signals are those of the command plain.
 func cmdEngine(ts *testscript.TestScript, _ bool, args []string) {
@@ -291,7 +291,7 @@
 			continue
 		}
 		named, rest := parseArgs(args[1:])
-		f := standin.EngineFaults{Break: intArg(ts, named, "break", 0), Poison: named["poison"]}
+		f := standin.EngineFaults{Break: intArg(ts, named, "break", 0), Spoil: intArg(ts, named, "spoil", 0), Poison: named["poison"]}
 		for _, arg := range rest {
 			f.Down = f.Down || arg == "down"
 			f.Unframed = f.Unframed || arg == "unframed"
@@ -482,6 +482,7 @@
 
 // preparedRequest holds the parts of a request to be sent.
 type preparedRequest struct {
+	after   int // tokens of the answer that the caller has already
 	address string
 	method  string
 	path    string
@@ -527,6 +528,10 @@
 			text = fmt.Sprintf("question %d", s.requestCount)
 		}
 		r.prompt = &standin.Prompt{Prompt: text, Tokens: intArg(ts, named, "tokens", 100)}
+		if v := named["after"]; v != "" {
+			r.after = intArg(ts, named, "after", 0)
+			r.header["Last-Event-ID"] = v
+		}
 		data, err := json.Marshal(r.prompt)
 		ts.Check(err)
 		r.body = string(data)
@@ -586,15 +591,16 @@
 	if outcome = resp.Trailer.Get("Outcome"); outcome == "" {
 		outcome = resp.Header.Get("Outcome")
 	}
-	if outcome == "ran" && r.prompt != nil && !completeAnswer(r.prompt, body) {
+	if outcome == "ran" && r.prompt != nil && !completeAnswer(r.prompt, r.after, body) {
 		outcome = "wrong"
 	}
 	return outcome, problem.Reason, body, id
 }
 
-// completeAnswer reports whether a stream has all tokens of the answer in order.
-func completeAnswer(p *standin.Prompt, body string) bool {
-	count := 0
+// completeAnswer reports whether a stream has all tokens of the answer in order after a number of
+// them.
+func completeAnswer(p *standin.Prompt, after int, body string) bool {
+	count := after
 	for _, line := range strings.Split(body, "\n") {
 		token, ok := strings.CutPrefix(line, "data: ")
 		if !ok || token == "end" {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -9,16 +9,13 @@
 	"time"
 
 	"github.com/greengagestep/greengagestep/internal/placement"
+	"github.com/greengagestep/greengagestep/internal/stream"
 	"github.com/greengagestep/greengagestep/internal/upstream"
 	"github.com/greengagestep/greengagestep/pkg/arrangement"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
-// maxEventBytes is the maximum size of the data buffered until an event is complete.
-const maxEventBytes = 1 << 20
-
 var (
-	errEventTooLong    = errors.New("stream event exceeds the maximum size")
 	errIncompleteEvent = errors.New("stream ended within an event")
 	errNoEvent         = errors.New("stream ended with its connection before the first event")
 )
@@ -33,14 +30,14 @@
 	defer copyBuffers.Put(buf)
 	broken := func(err error) outcome {
 		reason := fleet.ReasonEndpointFailed
-		if errors.Is(err, errNotEvent) || errors.Is(err, errEventOrder) {
+		if errors.Is(err, stream.ErrNotEvent) || errors.Is(err, stream.ErrOrder) {
 			reason = fleet.ReasonInvalidResponse
 		}
 		return outcome{kind: outcomeUnknown, reason: reason, cause: err}
 	}
-	var sequence *eventSequence
+	var sequence *stream.Sequence
 	if c.route.Stream || c.route.Repeat == arrangement.RepeatResume {
-		sequence = c.newEventSequence()
+		sequence = stream.New(c.lastEventID, c.attrs.LastEventID)
 	}
 	var pending []byte
 	firstEventAt, lastEventAt, events := time.Time{}, time.Time{}, 0
@@ -55,13 +52,13 @@
 			run.RecordData(time.Now())
 		}
 		pending = append(pending, buf[:n]...)
-		if len(pending) > maxEventBytes {
-			return broken(errEventTooLong)
+		if len(pending) > stream.MaxEventBytes {
+			return broken(stream.ErrTooLong)
 		}
-		end := completeEventsEnd(pending)
+		end := stream.CompleteEnd(pending)
 		part, last, invalid := pending[:end], int64(0), error(nil)
 		if sequence != nil {
-			part, last, invalid = sequence.next(part)
+			part, last, invalid = sequence.Next(part)
 		}
 		if end > 0 && (invalid == nil || len(part) > 0) {
 			c.recordFirst(run)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -71,6 +71,9 @@
 	Down bool `json:"down"`
 	// Break is the number of streams whose connection is dropped halfway.
 	Break int `json:"break"`
+	// Spoil is the number of streams with a spoiled event halfway, which then go on as if
+	// it had been sound. Kinds of spoiled events take turns.
+	Spoil int `json:"spoil"`
 	// Poison is a text that crashes the engine if a prompt contains it; an empty
 	// text matches no prompt.
 	Poison string `json:"poison"`
@@ -275,7 +278,7 @@
 	}
 	defer e.release()
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-ID"))
-	breakAt := e.startRequest(r, p, from)
+	breakAt, spoilAt, spoiled := e.startRequest(r, p, from)
 	w.Header().Set("Content-Type", "text/event-stream")
 	e.mu.Lock()
 	unframed := e.faults.Unframed
@@ -300,6 +303,10 @@
 		if err != nil {
 			return
 		}
+		if i == spoilAt {
+			fmt.Fprintf(w, spoiled, i)
+			continue
+		}
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, AnswerToken(p.Prompt, i))
 		_ = http.NewResponseController(w).Flush()
 	}
@@ -316,10 +323,14 @@
 	return fmt.Sprintf("w%x", (sum+uint32(i)*2654435761)%0xfff)
 }
 
+// spoiledEvents are formats of events that take the place of a token, given its number: without an
+// ID, with another ID, and bytes that are no event.
+var spoiledEvents = []string{"data: spoiled%.0d\n\n", "id: 1%d\ndata: spoiled\n\n", "spoiled%.0d\n\n"}
+
 // startRequest records the start of a request and returns the number of the token before
-// which the connection is dropped, or -1 for none. from is the last token that the
-// client has already received.
-func (e *Engine) startRequest(r *http.Request, p Prompt, from int) int {
+// which the connection is dropped, and of the one that is replaced by a spoiled event, -1 for
+// none. from is the last token that the client has already received.
+func (e *Engine) startRequest(r *http.Request, p Prompt, from int) (breakAt, spoilAt int, spoiled string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.starts++
@@ -333,13 +344,18 @@
 	if e.faults.Poison != "" && strings.Contains(p.Prompt, e.faults.Poison) {
 		e.crashes++
 		e.restartedAt = time.Now().Add(crashDuration)
-		return from + 1
+		return from + 1, -1, ""
 	}
+	halfway := from + max(1, (p.Tokens-from)/2)
 	if e.faults.Break > 0 {
 		e.faults.Break--
-		return from + max(1, (p.Tokens-from)/2)
+		return halfway, -1, ""
+	}
+	if e.faults.Spoil > 0 {
+		e.faults.Spoil--
+		return -1, halfway, spoiledEvents[e.faults.Spoil%len(spoiledEvents)]
 	}
-	return -1
+	return -1, -1, ""
 }
 
 func (e *Engine) cachePrefix(prompt string) {
