internal/caller: an error response is no part of a resumed stream

What callers saw (path of 'run'): a stream breaks, and the engine that is to go on with it answers 500. The text of that response was written into the caller's stream, which then ended as a complete one with the outcome 'ran'. The path of 'serve' has had the check (relay in internal/gateway/attempt.go). Change: once the caller has a part of a stream, a response that is no event stream or not 200 counts as a failed attempt.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -123,8 +124,14 @@
 // forwardResponse forwards a response to the caller and charges the tokens in it to
 // the customer.
 func (c *call) forwardResponse(resp *http.Response, slot *dispatch.Slot) *endpoint.Failure {
-	c.writeHeader(resp)
 	isEventStream := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	if c.responseStarted && (!isEventStream || resp.StatusCode != http.StatusOK) {
+		return &endpoint.Failure{
+			Endpoint: slot.Endpoint, Reason: fleet.ReasonEndpointFailed, Reached: true,
+			Cause: fmt.Errorf("status %d instead of the remaining events of a resumed stream", resp.StatusCode),
+		}
+	}
+	c.writeHeader(resp)
 	s := &eventStream{}
 	if c.service.Resume {
 		s.sequence = stream.New(c.lastEventID, c.r.Header.Get(headerResume))
--- a/internal/demo/scenario_test.go
+++ b/internal/demo/scenario_test.go
@@ -279,7 +279,7 @@
 	}
 }
 
-// engine NAME|all up|down|break=N|spoil=N|poison=TEXT|unframed|leave|reset replaces the faults of model
+// engine NAME|all up|down|break=N|spoil=N|failresumed=N|poison=TEXT|unframed|leave|reset replaces the faults of model
 // engines; leave makes them report that they are leaving, reset unloads their models. The
 // signals are those of the command plain.
 func cmdEngine(ts *testscript.TestScript, _ bool, args []string) {
@@ -291,7 +291,7 @@
 			continue
 		}
 		named, rest := parseArgs(args[1:])
-		f := standin.EngineFaults{Break: intArg(ts, named, "break", 0), Spoil: intArg(ts, named, "spoil", 0), Poison: named["poison"]}
+		f := standin.EngineFaults{Break: intArg(ts, named, "break", 0), Spoil: intArg(ts, named, "spoil", 0), FailResumed: intArg(ts, named, "failresumed", 0), Poison: named["poison"]}
 		for _, arg := range rest {
 			f.Down = f.Down || arg == "down"
 			f.Unframed = f.Unframed || arg == "unframed"
@@ -418,7 +418,7 @@
 }
 
 // send NAME [n=N] [service=portal|model] [key=K] [body=TEXT] [node=NAME] [tokens=N]
-// [customer=N] [kind=K] [timeout=S] [method=M] starts requests in the background.
+// [customer=N] [kind=K] [timeout=S] [method=M] [after=N] starts requests in the background.
 func cmdSend(ts *testscript.TestScript, _ bool, args []string) {
 	named, rest := parseArgs(args)
 	s := scenarioOf(ts)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -74,6 +74,9 @@
 	// Spoil is the number of streams with a spoiled event halfway, which then go on as if
 	// it had been sound. Kinds of spoiled events take turns.
 	Spoil int `json:"spoil"`
+	// FailResumed is the number of prompts with a Last-Event-ID that are answered with
+	// status 500.
+	FailResumed int `json:"failResumed"`
 	// Poison is a text that crashes the engine if a prompt contains it; an empty
 	// text matches no prompt.
 	Poison string `json:"poison"`
@@ -278,6 +281,10 @@
 	}
 	defer e.release()
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-ID"))
+	if from > 0 && e.takeFailure() {
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return
+	}
 	breakAt, spoilAt, spoiled := e.startRequest(r, p, from)
 	w.Header().Set("Content-Type", "text/event-stream")
 	e.mu.Lock()
@@ -323,6 +330,17 @@
 	return fmt.Sprintf("w%x", (sum+uint32(i)*2654435761)%0xfff)
 }
 
+// takeFailure reports whether the next resumed prompt is answered with status 500.
+func (e *Engine) takeFailure() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.FailResumed == 0 {
+		return false
+	}
+	e.faults.FailResumed--
+	return true
+}
+
 // spoiledEvents are formats of events that take the place of a token, given its number: without an
 // ID, with another ID, and bytes that are no event.
 var spoiledEvents = []string{"data: spoiled%.0d\n\n", "id: 1%d\ndata: spoiled\n\n", "spoiled%.0d\n\n"}
