internal/entry: a failing case of the stop's test does not hide the others

TestStopRefusesCallsThatItMayCutOff ended at its first failing case: a goroutine that still slept made the bubble of fake time panic. It waits for them now, as the other tests do. No check changed.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -423,6 +423,7 @@
 	for arrival := 3 * time.Second; arrival < 7600*time.Millisecond; arrival += 200 * time.Millisecond {
 		t.Run(arrival.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
+				defer time.Sleep(time.Minute)
 				f := newFixture(t)
 				f.startServing()
 				f.operators.write("config", &watch.VersionedConfiguration{Version: 6, Config: arrangement.Config{
