internal/endpoint, internal/router: a late load report does not remove the state of the next home

Cause, from the trace of a failing run: instance e1, the home of p0 in the partition, asks p0 for a load report at 818.000. At the same moment e0 is the home again, and its state (4 slots) arrives. Then the answer of p0 arrives, and e1 removes 'the state that an earlier home sent' and counts p0 as new, in its slow start. e0 sends an unchanged state again after 5 s only. Ruled out: an ejection (closedUntil was cleared, no line ejected), and a state that e1 dropped because it took itself for the home: the trace has it received. Change: a state that came after the request for the report was sent is that of the next home, and stays. The same for updateEndpoints, which decides with a list of homed endpoints that may be out of date.

--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -342,10 +342,10 @@
 	}
 }
 
-// ClearHomeState removes the state that a home sent, because this instance is the
-// home now.
-func (t *Table) ClearHomeState(name string) {
-	if e := t.entries[name]; e != nil {
+// ClearHomeState removes the state that a home sent before a time at which this instance was the
+// home. One that came later is that of the next home.
+func (t *Table) ClearHomeState(name string, before time.Time) {
+	if e := t.entries[name]; e != nil && e.homeStateAt.Before(before) {
 		e.homeState = nil
 	}
 }
--- a/internal/endpoint/table_test.go
+++ b/internal/endpoint/table_test.go
@@ -109,3 +109,30 @@
 func TestNoSlowStartIfAllEndpointsAreNew(t *testing.T) {
 	require.Equal(t, 8, state(newTable(3), "m0", start).Slots)
 }
+
+// A request for a load report, sent while this instance was the home, ended after the next home had
+// sent its state, and removed it: the endpoint was taken for a new one, with one slot, until the next
+// home sent its state again seconds later.
+func TestStateOfNextHomeIsKept(t *testing.T) {
+	table := endpoint.NewTable()
+	now := time.Unix(1000, 0)
+	table.SetInstances([]fleet.Instance{
+		{Name: "m0", Role: fleet.RoleEndpoint, Service: "model", Address: "m0:80"},
+		{Name: "m1", Role: fleet.RoleEndpoint, Service: "model", Address: "m1:80"},
+	}, now.Add(-time.Hour))
+	slots := func() int { return table.States(now)[0].Slots }
+	table.SetHomeState(endpoint.State{Name: "m0", Slots: 2, Ready: true}, now.Add(-time.Minute))
+	require.Equal(t, 2, slots())
+	asked := now
+	now = now.Add(time.Millisecond)
+	table.SetHomeState(endpoint.State{Name: "m0", Slots: 4, Ready: true}, now)
+	table.ClearHomeState("m0", asked)
+	table.RecordLoad("m0", endpoint.Load{Slots: 4, Ready: true}, now)
+	require.Equal(t, 4, slots(), "the state came after the request was sent")
+	table.SetHomeState(endpoint.State{Name: "m0", Slots: 3, Ready: true}, now)
+	table.ClearHomeState("m0", now)
+	require.Equal(t, 3, slots(), "the state came at the same time")
+	now = now.Add(time.Second)
+	table.ClearHomeState("m0", now)
+	require.Equal(t, 1, slots(), "the state of an earlier home is removed, the endpoint is new here")
+}
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -109,7 +109,7 @@
 		// unreachable from this instance, so the state that its home sent
 		// before must not be used.
 		if in, _ := r.endpoints.Instance(name); in.Domain != r.Domain {
-			r.endpoints.ClearHomeState(name)
+			r.endpoints.ClearHomeState(name, now)
 		}
 	}
 	states := r.endpoints.States(now)
@@ -213,8 +213,8 @@
 		return
 	}
 	// The state that an earlier home sent is used until this instance's first
-	// request for a load report has ended.
-	r.endpoints.ClearHomeState(name)
+	// request for a load report has ended. Another instance may be the home by then.
+	r.endpoints.ClearHomeState(name, started)
 	switch {
 	case err == nil:
 		r.endpoints.RecordResult(name, true, now)
