internal/placement: setting the time of day is no silence of an endpoint

Cause: the time of the last data of an endpoint was kept as Unix nanoseconds, and compared with times that have a monotonic reading. When the clock is set forward, the data that comes next ends a 'silence' of as long as the step, which is taken off the time of a response: a negative time. The learned base time became negative, and the bound that keeps it from growing fast, four times itself, then made it fall without end. Each request went to the endpoint with the most negative estimate. Change: times kept as numbers in this package count from an origin with a monotonic reading: last data, use of prompt parts, reported work. Looked at for the same class: internal/peer and internal/quarantine keep wall times only in records that other processes read.

--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -145,7 +145,7 @@
 	reportedAt      time.Time
 	cache           *promptCache
 	fault           fault
-	lastReceived    atomic.Int64 // Unix nanoseconds of the last data from the endpoint
+	lastReceived    atomic.Int64 // when the endpoint last sent data, see sinceEpoch
 	silent          atomic.Bool  // down because of a silence; data from the endpoint ends it
 	streams         int          // in progress, sent by this instance
 	silentFrom      time.Time    // beginning of the last silence that ended during a stream
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -17,7 +17,7 @@
 // promptCache tracks the parts of prompts that an endpoint is assumed to have cached.
 type promptCache struct {
 	// lastUsed is when a part, together with all parts before it, was last used,
-	// by prefix hash, in Unix nanoseconds: the garbage collector does not scan a
+	// by prefix hash, see sinceEpoch: the garbage collector does not scan a
 	// map without pointers.
 	lastUsed map[uint64]int64
 }
@@ -45,7 +45,7 @@
 	for _, p := range parts {
 		id = prefixHash(id, p)
 		at, ok := c.lastUsed[id]
-		if !ok || now.UnixNano()-at > int64(cacheLifetime) {
+		if !ok || sinceEpoch(now)-at > int64(cacheLifetime) {
 			break
 		}
 		tokens += p.Tokens
@@ -59,7 +59,7 @@
 		c.evict(now)
 	}
 	for _, id := range hashes {
-		c.lastUsed[id] = now.UnixNano()
+		c.lastUsed[id] = sinceEpoch(now)
 	}
 }
 
@@ -78,7 +78,7 @@
 // maxCachedParts are left.
 func (c *promptCache) evict(now time.Time) {
 	for id, at := range c.lastUsed {
-		if now.UnixNano()-at > int64(cacheLifetime) {
+		if sinceEpoch(now)-at > int64(cacheLifetime) {
 			delete(c.lastUsed, id)
 		}
 	}
--- a/internal/placement/fault.go
+++ b/internal/placement/fault.go
@@ -76,13 +76,13 @@
 // stalled reports whether an endpoint that runs requests of this instance has sent nothing
 // for longer than stallTimeout.
 func (s *endpointState) stalled(now time.Time) bool {
-	return s.local.Runs > 0 && now.Sub(time.Unix(0, s.lastReceived.Load())) > stallTimeout
+	return s.local.Runs > 0 && now.Sub(fromEpoch(s.lastReceived.Load())) > stallTimeout
 }
 
 // recordData records that the endpoint has sent data, and reports whether this ends a silence and
 // since when it had sent none. The balancer need not be locked.
 func (s *endpointState) recordData(now time.Time) (last time.Time, silent bool) {
-	last = time.Unix(0, s.lastReceived.Swap(now.UnixNano()))
+	last = fromEpoch(s.lastReceived.Swap(sinceEpoch(now)))
 	return last, now.Sub(last) > stallTimeout || s.silent.Load()
 }
 
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -20,9 +20,6 @@
 	runsTime, tokensTime float64
 }
 
-// epoch is a recent time, so that sums of times since it stay small.
-var epoch = time.Unix(1_700_000_000, 0)
-
 // add adds work multiplied by factor: 1 adds the work, -1 subtracts it again.
 func (sum *workSum) add(w remoteWork, factor float64) {
 	at := w.at.Sub(epoch).Seconds()
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -40,7 +40,7 @@
 	_, ahead := b.totalWork(s, now)
 	run := &Run{balancer: b, state: s, tokens: c.Tokens, sentAt: now, tokensAhead: ahead, unary: !r.Stream, expectedMS: ms(c.Expected) / s.currentSlowdown(now), hostSlowdown: s.currentHostSlowdown(now)}
 	if s.local.Runs == 0 {
-		s.lastReceived.Store(now.UnixNano())
+		s.lastReceived.Store(sinceEpoch(now))
 	}
 	s.local.Runs++
 	s.local.Tokens += c.Tokens
@@ -169,7 +169,7 @@
 	if result == ResultAnswered {
 		r.balancer.latencyModel(r.state.Service).observeDuration(ms(now.Sub(r.sentAt) - r.state.silentBetween(r.sentAt, now)))
 	}
-	if result == ResultSilent && r.state.lastReceived.Load() > r.sentAt.UnixNano() {
+	if result == ResultSilent && r.state.lastReceived.Load() > sinceEpoch(r.sentAt) {
 		// It sends on its other connections, but accepts no new ones.
 		result = ResultUnreachable
 	}
