--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -70,7 +70,7 @@
 	request.OnHead = func(a fleet.ResponseAttrs) { run.RecordHead(a, time.Now()) }
 	request.Permit = func() error {
 		switch reason := run.Unavailability(time.Now()); reason {
-		case "", placement.UnavailableDown, placement.UnavailableReturning:
+		case "", placement.UnavailableDown, placement.UnavailableSilent, placement.UnavailableReturning:
 			// A connection that is ready shows that the endpoint is not down, and the
 			// request is among those that it gets.
 			return nil
--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -25,6 +25,9 @@
 	// UnavailableQuiet means that the endpoint asked this instance for no requests for a
 	// while.
 	UnavailableQuiet Unavailability = "quiet"
+	// UnavailableSilent means that a connection to the endpoint was not accepted in time, and
+	// that it has sent nothing since: it may be silent for a moment only.
+	UnavailableSilent Unavailability = "silent"
 	// UnavailableDown means that no connection to the endpoint can be made.
 	UnavailableDown Unavailability = "down"
 	// UnavailableReturning means that such a while has just ended and that the endpoint has
@@ -76,6 +79,8 @@
 		return UnavailableLeavingByRecord
 	case now.Before(a.quietUntil):
 		return UnavailableQuiet
+	case a.down && s.silent.Load():
+		return UnavailableSilent
 	case a.down:
 		return UnavailableDown
 	case !a.quietUntil.IsZero() && float64(s.local.Runs) >= s.returnLimit(now):
--- a/internal/placement/availability_test.go
+++ b/internal/placement/availability_test.go
@@ -151,6 +151,9 @@
 		placement.UnavailableDown: func(b *placement.Balancer, _ *placement.Run) {
 			b.RecordProbe(listedEndpoint(b, "i-0"), false, time.Now())
 		},
+		placement.UnavailableSilent: func(_ *placement.Balancer, run *placement.Run) {
+			run.End(placement.ResultSilent, time.Now())
+		},
 	} {
 		t.Run(string(reason), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/placement/fault.go
+++ b/internal/placement/fault.go
@@ -180,7 +180,7 @@
 		s.backOff(now)
 		s.down = true
 		s.silent.Store(true)
-		b.notifyChange(s, Change{To: ConditionDown, Reason: UnavailableDown, Cause: "connection timed out"})
+		b.notifyChange(s, Change{To: ConditionDown, Reason: UnavailableSilent, Cause: "connection timed out"})
 	case ResultRefused:
 		if s.silent.Load() {
 			b.setUp(s, "request was refused")
