internal/gateway: responses that begin during a stop close their connections

What callers saw: the response to a request that was in progress when a stop began did not say that its connection closes. Cause: 'Connection: close' was decided when a request arrived, not when its response began. Evidence: TestStopClosesConnectionsOfRequestsInProgress failed before.

--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -162,6 +162,28 @@
 	}
 }
 
+// A request was in progress when a planned stop began: its response did not say that its connection
+// closes, so that the caller's next request could cross the closing of the idle connection.
+func TestStopClosesConnectionsOfRequestsInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(time.Minute)
+		f := newFixture(t)
+		f.startServing()
+		c := f.dialCallers()
+		f.processingTime = time.Second
+		closes := make(chan bool, 1)
+		go func() {
+			fmt.Fprint(c, requestStart+requestEnd)
+			resp, err := http.ReadResponse(c.br, nil)
+			closes <- err == nil && resp.StatusCode == http.StatusOK && resp.Close
+		}()
+		time.Sleep(500 * time.Millisecond)
+		f.stop()
+		require.NoError(t, <-f.done)
+		require.True(t, <-closes)
+	})
+}
+
 // A loaded machine delivers the signal to stop late, and the platform kills the process when the grace
 // period after the signal was sent has passed: the requests that were left got no answer.
 func TestStopEndsBeforeGraceDespiteLag(t *testing.T) {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -68,6 +68,7 @@
 // text.
 func (c *call) reject(status int, reason string) {
 	c.limitUnreadBody()
+	c.closeIfStopping()
 	c.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	c.w.WriteHeader(status)
 	_, _ = fmt.Fprintln(c.w, reason)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -335,6 +335,7 @@
 		return
 	}
 	c.headersSent = true
+	c.closeIfStopping()
 	header := c.w.Header()
 	connection, keepAlive := header.Get("Connection"), header.Get("Keep-Alive")
 	for name, values := range a.Header {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,9 +114,6 @@
 		// the process, and that time counts, too.
 		c.arrived = c.arrived.Add(-h.Overload.Lag())
 	}
-	if h.stopping.Load() != nil {
-		w.Header().Set("Connection", "close")
-	}
 	defer c.releaseBody()
 	if !c.accept() {
 		return
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -29,8 +29,8 @@
 	return whole.After(s.RefuseStreams) && (stream || deadline.IsZero() || deadline.After(s.End))
 }
 
-// Stop starts a graceful shutdown: every response to a request that arrives from now
-// on closes its connection, and new requests are refused after the given times.
+// Stop starts a graceful shutdown: every response that begins from now on closes its connection, and
+// new requests are refused after the given times.
 func (h *Handler) Stop(s ShutdownTimes) {
 	h.stopping.Store(&s)
 	time.AfterFunc(time.Until(s.RefuseAll), h.bodyReads.expireAll)
@@ -72,6 +72,14 @@
 	}
 }
 
+// closeIfStopping makes the response close its connection if the instance is stopping. It is called
+// before the headers are written.
+func (c *call) closeIfStopping() {
+	if c.h.stopping.Load() != nil {
+		c.w.Header().Set("Connection", "close")
+	}
+}
+
 // refuseStopping refuses the request if the instance is stopping and may end before the response is
 // complete. It reports whether it did. whole is when the request was read.
 func (c *call) refuseStopping(whole time.Time) bool {
