internal/watch: a recovery that is learned again does not lose the pause in reads

Callers would get no-endpoint for endpoints that are sound. The pause had been added to the time of recovery, which is set anew, and was gone. Change: pauses are remembered as such, the last eight, and the end of the grace is computed from them and the recovery each time, so that the order in which both are learned does not matter.

--- a/internal/watch/endpoint_tracker.go
+++ b/internal/watch/endpoint_tracker.go
@@ -43,11 +43,19 @@
 	missing map[string]bool
 	// dataAt is until when records had been read at the last call of RemoveExpired.
 	dataAt time.Time
+	// pauses are the last pauses between reads that were longer than maxReadPause, in order.
+	pauses []readPause
 	known  map[string]bool
 	order  recordOrder
 	synced bool
 }
 
+// readPause is a time in which the platform was not read.
+type readPause struct{ from, to time.Time }
+
+// maxReadPauses is how many pauses are remembered: few can fall into one grace.
+const maxReadPauses = 8
+
 // SetRecovered sets when the last outage of the platform ended. An earlier time than before
 // shortens the grace of endpoints whose records are missing.
 func (t *EndpointTracker) SetRecovered(at time.Time) {
@@ -145,8 +153,20 @@
 }
 
 // graceEnd returns until when missing records may be written again; it is long past if there
-// was no outage.
-func (t *EndpointTracker) graceEnd() time.Time { return t.recoveredAt.Add(recoveryGrace) }
+// was no outage. Long pauses between reads do not count.
+func (t *EndpointTracker) graceEnd() time.Time {
+	end := t.recoveredAt.Add(recoveryGrace)
+	for _, p := range t.pauses {
+		from := p.from
+		if from.Before(t.recoveredAt) {
+			from = t.recoveredAt
+		}
+		if length := p.to.Sub(from); length > maxReadPause && from.Before(end) {
+			end = end.Add(length)
+		}
+	}
+	return end
+}
 
 func (t *EndpointTracker) remove(id, cause string) {
 	delete(t.known, id)
@@ -160,12 +180,9 @@
 func (t *EndpointTracker) RemoveExpired(now, dataAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	from := t.dataAt
-	if from.Before(t.recoveredAt) {
-		from = t.recoveredAt
-	}
-	if pause := dataAt.Sub(from); pause > maxReadPause && from.Before(t.graceEnd()) {
-		t.recoveredAt = t.recoveredAt.Add(pause)
+	if dataAt.Sub(t.dataAt) > maxReadPause {
+		t.pauses = append(t.pauses, readPause{t.dataAt, dataAt})
+		t.pauses = t.pauses[max(len(t.pauses)-maxReadPauses, 0):]
 	}
 	t.dataAt = dataAt
 	if now.Sub(dataAt) <= freshAge || !dataAt.Before(t.graceEnd()) {
