internal/caller: a body that does not come holds back no response, on the path of run

What callers saw: the rest of a body stops arriving. A request that needs it had no time limit; a refusal that was decided on the head (401) came only when the caller closed its connection. Change: the first 64 KiB of a body have 10 s to arrive, else the request is refused with 408; an error response waits 100 ms for the rest of a body.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -36,6 +36,7 @@
 	if c.ticket != nil {
 		c.closeTicket(outcome)
 	}
+	c.limitUnreadBody()
 	header := c.w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(HeaderOutcome, string(outcome))
--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -16,6 +18,14 @@
 // body can be sent again. The fingerprint covers this part of the body.
 const headBytes = 64 << 10
 
+const (
+	// bodyReadTimeout bounds how long the beginning of a body may take to arrive.
+	bodyReadTimeout = 10 * time.Second
+	// unreadBodyTimeout bounds how long an error response waits for the rest of a body, which the
+	// server reads before it responds on a connection that it keeps.
+	unreadBodyTimeout = 100 * time.Millisecond
+)
+
 // prefixBytes is how much of a body is hashed as the beginning of the prompt, for
 // cache affinity.
 const prefixBytes = 256
@@ -35,7 +45,11 @@
 		return b, nil
 	}
 	limited := http.MaxBytesReader(w, r.Body, maxBytes)
+	controller := http.NewResponseController(w)
+	// Errors mean that the connection is closed, which the read reports.
+	_ = controller.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	head, err := io.ReadAll(io.LimitReader(limited, headBytes))
+	_ = controller.SetReadDeadline(time.Time{})
 	if err != nil {
 		return nil, err
 	}
@@ -53,9 +67,23 @@
 	if errors.As(err, &tooLarge) {
 		return http.StatusRequestEntityTooLarge
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return http.StatusRequestTimeout
+	}
 	return http.StatusBadRequest
 }
 
+// limitUnreadBody bounds the time for which an error response waits for the rest of the body. The
+// server closes the connection after the response if the rest has not arrived by then, and removes the
+// bound before the next request.
+func (c *call) limitUnreadBody() {
+	if c.r.Body == nil || c.r.Body == http.NoBody || c.body != nil && c.body.rest == nil {
+		return
+	}
+	// An error means that the connection is closed, which the write of the response reports.
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+}
+
 // replayable reports whether the whole body can be sent in another attempt.
 func (b *body) replayable() bool { return b.rest == nil || !b.restConsumed.Load() }
 
