internal/demo: a soak with what endpoints say of themselves

TestSoakWithSignals draws them beside the faults of TestSoak, from a source of its own, so that the kept seeds play as before: endpoints that ask for quiet, fall silent, spoil events, and answer a resumed stream with an error. Its first 20 fresh seeds (500 to 519) failed once, seed 508, after all checks had passed: an instance that was frozen while it was down kept a goroutine of its former process waiting, which ends the bubble of fake time with a panic. A fault of the site that simulates instances, older than this test; a start ends the former process's connections now.

--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -265,6 +265,10 @@
 // ready.
 func (n *Node) Start() error {
 	s := n.site
+	if n.freezer != nil {
+		// Connections of the former process end, also if it was frozen when it was down.
+		n.freezer.set(false)
+	}
 	n.freezer = newFreezer()
 	client := &http.Client{Transport: &http.Transport{DialContext: n.dial, DisableKeepAlives: true}}
 	r := &router.Router{
--- a/internal/demo/soak_test.go
+++ b/internal/demo/soak_test.go
@@ -27,10 +27,16 @@
 // twice, and refused requests were not executed. Longer runs:
 //
 //	go test ./internal/demo -run Soak -soak.steps 2000 -soak.seeds 20
-func TestSoak(t *testing.T) {
+func TestSoak(t *testing.T) { soakSeedsOf(t, false) }
+
+// TestSoakWithSignals is TestSoak with endpoints that ask for quiet, fall silent for a moment, spoil
+// events of streams and fail the rest of broken ones.
+func TestSoakWithSignals(t *testing.T) { soakSeedsOf(t, true) }
+
+func soakSeedsOf(t *testing.T, signals bool) {
 	for seed := *soakFirst; seed < *soakFirst+uint64(*soakSeeds); seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { soak(t, seed, *soakSteps) })
+			synctest.Test(t, func(t *testing.T) { soak(t, seed, *soakSteps, signals) })
 		})
 	}
 }
@@ -44,7 +50,8 @@
 	faultTrace []string
 }
 
-func soak(t *testing.T, seed uint64, steps int) {
+func soak(t *testing.T, seed uint64, steps int, signals bool) {
+	signalRNG := rand.New(rand.NewPCG(seed, 9))
 	s := &soakRun{rng: rand.New(rand.NewPCG(seed, 5)), job: newJob(), down: map[string]bool{}}
 	s.site = &demo.Site{
 		Network: &standin.MemoryNetwork{}, InstanceCount: 5, DomainCount: 3, EngineCount: 4, PlainCount: 4,
@@ -59,6 +66,9 @@
 	for range steps {
 		time.Sleep(time.Duration(s.rng.IntN(1500)) * time.Millisecond)
 		s.injectFault(t)
+		if signals {
+			s.signal(signalRNG)
+		}
 	}
 	s.clearFaults(t)
 	close(stop)
@@ -143,6 +153,24 @@
 	}
 }
 
+// signal lets a random endpoint ask for quiet, fall silent, spoil streams or fail resumed ones.
+func (s *soakRun) signal(rng *rand.Rand) {
+	engine, plain := s.site.ModelEngines[rng.IntN(4)], s.site.PlainServices[rng.IntN(4)]
+	signals := []*standin.Signals{&engine.Signals, &plain.Signals}[rng.IntN(2)]
+	signal := rng.IntN(4)
+	s.faultTrace = append(s.faultTrace, fmt.Sprintf("signal %d", signal))
+	switch signal {
+	case 0:
+		signals.AskForQuiet(time.Duration(300+rng.IntN(3000)) * time.Millisecond)
+	case 1:
+		signals.FallSilent(time.Duration(300+rng.IntN(1200)) * time.Millisecond)
+	case 2:
+		engine.Set(standin.EngineFaults{Break: rng.IntN(3), Spoil: rng.IntN(4)})
+	case 3:
+		engine.Set(standin.EngineFaults{Break: rng.IntN(3), FailResumed: rng.IntN(4)})
+	}
+}
+
 // killOrStart starts an instance that is down, or kills it unless two others are down.
 func (s *soakRun) killOrStart(t *testing.T, node *demo.Node) {
 	down := 0
