internal/gateway: count stream responses by media type and blocks without an event by kind

The hypotheses 2 and 3 of docs/incidents/foreign-block.md could not be told apart: no counter and no log line had the media type of a response, or said that the check of a stream had seen a block without an event. No logic changes. The labels have a fixed set of values; the log field media is bounded.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -178,6 +178,9 @@
 			zap.Duration("wait", c.choice.Wait), zap.Float64("runs", c.choice.Runs), zap.Int("missing", c.choice.MissingTokens),
 			zap.Int("usable", c.choice.Usable), zap.Duration("age", c.choice.LoadAge), zap.Float64("slowdown", c.choice.HostSlowdown), zap.Int("refusals", len(c.refusedBy)), zap.String("grant", string(c.grant)))
 	}
+	if c.mediaType != "" {
+		fields = append(fields, zap.String("media", c.mediaType))
+	}
 	return fields
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/greengagestep/greengagestep/internal/gauge"
 	"github.com/greengagestep/greengagestep/internal/placement"
 	"github.com/greengagestep/greengagestep/internal/quarantine"
 	"github.com/greengagestep/greengagestep/internal/upstream"
@@ -40,7 +41,7 @@
 // attempt sends the request to the chosen endpoint and relays the response, unless the
 // request becomes quarantined meanwhile.
 func (c *call) attempt(ctx context.Context) outcome {
-	c.crashProbe = nil
+	c.crashProbe, c.mediaType = nil, ""
 	c.lastAttempt = quarantine.Attempt{
 		Quarantine: c.h.Quarantine, Endpoint: c.choice.Endpoint.ID, Request: c.attrs.ID, Signatures: c.signatures, Sent: time.Now(),
 	}
@@ -237,6 +238,10 @@
 		return outcome{kind: outcomeFailed, reason: reason, cause: fmt.Errorf(format, args...)}
 	}
 	ok := a.StatusCode >= 200 && a.StatusCode < 300
+	c.mediaType = mediaType(a.Header)
+	if ok && c.numbered() {
+		c.h.Metrics.Count(gauge.Name("stream_responses_total", "type", mediaTypeLabel(c.mediaType)))
+	}
 	switch {
 	case ok && !a.Attrs.Sealed:
 		return failed(fleet.ReasonInvalidResponse, "status %d without a response seal", a.StatusCode)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,6 +95,7 @@
 	timeToFirst time.Duration  // from arrival to the first event or the response; zero until then
 	longestGap  time.Duration  // longest time between two relayed parts of a stream
 	lastAttempt quarantine.Attempt
+	mediaType   string        // of the response of the last attempt, as a log field; empty without a response
 	stopWatch   func()        // ends the watch of the quarantine in the last attempt; nil without a quarantine
 	crashProbe  chan struct{} // closed when the endpoint of the last attempt was probed for a crash; nil if it is not
 	// retryWithdrawn is set if the retry after the last attempt has been taken out of the
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/greengagestep/greengagestep/internal/gauge"
 	"github.com/greengagestep/greengagestep/internal/placement"
 	"github.com/greengagestep/greengagestep/internal/stream"
 	"github.com/greengagestep/greengagestep/internal/upstream"
@@ -20,6 +21,11 @@
 	errNoEvent         = errors.New("stream ended with its connection before the first event")
 )
 
+// numbered reports whether responses on the route are streams of events with IDs.
+func (c *call) numbered() bool {
+	return c.route.Stream || c.route.Repeat == arrangement.RepeatResume
+}
+
 // relayStream copies an event stream to the caller, complete events only. If the
 // stream breaks, the caller has no partial event, so that another endpoint can resume the
 // stream after the last one. On a route for streams, an invalid event breaks it.
@@ -36,8 +42,11 @@
 		return outcome{kind: outcomeUnknown, reason: reason, cause: err}
 	}
 	var sequence *stream.Sequence
-	if c.route.Stream || c.route.Repeat == arrangement.RepeatResume {
+	if c.numbered() {
 		sequence = stream.New(c.lastEventID, c.attrs.LastEventID)
+		sequence.OnNoEvent = func(k stream.Kind) {
+			c.h.Metrics.Count(gauge.Name("stream_blocks_without_event_total", "kind", string(k)))
+		}
 	}
 	var pending []byte
 	firstEventAt, lastEventAt, events := time.Time{}, time.Time{}, 0
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -32,12 +32,25 @@
 	AnyStart bool
 	// AllowNamed lets events that have a name stand without an ID, between others or at the end.
 	AllowNamed bool
+	// OnNoEvent is called with the kind of each block without an event. Nil means no callback.
+	OnNoEvent func(Kind)
 
 	last    int64 // ID of the last event of this attempt, zero before the first one
 	started bool
 	count   int
 }
 
+// Kind is what a block without an event consists of.
+type Kind string
+
+// Kinds of blocks without an event; of several that apply, the last one of this list.
+const (
+	KindEmpty   Kind = "empty"   // an empty line
+	KindComment Kind = "comment" // comments
+	KindSetting Kind = "setting" // a reconnection time
+	KindName    Kind = "name"    // the name of an event, without data
+)
+
 // MaxEventBytes is the maximum size of an event: the data that is buffered until it is complete.
 const MaxEventBytes = 1 << 20
 
@@ -131,10 +144,16 @@
 // stream, which are no events, and for named events without one. An event has one ID and data. Fields
 // of other names are ignored.
 func (s *Sequence) parse(event []byte) (id int64, hasID bool, err error) {
-	hasData, hasOther, hasName := false, false, false
+	hasData, hasOther, hasName, kind := false, false, false, KindEmpty
 	for line := range bytes.Lines(event) {
 		line = bytes.TrimRight(line, "\r\n")
-		if len(line) == 0 || line[0] == ':' {
+		if len(line) == 0 {
+			continue
+		}
+		if line[0] == ':' {
+			if kind == KindEmpty {
+				kind = KindComment
+			}
 			continue
 		}
 		name, value, found := bytes.Cut(line, []byte(":"))
@@ -147,8 +166,11 @@
 				return 0, false, fmt.Errorf("%w: ID %.40q", ErrNotEvent, value)
 			}
 		case string(name) == "event":
-			hasName = true
+			hasName, kind = true, KindName
 		case string(name) == "retry":
+			if kind != KindName {
+				kind = KindSetting
+			}
 		case found && isFieldName(name):
 			hasOther = true
 		default:
@@ -161,6 +183,9 @@
 	if hasID != hasData || hasOther && !hasID {
 		return 0, false, fmt.Errorf("%w: ID %t, data %t in %.40q", ErrNotEvent, hasID, hasData, event)
 	}
+	if !hasID && s.OnNoEvent != nil {
+		s.OnNoEvent(kind)
+	}
 	return id, hasID, nil
 }
 
