internal/stream: blocks without an event do not reach callers

Cause: the check let every block pass that has neither an ID nor data: empty lines, a name or a reconnection time alone, comments of any bytes. A caller that splits at empty lines takes each for an event without an ID.

Fix: one place says what a block is. It is an event (one ID in one spelling, the next in turn, with data), relayed unchanged, or a block without an event by the standard, which is left out while the stream goes on, or invalid: then the attempt ends as broken, as before. Breaking streams at every block without an event was ruled out: sound endpoints send comments as a sign of life.

The response has no Content-Length any more on routes for streams: blocks may be left out, and another endpoint may send the rest.

--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -17,16 +17,17 @@
 const stallRecheckInterval = 100 * time.Millisecond
 
 // stallWatch abandons the attempt of a stream that makes no progress, so that another endpoint
-// resumes it. A stream of which the caller has a part is abandoned only if another endpoint and a
-// retry are available: a silent endpoint may be sound. It is safe for concurrent use.
+// resumes it. A stream whose endpoint has sent complete blocks, or of which the caller has a part, is
+// abandoned only if another endpoint and a retry are available: a silent endpoint may be sound. It is
+// safe for concurrent use.
 type stallWatch struct {
 	call   *call
 	answer *upstream.Answer
 
-	mu      sync.Mutex
-	timer   *time.Timer // nil once the watch has ended
-	relayed bool        // the caller has a part of the stream
-	moved   bool        // the attempt was abandoned, and its retry has been withdrawn
+	mu    sync.Mutex
+	timer *time.Timer // nil once the watch has ended
+	begun bool        // blocks have come, or the caller has a part of the stream
+	moved bool        // the attempt was abandoned, and its retry has been withdrawn
 }
 
 // watchStall starts a watch. It returns nil if no other endpoint may resume the stream: then it is
@@ -35,7 +36,7 @@
 	if !c.repeatable() || c.runs >= c.maxRuns() {
 		return nil
 	}
-	w := &stallWatch{call: c, answer: a, relayed: c.headersSent}
+	w := &stallWatch{call: c, answer: a, begun: c.headersSent}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(silenceLimit, w.check)
@@ -48,22 +49,22 @@
 	if w.timer == nil {
 		return
 	}
-	if w.relayed && !w.call.withdrawMove() {
+	if w.begun && !w.call.withdrawMove() {
 		w.timer.Reset(stallRecheckInterval)
 		return
 	}
-	w.moved = w.relayed
+	w.moved = w.begun
 	w.answer.Abandon()
 }
 
-// relay records that the caller gets a part of the stream. Only one with data is progress.
-func (w *stallWatch) relay(progress bool) {
+// receive records that complete blocks have come. Only an event with data is progress.
+func (w *stallWatch) receive(progress bool) {
 	if w == nil {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.relayed = true
+	w.begun = true
 	if progress {
 		w.timer.Reset(silenceLimit)
 	}
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -11,7 +11,11 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/greengagestep/greengagestep/internal/event"
 	"github.com/greengagestep/greengagestep/pkg/arrangement"
 )
 
@@ -98,6 +102,39 @@
 	}
 }
 
+// A sound endpoint sends comments before the first event and between events as a sign of life. With no
+// other endpoint to take over, its stream must not be cut, and the comments must not count as events in
+// the latency to the first one and in the longest pause.
+func TestSignsOfLifeAreNoEvents(t *testing.T) {
+	const silence = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(time.Minute)
+		g := newTestGateway(t, streamConfig())
+		core, logs := observer.New(zapcore.DebugLevel)
+		g.handler.Logger = zap.New(core)
+		g.addEndpoint("i-1", func(r *http.Request, _ string, w io.Writer) bool {
+			startStream(w, r)
+			for n := 1; n <= 2; n++ {
+				for range 5 {
+					time.Sleep(silence / 6)
+					_ = writeChunk(w, ": still here\n\n")
+				}
+				time.Sleep(silence / 6)
+				_ = writeChunk(w, fmt.Sprintf("id: %d\ndata: a\n\n", n))
+			}
+			_ = writeChunk(w, "")
+			return false
+		})
+		body, err := g.stream(30 * time.Second)
+		require.NoError(t, err)
+		require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: a\n\n", body)
+		lines := logs.FilterMessage(event.Request).All()
+		require.Len(t, lines, 1)
+		require.Equal(t, silence, lines[0].ContextMap()["first"])
+		require.Equal(t, silence, lines[0].ContextMap()["pause"])
+	})
+}
+
 // An endpoint reports that it did not run a request, in a response whose body does not end: the
 // request must be sent to another endpoint without waiting for it.
 func TestRefusalWithoutEnd(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,7 +28,8 @@
 
 // relayStream copies an event stream to the caller, complete events only. If the
 // stream breaks, the caller has no partial event, so that another endpoint can resume the
-// stream after the last one. On a route for streams, an invalid event breaks it.
+// stream after the last one. On a route for streams, an invalid block breaks it, and one without an
+// event is left out.
 func (c *call) relayStream(a *upstream.Answer, run *placement.Run) outcome {
 	watch := c.watchStall(a)
 	defer func() { c.retryWithdrawn = watch.end() }()
@@ -44,9 +45,9 @@
 	var sequence *stream.Sequence
 	if c.numbered() {
 		sequence = stream.New(c.lastEventID, c.attrs.LastEventID)
-		sequence.OnNoEvent = func(k stream.Kind) {
-			c.h.Metrics.Count(gauge.Name("stream_blocks_without_event_total", "kind", string(k)))
-		}
+		sequence.OnNoEvent = c.countNoEvent
+		// Blocks may be left out, and another endpoint may send the rest.
+		a.Header.Del("Content-Length")
 	}
 	var pending []byte
 	firstEventAt, lastEventAt, events := time.Time{}, time.Time{}, 0
@@ -65,27 +66,26 @@
 			return broken(stream.ErrTooLong)
 		}
 		end := stream.CompleteEnd(pending)
-		part, last, invalid := pending[:end], int64(0), error(nil)
-		if sequence != nil {
-			part, last, invalid = sequence.Next(part)
+		checked := checkBlocks(sequence, pending[:end])
+		if end > 0 && checked.err == nil {
+			watch.receive(checked.progress)
 		}
-		if end > 0 && (invalid == nil || len(part) > 0) {
+		if checked.events > 0 {
 			c.recordFirst(run)
 			now := time.Now()
 			if firstEventAt.IsZero() {
 				firstEventAt = now
 			} else {
-				events += bytes.Count(pending[:end], []byte("\n\n")) + bytes.Count(pending[:end], []byte("\r\n\r\n"))
+				events += checked.events
 				c.longestGap = max(c.longestGap, now.Sub(lastEventAt))
 			}
 			lastEventAt = now
-			watch.relay(hasData(pending[:end]))
-			if ferr := c.forward(a, part, last); ferr != nil {
+			if ferr := c.forward(a, checked.part, checked.last); ferr != nil {
 				return broken(ferr)
 			}
 		}
-		if invalid != nil {
-			return broken(invalid)
+		if checked.err != nil {
+			return broken(checked.err)
 		}
 		pending = append(pending[:0], pending[end:]...)
 		if err == io.EOF && len(pending) > 0 {
@@ -104,8 +104,44 @@
 	}
 }
 
-// hasData reports whether there is an event with data among complete ones: an endpoint that
-// sends only comments makes no progress.
+// checkedBlocks is what complete blocks of a stream hold.
+type checkedBlocks struct {
+	part     []byte // for the caller
+	last     int64  // ID of the last event in part, zero if it has none
+	events   int    // together with those that the caller had before
+	progress bool   // there is an event with data: an endpoint that sends only comments makes no progress
+	err      error  // of the block that is invalid, nil if none is
+}
+
+// checkBlocks checks complete blocks, which it overwrites. Without a sequence each of them is for the
+// caller.
+func checkBlocks(sequence *stream.Sequence, blocks []byte) checkedBlocks {
+	if sequence == nil {
+		n := bytes.Count(blocks, []byte("\n\n")) + bytes.Count(blocks, []byte("\r\n\r\n"))
+		return checkedBlocks{part: blocks, events: max(n, min(len(blocks), 1)), progress: hasData(blocks)}
+	}
+	before := sequence.Events()
+	part, last, err := sequence.Next(blocks)
+	events := sequence.Events() - before
+	return checkedBlocks{part: part, last: last, events: events, progress: events > 0, err: err}
+}
+
+// noEventCounters are the names of the counters of blocks without an event.
+var noEventCounters = map[stream.Kind]string{
+	stream.KindEmpty:   noEventCounter(stream.KindEmpty),
+	stream.KindComment: noEventCounter(stream.KindComment),
+	stream.KindSetting: noEventCounter(stream.KindSetting),
+	stream.KindName:    noEventCounter(stream.KindName),
+}
+
+func noEventCounter(kind stream.Kind) string {
+	return gauge.Name("stream_blocks_without_event_total", "kind", string(kind))
+}
+
+// countNoEvent counts a block without an event.
+func (c *call) countNoEvent(kind stream.Kind) { c.h.Metrics.Count(noEventCounters[kind]) }
+
+// hasData reports whether there is an event with data among complete ones.
 func hasData(events []byte) bool {
 	return bytes.HasPrefix(events, []byte("data:")) || bytes.Contains(events, []byte("\ndata:"))
 }
