internal/gateway: the route says whether a response is an event stream

Cause: relay selected the check by the endpoint's word, a prefix of its Content-Type. The class: what an endpoint sends is trusted to say how it is checked.

Fix: on routes for streams every successful response with a body is checked; HEAD and 204 have none and are relayed as they are, or do not go on with a stream of which the caller has a part. Elsewhere the media type is compared as one: without parameters, in any letters.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -257,7 +257,7 @@
 	if c.headersSent && !ok {
 		return failed(fleet.ReasonEndpointFailed, "status %d instead of the remaining events of a resumed stream", a.StatusCode)
 	}
-	if ok && strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
+	if ok && c.isStream(a) {
 		return c.relayStream(a, run)
 	}
 	if c.headersSent {
--- a/internal/gateway/media_test.go
+++ b/internal/gateway/media_test.go
@@ -25,7 +25,7 @@
 		g := newTestGateway(t, streamConfig())
 		core, logs := observer.New(zapcore.DebugLevel)
 		g.handler.Logger = zap.New(core)
-		types := []string{"Content-Type: text/event-stream; charset=utf-8\r\n", "", "Content-Type: text/plain\r\n"}
+		types := []string{"Content-Type: Text/Event-Stream; charset=utf-8\r\n", "", "Content-Type: text/plain\r\n"}
 		answered := 0
 		g.addEndpoint("i-1", func(r *http.Request, _ string, w io.Writer) bool {
 			fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSeal: s\r\n%sTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Request-Id"), types[answered])
@@ -44,7 +44,7 @@
 			require.Contains(t, text.String(), fmt.Sprintf("greengagestep_stream_responses_total{%s} 1\n", label))
 		}
 		for _, kind := range []string{"empty", "comment", "setting", "name"} {
-			require.Contains(t, text.String(), fmt.Sprintf("greengagestep_stream_blocks_without_event_total{kind=%q}", kind))
+			require.Contains(t, text.String(), fmt.Sprintf("greengagestep_stream_blocks_without_event_total{kind=%q} 3\n", kind))
 		}
 		var media []any
 		for _, line := range logs.FilterMessage(event.Request).All() {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -26,6 +26,15 @@
 	return c.route.Stream || c.route.Repeat == arrangement.RepeatResume
 }
 
+// isStream reports whether a successful response is an event stream. On routes for streams each one
+// with a body is, whatever media type the endpoint names: one that sends garbage may name any.
+func (c *call) isStream(a *upstream.Answer) bool {
+	if c.r.Method == http.MethodHead || a.StatusCode == http.StatusNoContent {
+		return false
+	}
+	return c.numbered() || c.mediaType == mediaTypeEvents
+}
+
 // relayStream copies an event stream to the caller, complete events only. If the
 // stream breaks, the caller has no partial event, so that another endpoint can resume the
 // stream after the last one. On a route for streams, an invalid block breaks it, and one without an
