internal/gateway: an empty Content-Encoding does not hide a second one

What callers could get: an encoded body, which is not the one that the endpoint produced, as a complete response, if the first of several Content-Encoding headers is empty.

Cause: only the first header was looked at. An empty header alone says nothing and passes as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -245,7 +245,7 @@
 	switch {
 	case ok && !a.Attrs.Sealed:
 		return failed(fleet.ReasonInvalidResponse, "status %d without a response seal", a.StatusCode)
-	case a.Header.Get("Content-Encoding") != "":
+	case strings.Join(a.Header["Content-Encoding"], "") != "":
 		return failed(fleet.ReasonInvalidResponse, "response has an unexpected Content-Encoding")
 	case slices.Contains(notRunStatuses, a.StatusCode):
 		// The endpoint did not report the request as not run. Forwarding the
