standin, demo: engines spoil streams in ten more ways; callers judge block by block

Engines knew three ways of spoiling a stream, all of which the check knew, too. They take a kind now: also empty lines, a name or a reconnection time alone, a comment of arbitrary bytes, blocks before the first event, a CR alone, IDs with a sign or a leading zero, and a missing or unusual Content-Type.

The callers of scenarios and of the demo looked at lines that begin with "data: ". They split a stream at empty lines now, with CR, LF or both as line ends, and take every block that is not the next event or the named last one for a wrong answer.

--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -1,7 +1,6 @@
 package demo
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -305,45 +304,36 @@
 		return
 	}
 	defer resp.Body.Close()
-	tokens, err := l.readStream(resp.Body, func() {
+	answer := &standin.AnswerReader{Prompt: standin.Prompt{Prompt: prompt, Tokens: r.tokens}}
+	err = readStream(resp.Body, answer, func(tokens int) {
 		once.Do(stopWaiting)
 		l.mu.Lock()
-		l.meter.Serve(name, r.kind, 1)
+		l.meter.Serve(name, r.kind, float64(tokens))
 		l.mu.Unlock()
 	})
 	if err != nil {
 		l.updateCounts(func(c *Report) { c.Cut++ })
 		return
 	}
-	l.countOutcome(outcomeOf(resp), correctTokens(prompt, r.tokens, tokens))
+	l.countOutcome(outcomeOf(resp), answer.Err() == nil)
 }
 
-func (l *loadGenerator) readStream(body io.Reader, onToken func()) ([]string, error) {
-	var tokens []string
-	lines := bufio.NewScanner(body)
-	namedEvent := false
-	for lines.Scan() {
-		line := lines.Text()
-		if line == "" {
-			namedEvent = false
+// readStream reads an answer and calls onTokens with the number of tokens that have arrived since
+// the last call.
+func readStream(body io.Reader, answer *standin.AnswerReader, onTokens func(tokens int)) error {
+	buf := make([]byte, 4<<10)
+	for {
+		before := answer.Tokens()
+		n, err := body.Read(buf)
+		_, _ = answer.Write(buf[:n])
+		if tokens := answer.Tokens() - before; tokens > 0 {
+			onTokens(tokens)
 		}
-		namedEvent = namedEvent || strings.HasPrefix(line, "event:")
-		if token, ok := strings.CutPrefix(line, "data: "); ok && !namedEvent {
-			tokens = append(tokens, token)
-			onToken()
+		if err == io.EOF {
+			return nil
 		}
-	}
-	return tokens, lines.Err()
-}
-
-func correctTokens(prompt string, want int, got []string) bool {
-	if len(got) != want {
-		return false
-	}
-	for i, token := range got {
-		if token != standin.AnswerToken(prompt, i+1) {
-			return false
+		if err != nil {
+			return err
 		}
 	}
-	return true
 }
--- a/internal/demo/scenario_test.go
+++ b/internal/demo/scenario_test.go
@@ -279,8 +279,8 @@
 	}
 }
 
-// engine NAME|all up|down|break=N|spoil=N|failresumed=N|poison=TEXT|unframed|leave|reset replaces the faults of model
-// engines; leave makes them report that they are leaving, reset unloads their models. The
+// engine NAME|all up|down|break=N|spoil=N|spoilkind=KIND|failresumed=N|poison=TEXT|unframed|leave|reset replaces
+// the faults of model engines; leave makes them report that they are leaving, reset unloads their models. The
 // signals are those of the command plain.
 func cmdEngine(ts *testscript.TestScript, _ bool, args []string) {
 	for _, e := range scenarioOf(ts).site.ModelEngines {
@@ -292,6 +292,12 @@
 		}
 		named, rest := parseArgs(args[1:])
 		f := standin.EngineFaults{Break: intArg(ts, named, "break", 0), Spoil: intArg(ts, named, "spoil", 0), FailResumed: intArg(ts, named, "failresumed", 0), Poison: named["poison"]}
+		if kind := named["spoilkind"]; kind != "" {
+			f.SpoilKind = standin.SpoilKind(kind)
+			if !slices.Contains(standin.SpoilKinds(), f.SpoilKind) {
+				ts.Fatalf("unknown kind %q", kind)
+			}
+		}
 		for _, arg := range rest {
 			f.Down = f.Down || arg == "down"
 			f.Unframed = f.Unframed || arg == "unframed"
@@ -597,19 +603,10 @@
 	return outcome, problem.Reason, body, id
 }
 
-// completeAnswer reports whether a stream has all tokens of the answer in order after a number of
-// them.
+// completeAnswer reports whether a client that splits a stream at empty lines reads the events of the
+// answer after a number of them, in order, and nothing else.
 func completeAnswer(p *standin.Prompt, after int, body string) bool {
-	count := after
-	for _, line := range strings.Split(body, "\n") {
-		token, ok := strings.CutPrefix(line, "data: ")
-		if !ok || token == "end" {
-			continue
-		}
-		count++
-		if token != standin.AnswerToken(p.Prompt, count) {
-			return false
-		}
-	}
-	return count == p.Tokens
+	answer := &standin.AnswerReader{Prompt: *p, After: after}
+	_, _ = answer.Write([]byte(body))
+	return answer.Err() == nil
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -71,9 +71,11 @@
 	Down bool `json:"down"`
 	// Break is the number of streams whose connection is dropped halfway.
 	Break int `json:"break"`
-	// Spoil is the number of streams with a spoiled event halfway, which then go on as if
-	// it had been sound. Kinds of spoiled events take turns.
+	// Spoil is the number of streams that are spoiled halfway and then go on as if they had
+	// not been.
 	Spoil int `json:"spoil"`
+	// SpoilKind is the way in which they are; empty means that all kinds take turns.
+	SpoilKind SpoilKind `json:"spoilKind"`
 	// FailResumed is the number of prompts with a Last-Event-ID that are answered with
 	// status 500.
 	FailResumed int `json:"failResumed"`
@@ -286,7 +288,13 @@
 		return
 	}
 	breakAt, spoilAt, spoiled := e.startRequest(r, p, from)
-	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header()["Content-Type"] = nil // else it is guessed
+	if contentType := spoiled.contentType(); contentType != "" {
+		w.Header().Set("Content-Type", contentType)
+	}
+	if spoiled == SpoilFirst {
+		fmt.Fprint(w, "\n: \xff\n\n")
+	}
 	e.mu.Lock()
 	unframed := e.faults.Unframed
 	e.mu.Unlock()
@@ -311,13 +319,13 @@
 			return
 		}
 		if i == spoilAt {
-			fmt.Fprintf(w, spoiled, i)
+			fmt.Fprint(w, spoiled.event(i, AnswerToken(p.Prompt, i)))
 			continue
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, AnswerToken(p.Prompt, i))
+		fmt.Fprint(w, answerEvent(i, AnswerToken(p.Prompt, i)))
 		_ = http.NewResponseController(w).Flush()
 	}
-	fmt.Fprint(w, "event: end\ndata: end\n\n")
+	fmt.Fprint(w, answerEnd+"\n\n")
 }
 
 // AnswerToken returns the i-th token, counted from 1, of the answer to a prompt. Every
@@ -341,14 +349,10 @@
 	return true
 }
 
-// spoiledEvents are formats of events that take the place of a token, given its number: without an
-// ID, with another ID, and bytes that are no event.
-var spoiledEvents = []string{"data: spoiled%.0d\n\n", "id: 1%d\ndata: spoiled\n\n", "spoiled%.0d\n\n"}
-
 // startRequest records the start of a request and returns the number of the token before
-// which the connection is dropped, and of the one that is replaced by a spoiled event, -1 for
+// which the connection is dropped, and of the one at which the stream is spoiled and how, -1 for
 // none. from is the last token that the client has already received.
-func (e *Engine) startRequest(r *http.Request, p Prompt, from int) (breakAt, spoilAt int, spoiled string) {
+func (e *Engine) startRequest(r *http.Request, p Prompt, from int) (breakAt, spoilAt int, spoiled SpoilKind) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.starts++
@@ -371,7 +375,10 @@
 	}
 	if e.faults.Spoil > 0 {
 		e.faults.Spoil--
-		return -1, halfway, spoiledEvents[e.faults.Spoil%len(spoiledEvents)]
+		if e.faults.SpoilKind != "" {
+			return -1, halfway, e.faults.SpoilKind
+		}
+		return -1, halfway, spoilKinds[e.faults.Spoil%len(spoilKinds)]
 	}
 	return -1, -1, ""
 }
