caller: a replayed answer contains all parts of a resumed stream

A stream whose request has an idempotency key broke off and went on at another endpoint. A request with the same key got the events of the last endpoint only, as a complete answer.

Each attempt began the record of the answer anew, also one that continued a response. The record begins with the response now. The caller of the first request was not affected: what it got was right.

The scenario replayresumed failed before (a wrong answer to the second request).

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -193,13 +193,13 @@
 // writeHeader sends the status and the headers to the caller if no earlier attempt
 // has sent them.
 func (c *call) writeHeader(resp *http.Response) {
-	if c.recorder != nil {
-		c.recorder.begin(resp)
-	}
 	if c.responseStarted {
 		return
 	}
 	c.responseStarted = true
+	if c.recorder != nil {
+		c.recorder.begin(resp)
+	}
 	header := c.w.Header()
 	for name, values := range resp.Header {
 		if slices.Contains(hopByHopHeaders, name) || name == HeaderRequestID || name == endpoint.HeaderLeaving {
