caller: streams are checked also without a Content-Type or with it in other letters

The check was selected by a prefix of the endpoint's header.

The service selects it now. Its successful responses are streams unless they declare another media type: such a body is no stream to its caller, and sound endpoints have some beside their streams (models, metrics). Types are compared as media types, so that text/event-streaming is none. A body without a type that has no event does not complete a stream that another endpoint has begun, since it may be none. Responses to HEAD have no body to check, and those with other statuses are forwarded as they come: the check broke them off after their header was sent.

net/http guessed the type of a response without one, so that callers saw text/plain; the type stays missing.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -124,8 +124,9 @@
 // forwardResponse forwards a response to the caller and charges the tokens in it to
 // the customer.
 func (c *call) forwardResponse(resp *http.Response, slot *dispatch.Slot) *endpoint.Failure {
-	isEventStream := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
-	if c.responseStarted && (!isEventStream || resp.StatusCode != http.StatusOK) {
+	resumed, numbered, declared := c.responseStarted, c.isNumbered(resp), mediaType(resp) == streamType
+	isEventStream := numbered || declared && c.r.Method != http.MethodHead
+	if resumed && (!numbered || resp.StatusCode != http.StatusOK) {
 		return &endpoint.Failure{
 			Endpoint: slot.Endpoint, Reason: fleet.ReasonEndpointFailed, Reached: true,
 			Cause: fmt.Errorf("status %d instead of the remaining events of a resumed stream", resp.StatusCode),
@@ -133,7 +134,7 @@
 	}
 	c.writeHeader(resp)
 	s := &eventStream{}
-	if c.service.Resume {
+	if numbered {
 		s.sequence = stream.New(c.lastEventID, c.r.Header.Get(headerResume))
 		s.sequence.AllowNamed = true
 	}
@@ -168,7 +169,8 @@
 			return &endpoint.Failure{Endpoint: slot.Endpoint, Reason: fleet.ReasonInvalidResponse, Reached: true, Cause: invalid}
 		}
 		if err == io.EOF && isEventStream {
-			if broken := s.checkEnd(isFramed(resp)); broken != nil {
+			// A body without a type that has no event may be no stream, so that it does not complete one.
+			if broken := s.checkEnd(isFramed(resp) && (declared || !resumed)); broken != nil {
 				err = broken
 			}
 		}
@@ -208,10 +210,18 @@
 		header[name] = values
 	}
 	header.Del("Content-Length")
+	keepTypeMissing(header)
 	header.Set("Trailer", HeaderOutcome)
 	c.w.WriteHeader(resp.StatusCode)
 }
 
+// keepTypeMissing keeps net/http from guessing the Content-Type of a response without one.
+func keepTypeMissing(header http.Header) {
+	if _, ok := header["Content-Type"]; !ok {
+		header["Content-Type"] = nil
+	}
+}
+
 func (c *call) writeBody(p []byte, slot *dispatch.Slot) *endpoint.Failure {
 	if c.recorder != nil {
 		c.recorder.add(p)
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -265,6 +265,7 @@
 	for name, values := range a.Header {
 		c.w.Header()[name] = values
 	}
+	keepTypeMissing(c.w.Header())
 	c.w.Header().Set(HeaderRequestID, c.id)
 	c.w.Header().Set("Replayed-From", d.Winner.Request)
 	c.w.Header().Set("Trailer", HeaderOutcome)
