caller: a response that is no stream is not continued at another endpoint

A call to a service with resume: true was executed twice, though its method may run once, if its connection was dropped within the response: a response that had begun was taken for one that can go on, whatever it was. The next endpoint's response was discarded if it was no stream, and appended to the first one if it was.

Only a stream of numbered events is continued. Without that, the connection to the caller is closed, as for services without resume.

Streams still go on: resume, resumed, resumefails pass.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -133,6 +133,7 @@
 		}
 	}
 	c.writeHeader(resp)
+	c.resumable = numbered
 	s := &eventStream{}
 	if numbered {
 		s.sequence = stream.New(c.lastEventID, c.r.Header.Get(headerResume))
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -101,6 +101,8 @@
 	suspect bool
 	// responseStarted is set once the response headers were sent to the caller.
 	responseStarted bool
+	// resumable is set if the response that has started is a stream of numbered events.
+	resumable bool
 	// reached is set once a byte of the request may have reached an endpoint, so
 	// that the endpoint may have executed it.
 	reached bool
--- a/internal/caller/retry.go
+++ b/internal/caller/retry.go
@@ -58,7 +58,7 @@
 		return false
 	}
 	if c.responseStarted {
-		return c.service.Resume
+		return c.resumable
 	}
 	return !f.Reached || c.idempotent
 }
--- a/internal/demo/scenario_test.go
+++ b/internal/demo/scenario_test.go
@@ -253,7 +253,7 @@
 	}
 }
 
-// plain NAME|all up|down|lose=N|poison=BODY|garbage|leave replaces the faults of plain
+// plain NAME|all up|down|lose=N|cut=N|poison=BODY|garbage|leave replaces the faults of plain
 // services; leave makes them report that they are leaving. plain NAME|all
 // announce|quiet=D|silent=D|replace changes what they tell their callers and keeps their
 // faults: announce makes every answer say that they leave, quiet makes them refuse requests,
@@ -267,7 +267,7 @@
 			continue
 		}
 		named, rest := parseArgs(args[1:])
-		f := standin.PlainFaults{Lose: intArg(ts, named, "lose", 0), Poison: named["poison"]}
+		f := standin.PlainFaults{Lose: intArg(ts, named, "lose", 0), Cut: intArg(ts, named, "cut", 0), Poison: named["poison"]}
 		for _, arg := range rest {
 			f.Down = f.Down || arg == "down"
 			f.Garbage = f.Garbage || arg == "garbage"
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -35,6 +35,9 @@
 	// Lose is the number of calls that are executed but whose connection is dropped
 	// before the response.
 	Lose int `json:"lose"`
+	// Cut is the number of calls that are executed but whose connection is dropped within
+	// the response.
+	Cut int `json:"cut"`
 	// Garbage makes every executed call return bytes that are not valid HTTP.
 	Garbage bool `json:"garbage"`
 	// Down drops connections before a call is executed.
@@ -139,6 +142,9 @@
 	if faults.Lose > 0 {
 		p.faults.Lose--
 	}
+	if faults.Cut > 0 {
+		p.faults.Cut--
+	}
 	p.mu.Unlock()
 	time.Sleep(p.Latency)
 	p.mu.Lock()
@@ -155,6 +161,11 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
+	if faults.Cut > 0 {
+		fmt.Fprintf(w, `{"endpoint":%q,`, p.Name)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	fmt.Fprintf(w, `{"endpoint":%q,"method":%q,"path":%q,"run":%d,"bytes":%d}`+"\n", p.Name, r.Method, r.URL.Path, run, len(body))
 }
 
