caller: a stream has begun with its first event, and lines end at a lone CR

A stream that ended with its connection after a comment and before its first event was a complete answer to its caller, of services without resume as well: any block counted as an event. Only a block with data does now, as the format has it.

The same parser counts tokens, and read lines in other ways than clients do: it ignored a CR within a line, and data without a colon.

Ruled out: the check of numbered events, since these services have none.

--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"errors"
 	"net/http"
 	"strings"
@@ -29,9 +30,9 @@
 	return declared == streamType || declared == ""
 }
 
-// eventStream parses server-sent events that arrive in chunks, which may end
-// anywhere. An event ends with an empty line. An event with data and without a name
-// counts as one token.
+// eventStream parses server-sent events that arrive in chunks, which may end anywhere. Lines end
+// with LF, CR or both, an event with an empty line. A block without data is no event. An event
+// without a name counts as one token.
 type eventStream struct {
 	// sequence checks the events of a stream that another endpoint can resume. Incomplete
 	// events are held back then, so that the stream can go on after the last complete one. Nil
@@ -39,6 +40,7 @@
 	sequence *stream.Sequence
 
 	linePrefix  []byte
+	afterCR     bool
 	hasName     bool
 	hasData     bool
 	withinEvent bool
@@ -67,31 +69,39 @@
 // scan returns the number of tokens that end in a chunk.
 func (s *eventStream) scan(p []byte) (tokens int) {
 	for _, b := range p {
-		if b == '\r' {
-			continue
-		}
-		if b != '\n' {
+		endedByCR := b == '\n' && s.afterCR
+		s.afterCR = b == '\r'
+		switch {
+		case endedByCR:
+		case b == '\n' || b == '\r':
+			if s.endLine() {
+				tokens++
+			}
+		default:
 			s.withinEvent = true
 			if len(s.linePrefix) < len("event:") {
 				s.linePrefix = append(s.linePrefix, b)
 			}
-			continue
-		}
-		if len(s.linePrefix) == 0 {
-			s.received = s.received || s.withinEvent
-			s.withinEvent = false
-			if s.hasData && !s.hasName {
-				tokens++
-			}
-			s.hasData, s.hasName = false, false
 		}
-		s.hasName = s.hasName || string(s.linePrefix) == "event:"
-		s.hasData = s.hasData || strings.HasPrefix(string(s.linePrefix), "data:")
-		s.linePrefix = s.linePrefix[:0]
 	}
 	return tokens
 }
 
+// endLine parses a line that has ended and reports whether a token ends with it.
+func (s *eventStream) endLine() bool {
+	if len(s.linePrefix) > 0 {
+		field, _, _ := bytes.Cut(s.linePrefix, []byte(":"))
+		s.hasName = s.hasName || string(field) == "event"
+		s.hasData = s.hasData || string(field) == "data"
+		s.linePrefix = s.linePrefix[:0]
+		return false
+	}
+	isToken := s.hasData && !s.hasName
+	s.received = s.received || s.hasData
+	s.withinEvent, s.hasData, s.hasName = false, false, false
+	return isToken
+}
+
 var (
 	errIncompleteEvent = errors.New("stream ended within an event")
 	errNoEvent         = errors.New("stream ended with its connection before the first event")
@@ -101,7 +111,7 @@
 // response stated where its body ends.
 func (s *eventStream) checkEnd(framed bool) error {
 	switch {
-	case s.withinEvent:
+	case s.withinEvent || len(s.incomplete) > 0:
 		return errIncompleteEvent
 	case !framed && !s.received:
 		return errNoEvent
--- a/internal/demo/scenario_test.go
+++ b/internal/demo/scenario_test.go
@@ -279,8 +279,8 @@
 	}
 }
 
-// engine NAME|all up|down|break=N|spoil=N|spoilkind=KIND|failresumed=N|poison=TEXT|unframed|leave|reset replaces
-// the faults of model engines; leave makes them report that they are leaving, reset unloads their models. The
+// engine NAME|all up|down|break=N|spoil=N|spoilkind=KIND|failresumed=N|poison=TEXT|unframed|comment|leave|reset
+// replaces the faults of model engines; leave makes them report that they are leaving, reset unloads their models. The
 // signals are those of the command plain.
 func cmdEngine(ts *testscript.TestScript, _ bool, args []string) {
 	for _, e := range scenarioOf(ts).site.ModelEngines {
@@ -301,6 +301,7 @@
 		for _, arg := range rest {
 			f.Down = f.Down || arg == "down"
 			f.Unframed = f.Unframed || arg == "unframed"
+			f.Comment = f.Comment || arg == "comment"
 			if arg == "leave" {
 				e.SetLeaving()
 			}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -76,6 +76,8 @@
 	Spoil int `json:"spoil"`
 	// SpoilKind is the way in which they are; empty means that all kinds take turns.
 	SpoilKind SpoilKind `json:"spoilKind"`
+	// Comment makes streams begin with a comment, as a sign of life.
+	Comment bool `json:"comment"`
 	// FailResumed is the number of prompts with a Last-Event-ID that are answered with
 	// status 500.
 	FailResumed int `json:"failResumed"`
@@ -292,15 +294,18 @@
 	if contentType := spoiled.contentType(); contentType != "" {
 		w.Header().Set("Content-Type", contentType)
 	}
-	if spoiled == SpoilFirst {
-		fmt.Fprint(w, "\n: \xff\n\n")
-	}
 	e.mu.Lock()
-	unframed := e.faults.Unframed
+	unframed, comment := e.faults.Unframed, e.faults.Comment
 	e.mu.Unlock()
 	if unframed {
 		w.Header().Set("Transfer-Encoding", "identity")
 	}
+	if comment {
+		fmt.Fprint(w, ": alive\n\n")
+	}
+	if spoiled == SpoilFirst {
+		fmt.Fprint(w, "\n: \xff\n\n")
+	}
 	for i := from + 1; i <= p.Tokens; i++ {
 		if i == breakAt && unframed {
 			if i > from+1 {
