--- a/internal/demo/soak_test.go
+++ b/internal/demo/soak_test.go
@@ -153,9 +153,6 @@
 	}
 }
 
-// soakSpoilKinds are the ways in which engines spoil streams.
-var soakSpoilKinds = []standin.SpoilKind{standin.SpoilNoID, standin.SpoilOtherID, standin.SpoilBytes}
-
 // signal lets a random endpoint ask for quiet, fall silent, spoil streams or fail resumed ones.
 func (s *soakRun) signal(rng *rand.Rand) {
 	engine, plain := s.site.ModelEngines[rng.IntN(4)], s.site.PlainServices[rng.IntN(4)]
@@ -168,7 +165,8 @@
 	case 1:
 		signals.FallSilent(time.Duration(300+rng.IntN(1200)) * time.Millisecond)
 	case 2:
-		kind := soakSpoilKinds[rng.IntN(len(soakSpoilKinds))]
+		kinds := standin.SpoilKinds()
+		kind := kinds[rng.IntN(len(kinds))]
 		s.faultTrace = append(s.faultTrace, string(kind))
 		engine.Set(standin.EngineFaults{Break: rng.IntN(3), Spoil: rng.IntN(4), SpoilKind: kind})
 	case 3:
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -290,10 +290,7 @@
 		return
 	}
 	breakAt, spoilAt, spoiled := e.startRequest(r, p, from)
-	w.Header()["Content-Type"] = nil // else it is guessed
-	if contentType := spoiled.contentType(); contentType != "" {
-		w.Header().Set("Content-Type", contentType)
-	}
+	spoiled.SetType(w.Header())
 	e.mu.Lock()
 	unframed, comment := e.faults.Unframed, e.faults.Comment
 	e.mu.Unlock()
@@ -303,9 +300,7 @@
 	if comment {
 		fmt.Fprint(w, ": alive\n\n")
 	}
-	if spoiled == SpoilFirst {
-		fmt.Fprint(w, "\n: \xff\n\n")
-	}
+	fmt.Fprint(w, spoiled.Preface())
 	for i := from + 1; i <= p.Tokens; i++ {
 		if i == breakAt && unframed {
 			if i > from+1 {
@@ -324,7 +319,7 @@
 			return
 		}
 		if i == spoilAt {
-			fmt.Fprint(w, spoiled.event(i, AnswerToken(p.Prompt, i)))
+			fmt.Fprint(w, spoiled.Event(i, AnswerToken(p.Prompt, i)))
 			continue
 		}
 		fmt.Fprint(w, answerEvent(i, AnswerToken(p.Prompt, i)))
--- a/internal/standin/spoil.go
+++ b/internal/standin/spoil.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 )
 
@@ -23,20 +24,24 @@
 	SpoilUntyped SpoilKind = "untyped" // bytes that are no event, in a response without a Content-Type
 	SpoilLetters SpoilKind = "letters" // the same with the Content-Type in other letters
 	SpoilFirst   SpoilKind = "first"   // empty lines and a comment before the first event
+
+	// SpoilPlain sends bytes that are no event in a response of type text/plain. It is none of
+	// SpoilKinds: a caller that heeds the type does not read that response as a stream.
+	SpoilPlain SpoilKind = "plain"
 )
 
-// spoilKinds are all kinds in the order in which they take turns.
+// spoilKinds are the kinds in the order in which they take turns.
 var spoilKinds = []SpoilKind{
 	SpoilNoID, SpoilOtherID, SpoilBytes, SpoilEmpty, SpoilName, SpoilSetting, SpoilComment, SpoilCR, SpoilSign, SpoilZero,
 	SpoilUntyped, SpoilLetters, SpoilFirst,
 }
 
-// SpoilKinds returns all kinds.
+// SpoilKinds returns the kinds that spoil what callers read as a stream.
 func SpoilKinds() []SpoilKind { return slices.Clone(spoilKinds) }
 
-// event returns what an engine sends in place of the event with an ID and a token.
-func (k SpoilKind) event(id int, token string) string {
-	sound := answerEvent(id, token)
+// Event returns what is sent in place of the event with an ID and data.
+func (k SpoilKind) Event(id int, data string) string {
+	sound := answerEvent(id, data)
 	switch k {
 	case SpoilNoID:
 		return "data: spoiled\n\n"
@@ -51,25 +56,36 @@
 	case SpoilComment, SpoilFirst:
 		return ":\x00\xff\xfe\n\n" + sound
 	case SpoilCR:
-		return fmt.Sprintf("id: %d\ndata: %s\rid: 9%d\n\n", id, token, id)
+		return fmt.Sprintf("id: %d\ndata: %s\rid: 9%d\n\n", id, data, id)
 	case SpoilSign:
-		return fmt.Sprintf("id: +%d\ndata: %s\n\n", id, token)
+		return fmt.Sprintf("id: +%d\ndata: %s\n\n", id, data)
 	case SpoilZero:
-		return fmt.Sprintf("id: 0%d\ndata: %s\n\n", id, token)
-	case SpoilBytes, SpoilUntyped, SpoilLetters:
+		return fmt.Sprintf("id: 0%d\ndata: %s\n\n", id, data)
+	case SpoilBytes, SpoilUntyped, SpoilLetters, SpoilPlain:
 	}
 	return "spoiled\n\n" + sound
 }
 
-// contentType returns the Content-Type of a spoiled stream, empty for none.
-func (k SpoilKind) contentType() string {
+// Preface returns what is sent before the first event.
+func (k SpoilKind) Preface() string {
+	if k == SpoilFirst {
+		return "\n: \xff\n\n"
+	}
+	return ""
+}
+
+// SetType sets the Content-Type of a response with a spoiled stream, or keeps it missing. The
+// zero kind sets that of a sound one.
+func (k SpoilKind) SetType(header http.Header) {
 	switch k {
 	case SpoilUntyped:
-		return ""
+		header["Content-Type"] = nil // else net/http guesses one
 	case SpoilLetters:
-		return "Text/Event-Stream"
+		header.Set("Content-Type", "Text/Event-Stream")
+	case SpoilPlain:
+		header.Set("Content-Type", "text/plain")
 	default:
-		return "text/event-stream"
+		header.Set("Content-Type", "text/event-stream")
 	}
 }
 
