caller: a planned stop does not wait for refusals

A planned stop of an instance of run ended only when no answer was being sent at a check every 50 ms.

The caller handler is closed together with the scheduler: what arrives from then on is refused before its body is read, with Connection: close, and not counted. Requests that arrived before are counted first and looked at then, so that none of them is missed. A keyed request whose answer is known is refused, too, then; another instance replays it.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -71,6 +71,7 @@
 
 	routes atomic.Pointer[routeTable]
 	active atomic.Int64
+	closed atomic.Bool
 }
 
 // SetConfiguration sets the configuration for the requests that arrive from now on.
@@ -78,7 +79,11 @@
 	h.routes.Store(newRouteTable(config))
 }
 
-// Active returns the number of requests in progress, including those that wait.
+// Close makes the handler refuse the requests that arrive from now on. Those in progress go on.
+func (h *Handler) Close() { h.closed.Store(true) }
+
+// Active returns the number of requests in progress, including those that wait, without those that
+// are refused because the handler is closed.
 func (h *Handler) Active() int { return int(h.active.Load()) }
 
 // call is the state of one request of a caller.
@@ -116,10 +121,13 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.active.Add(1)
-	defer h.active.Add(-1)
 	c := &call{h: h, w: w, r: r, id: h.newID(), arrived: time.Now()}
 	w.Header().Set(HeaderRequestID, c.id)
+	if !c.begin() {
+		c.refuseStopping()
+		return
+	}
+	defer h.active.Add(-1)
 	if !c.route() || !c.parseTimeout() || !c.admit() {
 		return
 	}
@@ -131,6 +139,26 @@
 	c.run(ctx)
 }
 
+// begin counts the request as active, unless the handler is closed.
+func (c *call) begin() bool {
+	// It is counted first: a stop that finds no active request after Close misses none.
+	c.h.active.Add(1)
+	if c.h.closed.Load() {
+		c.h.active.Add(-1)
+		return false
+	}
+	return true
+}
+
+// refuseStopping refuses a request that arrived after Close. Its caller has to use another instance.
+func (c *call) refuseStopping() {
+	if !c.route() {
+		return
+	}
+	c.w.Header().Set("Connection", "close")
+	c.refuse(http.StatusServiceUnavailable, fleet.ReasonStopping, "the instance is stopping")
+}
+
 func (h *Handler) newID() string { return h.Instance + "." + uuid.NewString() }
 
 func (c *call) recordStep(step, detail string) { c.h.Trail.Step(c.id, step, detail) }
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -39,6 +39,7 @@
 	r.dispatcher.With(func(s *scheduler.Scheduler) { s.Leave(time.Now()) })
 	time.Sleep(min(leavePeriod, r.Drain))
 	r.dispatcher.With(func(s *scheduler.Scheduler) { s.Close() })
+	r.caller.Close()
 	lastReport := time.Now()
 	for {
 		remaining := r.remainingWork()
