--- a/internal/demo/scenario_test.go
+++ b/internal/demo/scenario_test.go
@@ -253,7 +253,7 @@
 	}
 }
 
-// plain NAME|all up|down|lose=N|poison=BODY|garbage|leave replaces the faults of plain
+// plain NAME|all up|down|lose=N|cut=N|poison=BODY|garbage|leave replaces the faults of plain
 // services; leave makes them report that they are leaving. plain NAME|all
 // announce|quiet=D|silent=D|replace changes what they tell their callers and keeps their
 // faults: announce makes every answer say that they leave, quiet makes them refuse requests,
@@ -267,7 +267,7 @@
 			continue
 		}
 		named, rest := parseArgs(args[1:])
-		f := standin.PlainFaults{Lose: intArg(ts, named, "lose", 0), Poison: named["poison"]}
+		f := standin.PlainFaults{Lose: intArg(ts, named, "lose", 0), Cut: intArg(ts, named, "cut", 0), Poison: named["poison"]}
 		for _, arg := range rest {
 			f.Down = f.Down || arg == "down"
 			f.Garbage = f.Garbage || arg == "garbage"
@@ -279,8 +279,8 @@
 	}
 }
 
-// engine NAME|all up|down|break=N|spoil=N|failresumed=N|poison=TEXT|unframed|leave|reset replaces the faults of model
-// engines; leave makes them report that they are leaving, reset unloads their models. The
+// engine NAME|all up|down|break=N|spoil=N|spoilkind=KIND|failresumed=N|poison=TEXT|unframed|comment|leave|reset
+// replaces the faults of model engines; leave makes them report that they are leaving, reset unloads their models. The
 // signals are those of the command plain.
 func cmdEngine(ts *testscript.TestScript, _ bool, args []string) {
 	for _, e := range scenarioOf(ts).site.ModelEngines {
@@ -292,9 +292,16 @@
 		}
 		named, rest := parseArgs(args[1:])
 		f := standin.EngineFaults{Break: intArg(ts, named, "break", 0), Spoil: intArg(ts, named, "spoil", 0), FailResumed: intArg(ts, named, "failresumed", 0), Poison: named["poison"]}
+		if kind := named["spoilkind"]; kind != "" {
+			f.SpoilKind = standin.SpoilKind(kind)
+			if !slices.Contains(standin.SpoilKinds(), f.SpoilKind) {
+				ts.Fatalf("unknown kind %q", kind)
+			}
+		}
 		for _, arg := range rest {
 			f.Down = f.Down || arg == "down"
 			f.Unframed = f.Unframed || arg == "unframed"
+			f.Comment = f.Comment || arg == "comment"
 			if arg == "leave" {
 				e.SetLeaving()
 			}
@@ -597,19 +604,10 @@
 	return outcome, problem.Reason, body, id
 }
 
-// completeAnswer reports whether a stream has all tokens of the answer in order after a number of
-// them.
+// completeAnswer reports whether a client that splits a stream at empty lines reads the events of the
+// answer after a number of them, in order, and nothing else.
 func completeAnswer(p *standin.Prompt, after int, body string) bool {
-	count := after
-	for _, line := range strings.Split(body, "\n") {
-		token, ok := strings.CutPrefix(line, "data: ")
-		if !ok || token == "end" {
-			continue
-		}
-		count++
-		if token != standin.AnswerToken(p.Prompt, count) {
-			return false
-		}
-	}
-	return count == p.Tokens
+	answer := &standin.AnswerReader{Prompt: *p, After: after}
+	_, _ = answer.Write([]byte(body))
+	return answer.Err() == nil
 }
