internal/stream: one reader of a response's media type for both paths

internal/gateway and internal/caller parsed the Content-Type in functions of their own. No behavior changes, but that the check on serve no longer asks the value that is cut for log lines (64 bytes; the type of event streams is shorter, so that none was taken for another).

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -124,7 +124,7 @@
 // forwardResponse forwards a response to the caller and charges the tokens in it to
 // the customer.
 func (c *call) forwardResponse(resp *http.Response, slot *dispatch.Slot) *endpoint.Failure {
-	resumed, numbered, declared := c.responseStarted, c.isNumbered(resp), mediaType(resp) == streamType
+	resumed, numbered, declared := c.responseStarted, c.isNumbered(resp), stream.MediaType(resp.Header) == stream.MediaTypeEvents
 	isEventStream := numbered || declared && c.r.Method != http.MethodHead
 	if resumed && (!numbered || resp.StatusCode != http.StatusOK) {
 		return &endpoint.Failure{
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -4,21 +4,10 @@
 	"bytes"
 	"errors"
 	"net/http"
-	"strings"
 
 	"github.com/greengagestep/greengagestep/internal/stream"
 )
 
-// streamType is the media type of server-sent events.
-const streamType = "text/event-stream"
-
-// mediaType returns the media type that a response declares, in small letters and without
-// parameters, empty if it declares none.
-func mediaType(resp *http.Response) string {
-	name, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
-	return strings.ToLower(strings.TrimSpace(name))
-}
-
 // isNumbered reports whether a response is a stream of numbered events: a success of a service that
 // promises them. One without a Content-Type is, too, since its caller may read it as events; one that
 // declares another type is the body of something else.
@@ -26,8 +15,8 @@
 	if !c.service.Resume || c.r.Method == http.MethodHead || resp.StatusCode/100 != 2 {
 		return false
 	}
-	declared := mediaType(resp)
-	return declared == streamType || declared == ""
+	declared := stream.MediaType(resp.Header)
+	return declared == stream.MediaTypeEvents || declared == ""
 }
 
 // eventStream parses server-sent events that arrive in chunks, which may end anywhere. Lines end
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -238,7 +238,7 @@
 		return outcome{kind: outcomeFailed, reason: reason, cause: fmt.Errorf(format, args...)}
 	}
 	ok := a.StatusCode >= 200 && a.StatusCode < 300
-	c.mediaType = mediaType(a.Header)
+	c.mediaType = mediaTypeField(a.Header)
 	if ok && c.numbered() {
 		c.h.Metrics.Count(gauge.Name("stream_responses_total", "type", mediaTypeLabel(c.mediaType)))
 	}
--- a/internal/gateway/media.go
+++ b/internal/gateway/media.go
@@ -2,21 +2,21 @@
 
 import (
 	"net/http"
-	"strings"
+
+	"github.com/greengagestep/greengagestep/internal/stream"
 )
 
 const (
-	mediaTypeEvents = "text/event-stream"
 	// mediaTypeNone is the log value and label of a response without a Content-Type.
 	mediaTypeNone = "none"
 	// maxMediaTypeBytes bounds a media type in log lines.
 	maxMediaTypeBytes = 64
 )
 
-// mediaType returns the media type of a response in lower case and without parameters.
-func mediaType(h http.Header) string {
-	t, _, _ := strings.Cut(h.Get("Content-Type"), ";")
-	if t = strings.ToLower(strings.TrimSpace(t)); t == "" {
+// mediaTypeField returns the media type of a response as a log field.
+func mediaTypeField(h http.Header) string {
+	t := stream.MediaType(h)
+	if t == "" {
 		return mediaTypeNone
 	}
 	return t[:min(len(t), maxMediaTypeBytes)]
@@ -24,9 +24,9 @@
 
 // mediaTypeLabel returns the label value of a media type in metrics: endpoints choose media types, so
 // their number has no bound.
-func mediaTypeLabel(mediaType string) string {
-	switch mediaType {
-	case mediaTypeEvents:
+func mediaTypeLabel(field string) string {
+	switch field {
+	case stream.MediaTypeEvents:
 		return "event-stream"
 	case mediaTypeNone:
 		return mediaTypeNone
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -32,7 +32,7 @@
 	if c.r.Method == http.MethodHead || a.StatusCode == http.StatusNoContent {
 		return false
 	}
-	return c.numbered() || c.mediaType == mediaTypeEvents
+	return c.numbered() || stream.MediaType(a.Header) == stream.MediaTypeEvents
 }
 
 // relayStream copies an event stream to the caller, complete events only. If the
