--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -135,6 +135,30 @@
 	})
 }
 
+// An endpoint crashes after several comments and before the first event: the comments must not count as
+// events, or the quarantine would take the request for one that the endpoint had answered.
+func TestSignsOfLifeBeforeCrashAreNoEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(time.Minute)
+		g := newTestGateway(t, streamConfig())
+		core, logs := observer.New(zapcore.InfoLevel)
+		g.handler.Logger = zap.New(core)
+		g.addEndpoint("i-1", func(r *http.Request, _ string, w io.Writer) bool {
+			startStream(w, r)
+			for range 3 {
+				time.Sleep(100 * time.Millisecond)
+				_ = writeChunk(w, ": still here\n\n")
+			}
+			return false
+		})
+		_, _ = g.stream(30 * time.Second)
+		lines := logs.FilterMessage(event.Attempt).All()
+		require.NotEmpty(t, lines)
+		require.Equal(t, true, lines[0].ContextMap()["begun"])
+		require.EqualValues(t, 0, lines[0].ContextMap()["events"])
+	})
+}
+
 // An endpoint reports that it did not run a request, in a response whose body does not end: the
 // request must be sent to another endpoint without waiting for it.
 func TestRefusalWithoutEnd(t *testing.T) {
