caller: count blocks without an event

Metrics count them by kind as on serve, and the steps of a request have the first one of each response.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/greengagestep/greengagestep/internal/claim"
 	"github.com/greengagestep/greengagestep/internal/dispatch"
 	"github.com/greengagestep/greengagestep/internal/endpoint"
@@ -138,6 +140,7 @@
 	if numbered {
 		s.sequence = stream.New(c.lastEventID, c.r.Header.Get(headerResume))
 		s.sequence.AllowNamed = true
+		s.sequence.OnNoEvent = c.noEventCounter(slot.Endpoint)
 	}
 	// A caller does not wait for the parts of a response with a known length one
 	// by one, so they need no flush.
@@ -187,6 +190,21 @@
 	}
 }
 
+// noEventCounter returns a function that counts the blocks without an event of one response. The
+// first one is a step of the request: an endpoint may send them without end.
+func (c *call) noEventCounter(endpoint string) func(stream.Kind) {
+	recorded := false
+	return func(kind stream.Kind) {
+		if !recorded {
+			recorded = true
+			c.recordStep("block without event", string(kind)+" of "+endpoint)
+		}
+		if c.h.Metrics != nil {
+			metrics.GetOrRegisterCounter("streams.noevent."+string(kind), c.h.Metrics).Inc(1)
+		}
+	}
+}
+
 // isFramed reports whether a response states where its body ends; otherwise it ends with its
 // connection.
 func isFramed(resp *http.Response) bool {
