placement: measured times below zero are counted and not learned

Estimates are made of three measured times, and are positive if these are. A negative one is now counted where it is made (invalid_times_total by service and time) and not learned, so that the invariant does not depend on who computes the times.

Whether a caller of these methods passes such times today was looked for and not found.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -180,7 +180,7 @@
 	}
 	i.stopping = make(chan struct{})
 	i.graceNanos.Store(int64(i.Grace))
-	i.balancer = &placement.Balancer{LocalDomain: i.Domain, OnChange: i.endpointChanged}
+	i.balancer = &placement.Balancer{LocalDomain: i.Domain, OnChange: i.endpointChanged, OnInvalidTime: i.countInvalidTime}
 	i.pool = &upstream.Pool{HeaderCodec: i.HeaderCodec, Dial: i.Dial}
 	i.tracker = &watch.EndpointTracker{
 		Balancer: i.balancer, OnMissing: i.logMissing, OnIgnored: i.logIgnored, DisputeTime: 2 * i.heartbeatInterval(),
@@ -255,6 +255,10 @@
 	}
 }
 
+func (i *Instance) countInvalidTime(service string, m placement.Measurement) {
+	i.handler.Metrics.Count(gauge.Name("invalid_times_total", "service", service, "time", string(m)))
+}
+
 // Run serves until the context is done, then stops within Grace. It returns an
 // error if the instance cannot serve.
 func (i *Instance) Run(ctx context.Context) error {
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -34,6 +34,9 @@
 	// OnChange is called, with the balancer locked, when the condition of an
 	// endpoint changes; nil is allowed.
 	OnChange func(c Change)
+	// OnInvalidTime is called, with the balancer locked, when a measured time is negative.
+	// Nothing is learned from it. nil is allowed.
+	OnInvalidTime func(service string, m Measurement)
 
 	mu            sync.Mutex
 	services      map[string][]*endpointState
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -114,9 +114,13 @@
 		r.streaming = true
 		r.state.streams++
 	}
+	took := now.Sub(r.sentAt) - r.state.silentBetween(r.sentAt, now)
+	if !r.balancer.valid(r.state, MeasurementFirst, took) {
+		return
+	}
 	// What the machine does at the moment is not learned as a property of the endpoint or
 	// of the service, nor is a silence.
-	tookMS := ms(now.Sub(r.sentAt)-r.state.silentBetween(r.sentAt, now)) / ((r.hostSlowdown + r.state.currentHostSlowdown(now)) / 2)
+	tookMS := ms(took) / ((r.hostSlowdown + r.state.currentHostSlowdown(now)) / 2)
 	r.balancer.latencyModel(r.state.Service).observeFirst(r, tookMS, now)
 	slowdown := r.state.learnedSlowdown(now)
 	r.state.slowdown = slowdown + slowdownGain*(min(max(tookMS/max(r.expectedMS, 1), minSlowdown), maxSlowdown)-slowdown)
@@ -131,7 +135,11 @@
 	}
 	r.balancer.mu.Lock()
 	defer r.balancer.mu.Unlock()
-	interval := ms(to.Sub(from)-r.state.silentBetween(from, to)) / float64(events)
+	took := to.Sub(from) - r.state.silentBetween(from, to)
+	if !r.balancer.valid(r.state, MeasurementInterval, took) {
+		return
+	}
+	interval := ms(took) / float64(events)
 	m := r.balancer.latencyModel(r.state.Service)
 	m.eventIntervalMS += eventIntervalGain * (interval - m.eventIntervalMS)
 	if r.state.eventIntervalMS == 0 {
@@ -166,8 +174,9 @@
 		r.streaming = false
 		r.state.streams--
 	}
-	if result == ResultAnswered {
-		r.balancer.latencyModel(r.state.Service).observeDuration(ms(now.Sub(r.sentAt) - r.state.silentBetween(r.sentAt, now)))
+	took := now.Sub(r.sentAt) - r.state.silentBetween(r.sentAt, now)
+	if result == ResultAnswered && r.balancer.valid(r.state, MeasurementRun, took) {
+		r.balancer.latencyModel(r.state.Service).observeDuration(ms(took))
 	}
 	if result == ResultSilent && r.state.lastReceived.Load() > sinceEpoch(r.sentAt) {
 		// It sends on its other connections, but accepts no new ones.
