placement, peer: an understated prompt is no negative work

A caller that states fewer prompt tokens than the parts of its prompt have (or none: the header is missing or cannot be decoded) had the rest taken for negative once its shared parts were cached: 0 - 5500 tokens. The endpoint then looked faster than an empty one to all requests of the instance, whose estimates could fall below zero, and the work that the instance reported to the others was packed as an unsigned number: they took the endpoint for full, with a million tokens to process, and refused what they could have served.

A prompt is at least as long as its parts, for placement and for the customer's account alike; work below zero is packed as none; a granted reservation is not negative either.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -140,5 +140,5 @@
 	if out == 0 {
 		out = c.attrs.MaxOutputTokens / 2
 	}
-	return float64(c.attrs.InputTokens + 2*out)
+	return float64(c.attrs.PromptTokens() + 2*out)
 }
--- a/internal/peer/pack.go
+++ b/internal/peer/pack.go
@@ -28,8 +28,8 @@
 	data := make([]byte, 0, len(work)*packedEntryBytes)
 	for id, w := range work {
 		data = binary.BigEndian.AppendUint32(data, hashID(id))
-		data = append(data, byte(min(w.Runs, maxPackedRuns)))
-		data = binary.BigEndian.AppendUint16(data, uint16(min(w.Tokens/tokenUnit, maxTokenUnits)))
+		data = append(data, byte(min(max(w.Runs, 0), maxPackedRuns)))
+		data = binary.BigEndian.AppendUint16(data, uint16(min(max(w.Tokens, 0)/tokenUnit, maxTokenUnits)))
 	}
 	return data
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -269,3 +269,13 @@
 		require.InDelta(t, 100, n, 40, name)
 	}
 }
+
+// Work below zero, as a caller that understated its prompt made it, was packed as that of a million
+// tokens: all other instances took the endpoint for full.
+func TestNegativeWorkIsPackedAsNone(t *testing.T) {
+	for _, work := range []placement.Work{{Runs: 1, Tokens: -5500}, {Runs: -1, Tokens: -16}} {
+		for _, w := range peer.Unpack(peer.Pack(map[string]placement.Work{"i-1": work})) {
+			require.Equal(t, placement.Work{Runs: max(work.Runs, 0)}, w)
+		}
+	}
+}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -18,7 +18,8 @@
 	// AffinityKey is the same for requests that should run at the same
 	// endpoints because they share a prompt; zero means that there is none.
 	AffinityKey uint64
-	// Tokens is the length of the whole prompt.
+	// Tokens is the length of the whole prompt. One that is shorter than its shared parts
+	// counts as long as these.
 	Tokens int
 	// Events is the expected number of events in the response; zero means not
 	// known.
@@ -187,7 +188,7 @@
 	runs, _ := b.totalWork(s, now)
 	shared := tokenCount(r.Shared)
 	cached := s.cache.cachedTokens(r.Shared, now)
-	c := Choice{Endpoint: s.Endpoint, state: s, Runs: runs, MissingTokens: shared - cached, Tokens: r.Tokens - cached}
+	c := Choice{Endpoint: s.Endpoint, state: s, Runs: runs, MissingTokens: shared - cached, Tokens: max(r.Tokens, shared) - cached}
 	m := b.latencyModel(s.Service)
 	own := m.baseMS + float64(c.Tokens)/m.tokensPerMS
 	c.Wait = b.wait(s, now)
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -213,3 +213,23 @@
 	require.True(t, ok)
 	require.Zero(t, c.Wait)
 }
+
+// A caller stated fewer prompt tokens than the shared parts of its prompt have, or none. Where they were
+// cached, the request counted as negative work: the endpoint looked faster than an empty one to
+// all other requests.
+func TestUnderstatedPromptIsNoNegativeWork(t *testing.T) {
+	for _, stated := range []int{0, 100, 5500} {
+		b, now := newBalancer(1), time.Now()
+		r := newRequest(7)
+		r.Tokens = stated
+		_, run := send(t, b, r, now)
+		run.End(placement.ResultAnswered, now.Add(80*time.Millisecond))
+		empty := choose(t, b, shortRequest(), now)
+		c := choose(t, b, r, now)
+		require.GreaterOrEqual(t, c.Tokens, 0, "stated %d", stated)
+		require.Positive(t, c.Expected, "stated %d", stated)
+		sendTo(t, b, r, now)
+		require.GreaterOrEqual(t, b.LocalWork()["i-0"].Tokens, 0, "stated %d", stated)
+		require.GreaterOrEqual(t, choose(t, b, shortRequest(), now).Expected, empty.Expected, "stated %d", stated)
+	}
+}
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -40,7 +40,7 @@
 		return false
 	}
 	s.dropGrants("", now)
-	s.grants = append(s.grants, pendingGrant{to, r.Tokens, now})
+	s.grants = append(s.grants, pendingGrant{to, max(r.Tokens, 0), now})
 	return true
 }
 
--- a/pkg/fleet/request.go
+++ b/pkg/fleet/request.go
@@ -42,6 +42,19 @@
 	MalformedHeader string
 }
 
+// MaxPromptTokens bounds the length of a prompt that a caller can state.
+const MaxPromptTokens = 1 << 30
+
+// PromptTokens returns the length of the prompt: that of its parts if the caller stated fewer
+// tokens, at most MaxPromptTokens.
+func (a RequestAttrs) PromptTokens() int {
+	tokens := 0
+	for _, p := range a.Prompt {
+		tokens = min(tokens+min(p.Tokens, MaxPromptTokens), MaxPromptTokens)
+	}
+	return max(tokens, min(a.InputTokens, MaxPromptTokens))
+}
+
 // SharedParts returns the prompt parts that other requests may also contain: all but
 // the last. It returns nil if there is no prompt.
 func (a RequestAttrs) SharedParts() []PromptPart {
