peer: the age of a directory entry is what the reader observed

Instances found each other in the directory by entries whose age was the difference of two clocks, the writer's and the reader's, against a bound of 150 s. After the time of day of an instance was set, entries of instances that run were ignored (writer 150 s or more behind), or messages went to instances that had ended for as long as the step (writer ahead). The directory is read where no instance can be reached at the addresses in the settings, so that such an instance stayed alone: it saw neither work nor usage of others.

An entry is valid for 150 s from when this reader first read it so. Its instance rewrites it every minute, each time with another count of writes, so that a clock that stands still does not hide it. After a start, entries of instances that ended long ago get messages for up to 150 s, one a second. The format is unchanged for older instances, which ignore the count.

--- a/internal/peer/finder.go
+++ b/internal/peer/finder.go
@@ -19,7 +19,7 @@
 	// directoryRetryInterval is the pause after a failed call to the directory.
 	directoryRetryInterval = time.Second
 	// registerInterval is how often an instance rewrites its entry, and
-	// entryTTL is how long an entry is valid.
+	// entryTTL is how long an entry that is not rewritten stays valid.
 	registerInterval = time.Minute
 	entryTTL         = 150 * time.Second
 	// directoryTimeout bounds a call to the directory.
@@ -33,13 +33,26 @@
 	Directory fleet.KeyValueStore
 	Exchange  *Exchange
 	Logger    *zap.Logger
+
+	writes  int
+	entries map[string]readEntry // by key
+}
+
+// readEntry is an entry as it was last read, and when it was first read so. Clocks of instances
+// differ: its age is what this instance observed.
+type readEntry struct {
+	data  string
+	since time.Time
 }
 
 // wireEntry is an instance's entry in the directory.
 type wireEntry struct {
 	Member
-	// At is when the entry was written, in Unix seconds.
+	// At is when the entry was written, in Unix seconds, by the clock of its instance.
 	At int64 `json:"t"`
+	// Writes counts the entries that this start of the instance has written: each differs from
+	// the one before, whatever the clock shows.
+	Writes int `json:"w"`
 }
 
 // String returns the name of the service in the supervisor's events.
@@ -86,7 +99,8 @@
 
 func (f *Finder) register(ctx context.Context, now time.Time) error {
 	self := f.Exchange.Self
-	data, err := json.Marshal(wireEntry{Member: self, At: now.Unix()})
+	f.writes++
+	data, err := json.Marshal(wireEntry{Member: self, At: now.Unix(), Writes: f.writes})
 	if err != nil {
 		return err
 	}
@@ -102,15 +116,30 @@
 	if err != nil {
 		return err
 	}
+	f.observe(entries, now)
 	for key, data := range entries {
+		if now.Sub(f.entries[key].since) >= entryTTL {
+			continue
+		}
 		var e wireEntry
 		if err := json.Unmarshal(data, &e); err != nil {
 			f.Logger.Warn(event.InvalidData, zap.String("key", key), zap.Error(err))
 			continue
 		}
-		if now.Sub(time.Unix(e.At, 0)) < entryTTL {
-			f.Exchange.AddPeer(e.Member, now)
-		}
+		f.Exchange.AddPeer(e.Member, now)
 	}
 	return nil
 }
+
+// observe records which entries have changed since they were last read.
+func (f *Finder) observe(entries map[string][]byte, now time.Time) {
+	read := make(map[string]readEntry, len(entries))
+	for key, data := range entries {
+		e, known := f.entries[key]
+		if !known || e.data != string(data) {
+			e = readEntry{string(data), now}
+		}
+		read[key] = e
+	}
+	f.entries = read
+}
