quarantine: the time of day does not age what was restored

The crashes behind a quarantine are kept on the platform with the time of day of the writer. An instance that restarted added the difference of the two clocks to their ages, with zero below and no bound above. After a step of the time of day by more than ten minutes forward the quarantine was lost with a restart of all instances, and requests of that kind crashed endpoints again; after a step back the restarted instance took the crashes that its peers told it for further ones than the restored ones, told the peers so, and the rule lasted longer than ten minutes everywhere.

Crashes are restored with the ages that they had when the record was written. The record is written every minute while it holds any, so that the ten minutes are those in which an instance ran, less a minute a restart. A crash whose times are known from the storage only is the same as one of its endpoint with the same request, and takes the times that somebody observed; reports between instances say where times come from.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -27,6 +27,8 @@
 	endpoint string
 	at       time.Time // when the first connection broke
 	suspects []fleet.Suspect
+	// restored is set while its times are known from the storage only.
+	restored bool
 	// cause is what the suspects that a rule matches have in common; nil while no rule
 	// explains the crash.
 	cause *fleet.Suspect
@@ -42,21 +44,30 @@
 
 // add adds a suspect to the crash of its endpoint. It reports whether the suspect was added,
 // and whether it is the first one of the crash. lastAnswer returns when a request with a
-// signature was last answered, zero for never.
-func (e *evidence) add(s fleet.Suspect, lastAnswer func(signature uint64) time.Time, now time.Time) (added, first bool) {
+// signature was last answered, zero for never. It reports also whether the suspect showed that the
+// crash was earlier than its restored time; that alone adds nothing to tell others.
+func (e *evidence) add(s fleet.Suspect, from source, lastAnswer func(signature uint64) time.Time, now time.Time) (added, first, earlier bool) {
 	if now.Sub(s.Broken) > crashRetention || e.sentAfterCrash(s) {
-		return false, false
+		return false, false, false
 	}
-	c := e.find(s.Endpoint, s.Broken)
+	c := e.find(s, from)
 	if c == nil {
 		first = true
-		c = &crash{endpoint: s.Endpoint, at: s.Broken}
+		c = &crash{endpoint: s.Endpoint, at: s.Broken, restored: from == sourceStorage}
 		e.crashes = append(e.crashes, c)
 	}
+	if c.restored && from != sourceStorage {
+		c.restored = false
+		if by := c.at.Sub(s.Broken); by > crashSpread {
+			earlier = true
+			c.shift(-by)
+			e.sort()
+		}
+	}
 	if slices.ContainsFunc(c.suspects, func(other fleet.Suspect) bool {
 		return other.Request == s.Request && slices.Equal(other.Signatures, s.Signatures)
 	}) {
-		return false, false
+		return false, false, earlier
 	}
 	c.suspects = append(c.suspects, s)
 	slices.SortStableFunc(c.suspects, func(a, b fleet.Suspect) int {
@@ -66,7 +77,7 @@
 		least := c.suspects[maxSuspects]
 		c.suspects = c.suspects[:maxSuspects]
 		if least.Request == s.Request {
-			return false, false
+			return false, false, earlier
 		}
 	}
 	if s.Broken.Before(c.at) {
@@ -80,11 +91,16 @@
 			e.answers[signature] = lastAnswer(signature)
 		}
 	}
-	slices.SortStableFunc(e.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
+	e.sort()
 	if len(e.crashes) > maxCrashes {
 		e.evict()
 	}
-	return true, first
+	return true, first, earlier
+}
+
+// sort orders the crashes by their times.
+func (e *evidence) sort() {
+	slices.SortStableFunc(e.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
 }
 
 // evict removes the oldest crash, rather one that no rule explains.
@@ -98,16 +114,34 @@
 // in the order of arrival.
 var suspicion = map[fleet.Progress]int{fleet.ProgressBegun: 2, fleet.ProgressWaiting: 1, fleet.ProgressRunning: 0}
 
-// find returns the crash of an endpoint at about the given time, nil if there is none.
-func (e *evidence) find(endpoint string, at time.Time) *crash {
+// find returns the crash that a suspect belongs to, nil if there is none: one of its endpoint at about
+// the same time or, if the time of either was restored from the storage, one with the same request.
+func (e *evidence) find(s fleet.Suspect, from source) *crash {
 	for _, c := range e.crashes {
-		if c.endpoint == endpoint && c.at.Sub(at).Abs() <= crashSpread {
+		if c.endpoint != s.Endpoint {
+			continue
+		}
+		if c.at.Sub(s.Broken).Abs() <= crashSpread || (c.restored || from == sourceStorage) && c.has(s) {
 			return c
 		}
 	}
 	return nil
 }
 
+// shift moves a crash and its suspects in time.
+func (c *crash) shift(by time.Duration) {
+	c.at = c.at.Add(by)
+	for i := range c.suspects {
+		s := &c.suspects[i]
+		s.Sent, s.Broken = s.Sent.Add(by), s.Broken.Add(by)
+	}
+}
+
+// has reports whether the crash has a suspect of the same request.
+func (c *crash) has(s fleet.Suspect) bool {
+	return s.Request != "" && slices.ContainsFunc(c.suspects, func(other fleet.Suspect) bool { return other.Request == s.Request })
+}
+
 // sentAfterCrash reports whether the endpoint had already crashed when it was sent the
 // request, so that the request is not the cause.
 func (e *evidence) sentAfterCrash(s fleet.Suspect) bool {
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -22,6 +22,7 @@
 	answered []uint64
 	at       time.Time // of the crash or the answers
 	own      bool      // observed by this instance, rather than learned from a peer
+	restored bool      // its times are known from the storage only
 }
 
 // outbox keeps reports for peers, in the order in which they were added.
@@ -50,6 +51,8 @@
 	// sent to the endpoint.
 	Age  time.Duration `json:"age"`
 	Sent time.Duration `json:"sent,omitempty"`
+	// Restored is set if both are known from the storage only.
+	Restored bool `json:"restored,omitempty"`
 }
 
 func (o *outbox) add(r report) {
@@ -119,7 +122,7 @@
 	s := r.suspect
 	return wireReport{
 		Endpoint: s.Endpoint, Request: s.Request, Progress: s.Progress, Signatures: s.Signatures,
-		Age: now.Sub(s.Broken), Sent: now.Sub(s.Sent),
+		Age: now.Sub(s.Broken), Sent: now.Sub(s.Sent), Restored: r.restored,
 	}
 }
 
@@ -159,8 +162,10 @@
 		case !r.valid():
 		case r.Endpoint == "":
 			l.receiveAnswers(r.Signatures, now.Add(-r.Age))
+		case r.Restored:
+			l.addSuspect(r.suspect(now), sourceStorage, now)
 		default:
-			l.addSuspect(r.suspect(now), false, now)
+			l.addSuspect(r.suspect(now), sourcePeer, now)
 		}
 	}
 	l.review(now)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -116,7 +116,7 @@
 	defer l.mu.Unlock()
 	s.Signatures = mostSpecific(s.Signatures)
 	now := time.Now()
-	l.addSuspect(s, true, now)
+	l.addSuspect(s, sourceOwn, now)
 	l.review(now)
 }
 
@@ -125,14 +125,26 @@
 	return signatures[max(0, len(signatures)-maxSignatures):]
 }
 
-// addSuspect adds a request that an endpoint had when it crashed. own is set if this instance
-// sent the request.
-func (l *List) addSuspect(s fleet.Suspect, own bool, now time.Time) {
-	added, first := l.evidence.add(s, l.lastAnswer, now)
+// source is from where a suspect is known.
+type source string
+
+// The sources of suspects: a request that this instance sent, a report of a peer, the storage. The
+// storage has the ages that crashes had when it was written, at most storeRefreshInterval and the time
+// without any instance ago: they look later than they were.
+const (
+	sourceOwn     source = "own"
+	sourcePeer    source = "peer"
+	sourceStorage source = "storage"
+)
+
+// addSuspect adds a request that an endpoint had when it crashed.
+func (l *List) addSuspect(s fleet.Suspect, from source, now time.Time) {
+	added, first, earlier := l.evidence.add(s, from, l.lastAnswer, now)
+	l.changed = l.changed || earlier
 	if !added {
 		return
 	}
-	l.outbox.add(report{suspect: s, at: s.Broken, own: own})
+	l.outbox.add(report{suspect: s, at: s.Broken, own: from == sourceOwn, restored: from == sourceStorage})
 	if first && l.OnCrash != nil {
 		l.OnCrash(s.Endpoint)
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"maps"
 	"os"
@@ -39,6 +40,7 @@
 //	storage                          from now on, instances keep crashes in a storage
 //	storage up, storage down         it can, or cannot, be reached
 //	storage garbage                  its record is replaced by one that cannot be decoded
+//	storage clock D                  clocks are set forward by D after its record was written
 //	writes N                         the record was written N times
 //	sleep D
 //	refused A SIGNATURE..., served A SIGNATURE...   what A does with such requests
@@ -196,6 +198,10 @@
 	}
 	p.storage.mu.Lock()
 	defer p.storage.mu.Unlock()
+	if args[0] == "clock" {
+		p.setClocks(args[1])
+		return
+	}
 	p.storage.down = args[0] == "down"
 	if args[0] == "garbage" {
 		for key := range p.storage.values {
@@ -204,6 +210,21 @@
 	}
 }
 
+// setClocks makes the times of day in the records those of clocks that have since been set forward.
+func (p *play) setClocks(forward string) {
+	d, err := time.ParseDuration(forward)
+	require.NoError(p.t, err)
+	for key, data := range p.storage.values {
+		record := map[string]json.RawMessage{}
+		require.NoError(p.t, json.Unmarshal(data, &record))
+		written, err := strconv.ParseInt(string(record["written"]), 10, 64)
+		require.NoError(p.t, err)
+		record["written"] = strconv.AppendInt(nil, written-d.Milliseconds(), 10)
+		p.storage.values[key], err = json.Marshal(record)
+		require.NoError(p.t, err)
+	}
+}
+
 // runStore keeps the crashes of an instance in the storage, if there is one, until the
 // instance restarts. Instances rank in the order in which the script names them.
 func (p *play) runStore(name string) {
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -21,6 +21,9 @@
 	maxWriterRank = 2
 	// storeTimeout bounds a call to the platform.
 	storeTimeout = 800 * time.Millisecond
+	// storeRefreshInterval is how often the record is written while it holds crashes, so that their
+	// ages in it are out of date by no more.
+	storeRefreshInterval = time.Minute
 	// storeRetryInterval is the pause after a failed call, storeInterval the shortest one
 	// between two writes.
 	storeRetryInterval = 300 * time.Millisecond
@@ -40,15 +43,17 @@
 	Rank   func() int
 	Logger *zap.Logger
 
-	loaded bool
-	saved  []fleet.Suspect // that the record has, as far as this instance knows
+	loaded  bool
+	saved   []fleet.Suspect // that the record has, as far as this instance knows
+	savedAt time.Time       // when it was read or last written
 }
 
 // wireRecord is the record in the storage.
 type wireRecord struct {
-	// Written is when the record was written, in Unix milliseconds: the ages of the crashes
-	// refer to it.
-	Written int64        `json:"written"`
+	// Written is when the record was written, in Unix milliseconds. Only earlier versions read it:
+	// the clocks of writer and reader may differ by any time.
+	Written int64 `json:"written"`
+	// Crashes have the ages that they had when the record was written.
 	Crashes []wireReport `json:"crashes"`
 }
 
@@ -98,7 +103,7 @@
 		if err != nil {
 			return err
 		}
-		s.loaded = true
+		s.loaded, s.savedAt = true, time.Now()
 		if data := values[crashesKey]; data != nil {
 			if s.saved, err = s.List.restore(data); err != nil {
 				s.Logger.Warn(event.InvalidData, zap.String("key", crashesKey), zap.Error(err))
@@ -106,13 +111,15 @@
 		}
 	}
 	causes := s.List.causes()
-	if slices.EqualFunc(causes, s.saved, sameCause) || s.Rank() > maxWriterRank {
+	now := time.Now()
+	upToDate := slices.EqualFunc(causes, s.saved, sameCause) && (len(causes) == 0 || now.Sub(s.savedAt) < storeRefreshInterval)
+	if upToDate || s.Rank() > maxWriterRank {
 		return nil
 	}
-	if err := s.Storage.Put(ctx, crashesKey, encodeRecord(causes, time.Now())); err != nil {
+	if err := s.Storage.Put(ctx, crashesKey, encodeRecord(causes, now)); err != nil {
 		return err
 	}
-	s.saved = causes
+	s.saved, s.savedAt = causes, now
 	return nil
 }
 
@@ -132,8 +139,8 @@
 	return data
 }
 
-// restore adds the crashes of a record and returns them. It returns an error if the record
-// cannot be decoded.
+// restore adds the crashes of a record, as old as they were when it was written, and returns them. It
+// returns an error if the record cannot be decoded.
 func (l *List) restore(data []byte) ([]fleet.Suspect, error) {
 	var record wireRecord
 	if err := json.Unmarshal(data, &record); err != nil {
@@ -142,15 +149,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	// Clocks of instances differ and may be set back.
-	elapsed := max(now.Sub(time.UnixMilli(record.Written)), 0)
 	var restored []fleet.Suspect
 	for _, r := range record.Crashes {
-		r.Age += elapsed
-		r.Sent += elapsed
 		if r.Endpoint != "" && r.valid() {
 			s := r.suspect(now)
-			l.addSuspect(s, false, now)
+			l.addSuspect(s, sourceStorage, now)
 			restored = append(restored, s)
 		}
 	}
