admission: late requests of customers below their fair share are served

A customer whose requests had been refused got nothing for them when they came back past their target latency, however far it was below its fair share: late requests had a twentieth of the wait that others have, while a customer above its share keeps 0.15.

The limit of a late request now grows with what its customer lacks of its share. At 0.9 of the share and above it is as before: late requests get only what no request within its target needs.

--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -15,8 +15,8 @@
 	// the endpoints; zero means that there is none.
 	TargetLatency time.Duration
 	// PastTarget is set when the request has already missed its own target
-	// latency: it gets only capacity that no request still within its target
-	// needs.
+	// latency: beyond its customer's fair share it gets only capacity that no
+	// request still within its target needs.
 	PastTarget bool
 }
 
@@ -29,7 +29,8 @@
 	// their fair share may still use; the remainder is reserved for the others.
 	overShareFraction = 0.15
 	// pastTargetFraction is the fraction of that queue wait that requests past
-	// their target latency may use.
+	// their target latency may use at least: the further their customer is below
+	// fullWaitRatio, the more.
 	pastTargetFraction = 0.05
 	// minWaitRatio is the fair share ratio from which on a customer is limited
 	// to overShareFraction. Up to fullWaitRatio it may use the whole queue
@@ -82,10 +83,10 @@
 		return math.MaxInt64
 	}
 	limit := queueWaitFraction * float64(r.TargetLatency)
+	ratio := l.FairShareRatio(r.Customer, now)
 	if r.PastTarget {
-		return time.Duration(pastTargetFraction * limit)
+		return time.Duration(max(pastTargetFraction, 1-ratio/fullWaitRatio) * limit)
 	}
-	ratio := l.FairShareRatio(r.Customer, now)
 	excess := min(max((ratio-fullWaitRatio)/(minWaitRatio-fullWaitRatio), 0), 1)
 	return time.Duration(limit * (1 - excess*(1-overShareFraction)))
 }
