--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -73,6 +73,28 @@
 	return max(unavailable, 0) + time.Duration(jitter*float64(returnSpread))
 }
 
+// Bound is what sets the longest wait of a request.
+type Bound string
+
+// The bounds: BoundTarget is the target latency of the requests that share the endpoints, BoundShare
+// that the customer is near its fair share or above it, BoundLate that the request is past its target latency.
+const (
+	BoundTarget Bound = "target"
+	BoundShare  Bound = "share"
+	BoundLate   Bound = "late"
+)
+
+// BoundOf returns what has set the longest wait of a request, as MaxQueueWait returned it.
+func BoundOf(r Request, limit time.Duration) Bound {
+	switch {
+	case r.PastTarget:
+		return BoundLate
+	case limit < time.Duration(queueWaitFraction*float64(r.TargetLatency)):
+		return BoundShare
+	}
+	return BoundTarget
+}
+
 // Admit decides whether a request is sent to an endpoint now.
 func (l *Ledger) Admit(r Request, now time.Time) bool { return r.QueueWait <= l.MaxQueueWait(r, now) }
 
--- a/internal/admission/ledger_test.go
+++ b/internal/admission/ledger_test.go
@@ -178,3 +178,22 @@
 	require.Positive(t, l.FairShareRatio("a", start.Add(19900*time.Millisecond)))
 	require.Zero(t, l.FairShareRatio("a", start.Add(40*time.Second)))
 }
+
+// What sets the longest wait of a request is told apart: an operator sees whether capacity, a share or
+// lateness led to a refusal.
+func TestBoundOfWait(t *testing.T) {
+	l, now := &admission.Ledger{}, start
+	for customer, served := range map[string]float64{"large": 3000, "small": 1000} {
+		l.RecordDemand(customer, 3000, now)
+		l.RecordServed(customer, served, now)
+	}
+	for want, r := range map[admission.Bound]admission.Request{
+		admission.BoundTarget: {Customer: "small"},
+		admission.BoundShare:  {Customer: "large"},
+		admission.BoundLate:   {Customer: "small", PastTarget: true},
+	} {
+		r.TargetLatency = 400 * time.Millisecond
+		require.Equal(t, want, admission.BoundOf(r, l.MaxQueueWait(r, now)))
+	}
+	require.Equal(t, admission.BoundTarget, admission.BoundOf(admission.Request{}, l.MaxQueueWait(admission.Request{}, now)))
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -175,7 +175,7 @@
 	}
 	if c.choice.Endpoint.ID != "" {
 		fields = append(fields, zap.String("endpoint", c.choice.Endpoint.ID), zap.Duration("expected", c.choice.Expected),
-			zap.Duration("wait", c.choice.Wait), zap.Float64("runs", c.choice.Runs), zap.Int("missing", c.choice.MissingTokens),
+			zap.Duration("wait", c.choice.Wait), zap.Duration("least", c.choice.LeastWait), zap.Duration("limit", c.maxWait), zap.Float64("runs", c.choice.Runs), zap.Int("missing", c.choice.MissingTokens),
 			zap.Int("usable", c.choice.Usable), zap.Duration("age", c.choice.LoadAge), zap.Float64("slowdown", c.choice.HostSlowdown), zap.Int("refusals", len(c.refusedBy)), zap.String("grant", string(c.grant)))
 	}
 	return fields
@@ -193,4 +193,4 @@
 }
 
 // typicalLogFields is the usual number of fields of a log line.
-const typicalLogFields = 24
+const typicalLogFields = 26
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/greengagestep/greengagestep/internal/admission"
@@ -53,8 +54,12 @@
 // learn of each other's requests with a delay and could overload the endpoint together.
 func (c *call) admit(ctx context.Context) bool {
 	c.grant = ""
-	limit := c.h.Ledger.MaxQueueWait(admission.Request{Customer: c.customer, TargetLatency: c.config.targetLatencies[c.service], PastTarget: c.pastTarget}, time.Now())
+	r := admission.Request{Customer: c.customer, TargetLatency: c.config.targetLatencies[c.service], PastTarget: c.pastTarget}
+	limit := c.h.Ledger.MaxQueueWait(r, time.Now())
+	c.maxWait = limit
 	if c.choice.Wait > limit {
+		c.h.Metrics.Count(gauge.Name("waits_refused_total", "service", c.service, "bound", string(admission.BoundOf(r, limit)),
+			"shorter", strconv.FormatBool(c.choice.LeastWait <= limit)))
 		return false
 	}
 	if c.h.Homes == nil || !c.route.Stream {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,7 @@
 	avoid       []string                // endpoints whose attempts failed or were refused
 	connections upstream.Connections    // of all attempts
 	refusedBy   []string                // endpoints whose home instance refused a reservation
+	maxWait     time.Duration           // longest wait with which it is admitted, of the last choice
 	grant       fleet.ReservationResult // result of the last reservation; empty if none was requested
 	choice      placement.Choice
 	run         *placement.Run // of the last attempt that was begun
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -41,6 +41,8 @@
 	Expected time.Duration
 	// Wait is the part of Expected before the request's own work begins.
 	Wait time.Duration
+	// LeastWait is the shortest wait at the endpoints that were compared.
+	LeastWait time.Duration
 	// MissingTokens is how many tokens of shared parts the endpoint has not
 	// cached and has to process.
 	MissingTokens int
@@ -112,6 +114,7 @@
 	first, second := preferredEndpoints(list, r, now)
 	best, found := Choice{}, false
 	least := math.Inf(1)
+	leastWait := time.Duration(math.MaxInt64)
 	usable := 0
 	probability := sampleProbability(len(list), instances)
 	for _, s := range list {
@@ -123,11 +126,15 @@
 			continue
 		}
 		c := b.estimate(s, r, now)
+		leastWait = min(leastWait, c.Wait)
 		if cost := b.cost(s, c, r, affinityFactor(s, first, second), now); cost < least {
 			best, least, found = c, cost, true
 		}
 	}
 	best.Listed, best.Usable = len(list), usable
+	if found {
+		best.LeastWait = leastWait
+	}
 	if found && !best.state.reportedAt.IsZero() {
 		best.LoadAge = now.Sub(best.state.reportedAt)
 		best.HostSlowdown = best.state.currentHostSlowdown(now)
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -233,3 +233,18 @@
 		require.GreaterOrEqual(t, choose(t, b, shortRequest(), now).Expected, empty.Expected, "stated %d", stated)
 	}
 }
+
+// The prompt is cached at an endpoint with a long queue: the choice says how long it would have waited
+// elsewhere.
+func TestChoiceHasLeastWait(t *testing.T) {
+	b := newBalancer(2)
+	r := newRequest(7)
+	c, _ := send(t, b, r, start)
+	queued := r
+	queued.Tokens, queued.Avoid = 16_000, []string{map[string]string{"i-0": "i-1", "i-1": "i-0"}[c.Endpoint.ID]}
+	sendTo(t, b, queued, start)
+	got := choose(t, b, r, start)
+	require.Equal(t, c.Endpoint.ID, got.Endpoint.ID)
+	require.Greater(t, got.Wait, 100*time.Millisecond)
+	require.Zero(t, got.LeastWait)
+}
