--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -18,7 +18,8 @@
 	// AffinityKey is the same for requests that should run at the same
 	// endpoints because they share a prompt; zero means that there is none.
 	AffinityKey uint64
-	// Tokens is the length of the whole prompt.
+	// Tokens is the length of the whole prompt. One that is shorter than its shared parts
+	// counts as long as these.
 	Tokens int
 	// Events is the expected number of events in the response; zero means not
 	// known.
@@ -40,6 +41,8 @@
 	Expected time.Duration
 	// Wait is the part of Expected before the request's own work begins.
 	Wait time.Duration
+	// LeastWait is the shortest wait at the endpoints that were compared.
+	LeastWait time.Duration
 	// MissingTokens is how many tokens of shared parts the endpoint has not
 	// cached and has to process.
 	MissingTokens int
@@ -111,6 +114,7 @@
 	first, second := preferredEndpoints(list, r, now)
 	best, found := Choice{}, false
 	least := math.Inf(1)
+	leastWait := time.Duration(math.MaxInt64)
 	usable := 0
 	probability := sampleProbability(len(list), instances)
 	for _, s := range list {
@@ -122,11 +126,15 @@
 			continue
 		}
 		c := b.estimate(s, r, now)
+		leastWait = min(leastWait, c.Wait)
 		if cost := b.cost(s, c, r, affinityFactor(s, first, second), now); cost < least {
 			best, least, found = c, cost, true
 		}
 	}
 	best.Listed, best.Usable = len(list), usable
+	if found {
+		best.LeastWait = leastWait
+	}
 	if found && !best.state.reportedAt.IsZero() {
 		best.LoadAge = now.Sub(best.state.reportedAt)
 		best.HostSlowdown = best.state.currentHostSlowdown(now)
@@ -187,7 +195,7 @@
 	runs, _ := b.totalWork(s, now)
 	shared := tokenCount(r.Shared)
 	cached := s.cache.cachedTokens(r.Shared, now)
-	c := Choice{Endpoint: s.Endpoint, state: s, Runs: runs, MissingTokens: shared - cached, Tokens: r.Tokens - cached}
+	c := Choice{Endpoint: s.Endpoint, state: s, Runs: runs, MissingTokens: shared - cached, Tokens: max(r.Tokens, shared) - cached}
 	m := b.latencyModel(s.Service)
 	own := m.baseMS + float64(c.Tokens)/m.tokensPerMS
 	c.Wait = b.wait(s, now)
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -213,3 +213,38 @@
 	require.True(t, ok)
 	require.Zero(t, c.Wait)
 }
+
+// A caller stated fewer prompt tokens than the shared parts of its prompt have, or none. Where they were
+// cached, the request counted as negative work: the endpoint looked faster than an empty one to
+// all other requests.
+func TestUnderstatedPromptIsNoNegativeWork(t *testing.T) {
+	for _, stated := range []int{0, 100, 5500} {
+		b, now := newBalancer(1), time.Now()
+		r := newRequest(7)
+		r.Tokens = stated
+		_, run := send(t, b, r, now)
+		run.End(placement.ResultAnswered, now.Add(80*time.Millisecond))
+		empty := choose(t, b, shortRequest(), now)
+		c := choose(t, b, r, now)
+		require.GreaterOrEqual(t, c.Tokens, 0, "stated %d", stated)
+		require.Positive(t, c.Expected, "stated %d", stated)
+		sendTo(t, b, r, now)
+		require.GreaterOrEqual(t, b.LocalWork()["i-0"].Tokens, 0, "stated %d", stated)
+		require.GreaterOrEqual(t, choose(t, b, shortRequest(), now).Expected, empty.Expected, "stated %d", stated)
+	}
+}
+
+// The prompt is cached at an endpoint with a long queue: the choice says how long it would have waited
+// elsewhere.
+func TestChoiceHasLeastWait(t *testing.T) {
+	b := newBalancer(2)
+	r := newRequest(7)
+	c, _ := send(t, b, r, start)
+	queued := r
+	queued.Tokens, queued.Avoid = 16_000, []string{map[string]string{"i-0": "i-1", "i-1": "i-0"}[c.Endpoint.ID]}
+	sendTo(t, b, queued, start)
+	got := choose(t, b, r, start)
+	require.Equal(t, c.Endpoint.ID, got.Endpoint.ID)
+	require.Greater(t, got.Wait, 100*time.Millisecond)
+	require.Zero(t, got.LeastWait)
+}
