internal/router: status reports an endpoint as open once it is used

What operators saw: the status of an instance listed an endpoint as open (no reason) while the instance still refused requests for its service with 503 not-ready. Whoever waits for that status and then sends, as a rollout script or the scenarios do, got a refusal.

Cause: status read the table of endpoints, but requests are decided by what updateEndpoints has passed on to the scheduler and to the readiness of services. Between the two lie a few microseconds, and up to a tick (250 ms) while the load report of another endpoint is awaited, because pollLoads passes all reports on together.

Fix: an endpoint that is open in the table is reported with the reason that was passed on last, so that it is open once both say so. A closed one is reported as closed at once, as before.

--- a/internal/router/operators.go
+++ b/internal/router/operators.go
@@ -89,8 +89,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, e := range r.endpoints.States(time.Now()) {
-		if e.Quiet && !e.Closed {
+		switch {
+		case e.Quiet && !e.Closed:
 			e.ClosedReason = string(endpoint.ReasonQuiet)
+		case !e.Closed:
+			e.ClosedReason = r.reasonInForce(e.Name)
 		}
 		status.Endpoints = append(status.Endpoints, operator.Endpoint{
 			Name: e.Name, Service: e.Service, Domain: e.Domain, Slots: e.Slots, Ready: e.Ready, ClosedReason: e.ClosedReason,
@@ -106,6 +109,17 @@
 	return status
 }
 
+// reasonInForce returns why no request may be granted a slot of an endpoint yet that the table has as
+// open, or "".
+func (r *Router) reasonInForce(name string) string {
+	if reasons := r.inForce.Load(); reasons != nil {
+		if reason, ok := (*reasons)[name]; ok {
+			return reason
+		}
+	}
+	return string(endpoint.ReasonNoReport)
+}
+
 func (r *Router) serveConfiguration(w http.ResponseWriter, _ *http.Request) {
 	config, version := r.follower.Config()
 	writeJSON(w, operator.Configuration{Version: version, Text: config})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -73,7 +73,10 @@
 
 	// updateMu is held while the endpoints' states are passed on, so that an earlier state
 	// does not replace a later one.
-	updateMu     sync.Mutex
+	updateMu sync.Mutex
+	// inForce is why each endpoint is closed, by name, in the states that were passed on last; empty for
+	// those that are open.
+	inForce      atomic.Pointer[map[string]string]
 	mu           sync.Mutex
 	endpoints    *endpoint.Table
 	peerVersions map[string]int64 // configuration version of each peer
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -115,8 +115,10 @@
 	states := r.endpoints.States(now)
 	r.mu.Unlock()
 	endpoints := make([]scheduler.Endpoint, 0, len(states))
+	reasons := make(map[string]string, len(states))
 	quiet := map[string]bool{}
 	for _, s := range states {
+		reasons[s.Name] = s.ClosedReason
 		endpoints = append(endpoints, scheduler.Endpoint{
 			Name: s.Name, Service: s.Service, Domain: s.Domain, Slots: s.Slots, Closed: s.Closed, Quiet: s.Quiet, Limit: s.Limit,
 		})
@@ -133,6 +135,7 @@
 		}
 	})
 	r.updateReadiness(states)
+	r.inForce.Store(&reasons)
 }
 
 // target implements caller.Handler's Target.
