internal/router: repeated refusals do not prolong a planned stop

Cause: the stop ended at the first check, one every 50 ms, at which no handler was active, and refusals count as active. Its listener stayed open, so that new ones kept coming.

Fix: once nothing waits or runs, the listener of callers and their idle connections are closed, and the stop waits for the responses in progress by http.Server.Shutdown, until its limit. Accepted requests between two attempts, those that wait for a claim and refusals are still answered; nothing new can arrive. The stop records when answers are still being sent. An open connection without a request does not make a stop fail.

Evidence: TestRepeatedRefusalsDoNotProlongStop, four callers whose bodies take 61 ms, failed in 10 of 10 runs before ("router: stopped after 10s although 4 answers are being sent") and passes in 20 of 20; it also requires that no caller's connection ends without a whole answer. ./internal/demo passes (93 s beside other work). Not repeated with processes over loopback.

`serve` counts refusals as active, too, but its stop is bounded by the grace period of 8 s; left as it is.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -85,6 +85,7 @@
 
 	parts           []messagePart
 	senders         *suture.Supervisor
+	callerServer    *http.Server
 	stopping        chan struct{}
 	stopOnce        sync.Once
 	killed          chan struct{}
@@ -249,6 +250,7 @@
 	operators := r.server(r.Operators, r.authenticated(r.operatorsMux()))
 	peers := r.server(r.Peers, r.authenticated(r.peersMux()))
 	callers := r.server(r.Callers, r.caller)
+	r.callerServer = callers.HTTP
 	tree.Add(operators)
 	tree.Add(peers)
 	tree.Add(callers)
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -1,9 +1,12 @@
 package router
 
 import (
+	"context"
 	"fmt"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/greengagestep/greengagestep/internal/audit"
 	"github.com/greengagestep/greengagestep/internal/scheduler"
 )
@@ -30,8 +33,9 @@
 
 // drain stops the instance gracefully: it reports that it is not ready, hands its tasks
 // over to the peers, refuses requests that arrive after leavePeriod, and waits until
-// the queued and running requests have ended. It returns an error if some remain after
-// Drain.
+// the queued and running requests have ended. Then it accepts no more connections and waits
+// until the responses in progress are complete. It returns an error if requests or responses
+// remain after Drain.
 func (r *Router) drain() error {
 	r.stopOnce.Do(func() { close(r.stopping) })
 	r.trail.Add(audit.Entry{Type: audit.EventStop, Subject: r.Name, Change: "stopping", Cause: "planned stop"})
@@ -54,11 +58,33 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
+	if err := r.closeCallers(deadline); err != nil {
+		return err
+	}
 	r.trail.Add(audit.Entry{Type: audit.EventStop, Subject: r.Name, Change: "stopped", Cause: "nothing waits or runs here"})
 	return nil
 }
 
-// remainingWork describes what a planned stop still waits for, or returns "".
+// closeCallers closes the listener of callers and their idle connections, and waits until the responses
+// in progress are complete. It returns an error if some are not at the deadline.
+func (r *Router) closeCallers(deadline time.Time) error {
+	if active := r.caller.Active(); active > 0 {
+		r.trail.Add(audit.Entry{Type: audit.EventStop, Subject: r.Name, Change: "waiting", Cause: fmt.Sprintf("%d answers are being sent", active)})
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	err := r.callerServer.Shutdown(ctx)
+	if active := r.caller.Active(); active > 0 {
+		return fmt.Errorf("router: stopped after %s although %d answers are being sent", r.Drain, active)
+	}
+	if err != nil {
+		r.Logger.Warn("connections of callers are open at the end of the stop", zap.Error(err))
+	}
+	return nil
+}
+
+// remainingWork describes the requests that wait or run here, or returns "". Refused requests do not
+// count: their callers may go on repeating them.
 func (r *Router) remainingWork() string {
 	remaining := ""
 	r.dispatcher.With(func(s *scheduler.Scheduler) {
@@ -66,8 +92,5 @@
 			remaining = fmt.Sprintf("%d requests wait and %d run here", st.Waiting, st.Running)
 		}
 	})
-	if remaining == "" && r.caller.Active() > 0 {
-		remaining = fmt.Sprintf("%d answers are being sent", r.caller.Active())
-	}
 	return remaining
 }
