--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -73,7 +73,10 @@
 
 	// updateMu is held while the endpoints' states are passed on, so that an earlier state
 	// does not replace a later one.
-	updateMu     sync.Mutex
+	updateMu sync.Mutex
+	// inForce is why each endpoint is closed, by name, in the states that were passed on last; empty for
+	// those that are open.
+	inForce      atomic.Pointer[map[string]string]
 	mu           sync.Mutex
 	endpoints    *endpoint.Table
 	peerVersions map[string]int64 // configuration version of each peer
@@ -82,6 +85,7 @@
 
 	parts           []messagePart
 	senders         *suture.Supervisor
+	callerServer    *http.Server
 	stopping        chan struct{}
 	stopOnce        sync.Once
 	killed          chan struct{}
@@ -246,6 +250,7 @@
 	operators := r.server(r.Operators, r.authenticated(r.operatorsMux()))
 	peers := r.server(r.Peers, r.authenticated(r.peersMux()))
 	callers := r.server(r.Callers, r.caller)
+	r.callerServer = callers.HTTP
 	tree.Add(operators)
 	tree.Add(peers)
 	tree.Add(callers)
