--- a/internal/demo/scenario_test.go
+++ b/internal/demo/scenario_test.go
@@ -279,7 +279,7 @@
 	}
 }
 
-// engine NAME|all up|down|break=N|spoil=N|spoilkind=KIND|failresumed=N|poison=TEXT|unframed|comment|leave|reset
+// engine NAME|all up|down|break=N|spoil=N|spoilkind=KIND|failresumed=N|emptyresumed=N|poison=TEXT|unframed|comment|leave|reset
 // replaces the faults of model engines; leave makes them report that they are leaving, reset unloads their models. The
 // signals are those of the command plain.
 func cmdEngine(ts *testscript.TestScript, _ bool, args []string) {
@@ -291,7 +291,7 @@
 			continue
 		}
 		named, rest := parseArgs(args[1:])
-		f := standin.EngineFaults{Break: intArg(ts, named, "break", 0), Spoil: intArg(ts, named, "spoil", 0), FailResumed: intArg(ts, named, "failresumed", 0), Poison: named["poison"]}
+		f := standin.EngineFaults{Break: intArg(ts, named, "break", 0), Spoil: intArg(ts, named, "spoil", 0), FailResumed: intArg(ts, named, "failresumed", 0), EmptyResumed: intArg(ts, named, "emptyresumed", 0), Poison: named["poison"]}
 		if kind := named["spoilkind"]; kind != "" {
 			f.SpoilKind = standin.SpoilKind(kind)
 			if !slices.Contains(standin.SpoilKinds(), f.SpoilKind) {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -81,6 +81,8 @@
 	// FailResumed is the number of prompts with a Last-Event-ID that are answered with
 	// status 500.
 	FailResumed int `json:"failResumed"`
+	// EmptyResumed is the number of those that are answered with status 200 and nothing else.
+	EmptyResumed int `json:"emptyResumed"`
 	// Poison is a text that crashes the engine if a prompt contains it; an empty
 	// text matches no prompt.
 	Poison string `json:"poison"`
@@ -285,10 +287,13 @@
 	}
 	defer e.release()
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-ID"))
-	if from > 0 && e.takeFailure() {
+	if from > 0 && e.take(&e.faults.FailResumed) {
 		http.Error(w, "failed", http.StatusInternalServerError)
 		return
 	}
+	if from > 0 && e.take(&e.faults.EmptyResumed) {
+		return
+	}
 	breakAt, spoilAt, spoiled := e.startRequest(r, p, from)
 	spoiled.SetType(w.Header())
 	e.mu.Lock()
@@ -338,14 +343,14 @@
 	return fmt.Sprintf("w%x", (sum+uint32(i)*2654435761)%0xfff)
 }
 
-// takeFailure reports whether the next resumed prompt is answered with status 500.
-func (e *Engine) takeFailure() bool {
+// take reports whether a fault that is to occur a number of times occurs now.
+func (e *Engine) take(count *int) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.faults.FailResumed == 0 {
+	if *count == 0 {
 		return false
 	}
-	e.faults.FailResumed--
+	*count--
 	return true
 }
 
