internal/stream, internal/gateway, internal/caller: responses that can't be the end of a stream don't complete it

Cause: the end of a response was taken for the end of the stream, whatever it was the end of. An endpoint that has repeated some of the caller's events and not all cannot have ended the stream; a response of another type or none may be no stream.

--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -93,7 +93,7 @@
 
 var (
 	errIncompleteEvent = errors.New("stream ended within an event")
-	errNoEvent         = errors.New("stream ended with its connection before the first event")
+	errNoEvent         = errors.New("response ended before its first event")
 )
 
 // checkEnd returns an error if the stream was broken off where it ended. framed is set if the
@@ -104,6 +104,8 @@
 		return errIncompleteEvent
 	case !framed && !s.received:
 		return errNoEvent
+	case s.sequence != nil:
+		return s.sequence.End()
 	}
 	return nil
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -18,7 +18,7 @@
 
 var (
 	errIncompleteEvent = errors.New("stream ended within an event")
-	errNoEvent         = errors.New("stream ended with its connection before the first event")
+	errNoEvent         = errors.New("response ended before its first event")
 )
 
 // numbered reports whether responses on the route are streams of events with IDs.
@@ -58,6 +58,7 @@
 		// Blocks may be left out, and another endpoint may send the rest.
 		a.Header.Del("Content-Length")
 	}
+	resumed := c.headersSent
 	var pending []byte
 	firstEventAt, lastEventAt, events := time.Time{}, time.Time{}, 0
 	defer func() {
@@ -100,9 +101,13 @@
 		if err == io.EOF && len(pending) > 0 {
 			return broken(errIncompleteEvent)
 		}
-		if err == io.EOF && !a.Framed && firstEventAt.IsZero() {
+		if err == io.EOF && firstEventAt.IsZero() && (!a.Framed || resumed && stream.MediaType(a.Header) != stream.MediaTypeEvents) {
+			// It may be no stream, so that it does not complete one either.
 			return broken(errNoEvent)
 		}
+		if err == io.EOF && sequence != nil && sequence.End() != nil {
+			return broken(sequence.End())
+		}
 		if err == io.EOF {
 			c.sendHeaders(a)
 			return c.finish(a)
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -141,6 +141,18 @@
 // that the caller had before.
 func (s *Sequence) Events() int { return s.events }
 
+// End returns an error if a stream that ends here is incomplete for certain: the endpoint has repeated
+// some of the events that the caller has, but not all.
+func (s *Sequence) End() error {
+	if s.repeats() {
+		return fmt.Errorf("%w: end after ID %d, the caller has %d", ErrOrder, s.last, s.Relayed)
+	}
+	return nil
+}
+
+// repeats reports whether the endpoint has sent only events that the caller has.
+func (s *Sequence) repeats() bool { return s.started && s.last < s.Relayed }
+
 // advance checks the ID of the next event.
 func (s *Sequence) advance(id int64) error {
 	valid := id == s.last+1
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strconv"
 	"strings"
 	"testing"
@@ -184,3 +185,24 @@
 		require.Equal(t, 1, sequence.Count())
 	}
 }
+
+// An endpoint that goes on with a stream ends it within what the caller has: the stream counted as
+// complete.
+func TestStreamThatEndsWithinRepeatedEventsIsIncomplete(t *testing.T) {
+	for _, c := range []struct {
+		sent       string
+		incomplete bool
+	}{
+		{"", false},
+		{": c\n\n", false},
+		{"id: 1\ndata: a\n\n", true},
+		{"id: 3\ndata: a\n\n", true},
+		{"id: 1\ndata: a\n\nid: 2\ndata: a\n\nid: 3\ndata: a\n\nid: 4\ndata: a\n\n", false},
+		{"id: 5\ndata: a\n\n", false},
+	} {
+		sequence := stream.New("4", "")
+		_, _, err := sequence.Next([]byte(c.sent))
+		require.NoError(t, err)
+		require.Equal(t, c.incomplete, errors.Is(sequence.End(), stream.ErrOrder), "%q", c.sent)
+	}
+}
