internal/stream: named events among repeated ones are repeats

What callers of run got: named events twice in a resumed stream, depending on where reads ended. Next left out what stood before a repeated event, but only within one call.

Cause: the decision was made for the bytes of one read, not for the stream. Named events are repeats now while the endpoint has sent only events that the caller has. Those before its first event with an ID are relayed, in one read as in two: an endpoint that resumes in place sends them as news. One that starts again repeats them; IDs cannot tell.

Before: TestNamedEventsAmongRepeatedOnesAreRepeats failed at the first split.

--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -118,13 +118,12 @@
 		switch {
 		case kind == kindNumbered && id <= s.Relayed:
 			s.events++
-			// The caller has what came before this event, too.
-			kept = 0
 		case kind == kindNumbered:
 			s.events++
 			s.count++
 			last = id
 			kept += copy(blocks[kept:], block)
+		case kind == kindNamed && s.repeats():
 		case kind == kindNamed:
 			kept += copy(blocks[kept:], block)
 		case s.OnNoEvent != nil:
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -186,6 +186,26 @@
 	}
 }
 
+// Another endpoint starts a broken stream again and repeats named events, too. Whether callers got them twice
+// depended on where reads ended.
+func TestNamedEventsAmongRepeatedOnesAreRepeats(t *testing.T) {
+	blocks := []string{"event: x\ndata: 0\n\n", "id: 1\ndata: a\n\n", "event: x\ndata: 1\n\n", "id: 2\ndata: a\n\n", "event: x\ndata: 2\n\n", "id: 3\ndata: a\n\n"}
+	sent := strings.Join(blocks, "")
+	for split := range len(sent) + 1 {
+		sequence := stream.New("2", "")
+		sequence.AllowNamed = true
+		got, pending := "", ""
+		for _, piece := range []string{sent[:split], sent[split:]} {
+			pending += piece
+			end := stream.CompleteEnd([]byte(pending))
+			part, _, err := sequence.Next([]byte(pending[:end]))
+			require.NoError(t, err)
+			got, pending = got+string(part), pending[end:]
+		}
+		require.Equal(t, blocks[0]+blocks[4]+blocks[5], got, "split at %d", split)
+	}
+}
+
 // An endpoint that goes on with a stream ends it within what the caller has: the stream counted as
 // complete.
 func TestStreamThatEndsWithinRepeatedEventsIsIncomplete(t *testing.T) {
