caller: the bytes of a response say whether it is a stream, if its type does not

Cause: took each success without a type for a stream, which may go on elsewhere, and each of another type for none. A service of run has other paths beside its streams, so that there is no route to ask, as serve has.

Fix: without the type of event streams, a response is a stream if its first event has an ID. If the response breaks off before, it has not begun for its caller.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -126,14 +127,25 @@
 // forwardResponse forwards a response to the caller and charges the tokens in it to
 // the customer.
 func (c *call) forwardResponse(resp *http.Response, slot *dispatch.Slot) *endpoint.Failure {
-	resumed, numbered, declared := c.responseStarted, c.isNumbered(resp), stream.MediaType(resp.Header) == stream.MediaTypeEvents
-	isEventStream := numbered || declared && c.r.Method != http.MethodHead
-	if resumed && (!numbered || resp.StatusCode != http.StatusOK) {
+	resumed, mediaType := c.responseStarted, stream.MediaType(resp.Header)
+	declared := mediaType == stream.MediaTypeEvents
+	if resumed && (!c.mayBeNumbered(resp) || !declared && mediaType != "" || resp.StatusCode != http.StatusOK) {
 		return &endpoint.Failure{
 			Endpoint: slot.Endpoint, Reason: fleet.ReasonEndpointFailed, Reached: true,
 			Cause: fmt.Errorf("status %d instead of the remaining events of a resumed stream", resp.StatusCode),
 		}
 	}
+	body, numbered := io.Reader(resp.Body), c.mayBeNumbered(resp)
+	if numbered && !declared && !resumed {
+		// The bytes decide: endpoints have other responses beside their streams, and one that sends
+		// garbage may name any type.
+		read, opening, err := readOpening(resp.Body)
+		if err != nil {
+			return &endpoint.Failure{Endpoint: slot.Endpoint, Reason: fleet.ReasonEndpointFailed, Reached: true, Cause: err}
+		}
+		body, numbered = io.MultiReader(bytes.NewReader(read), resp.Body), opening == stream.OpeningEvents
+	}
+	isEventStream := numbered || declared && c.r.Method != http.MethodHead
 	c.writeHeader(resp)
 	c.resumable = numbered
 	s := &eventStream{}
@@ -149,7 +161,7 @@
 	buf := copyBuffers.Get().(*[copyBufferBytes]byte)
 	defer copyBuffers.Put(buf)
 	for {
-		n, err := resp.Body.Read(buf[:])
+		n, err := body.Read(buf[:])
 		data, last, invalid := buf[:n], int64(0), error(nil)
 		if isEventStream {
 			tokens := 0
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -3,20 +3,35 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"net/http"
 
 	"github.com/greengagestep/greengagestep/internal/stream"
 )
 
-// isNumbered reports whether a response is a stream of numbered events: a success of a service that
-// promises them. One without a Content-Type is, too, since its caller may read it as events; one that
-// declares another type is the body of something else.
-func (c *call) isNumbered(resp *http.Response) bool {
-	if !c.service.Resume || c.r.Method == http.MethodHead || resp.StatusCode/100 != 2 {
-		return false
+// mayBeNumbered reports whether a response may be a stream of numbered events: a success of a service
+// that promises them.
+func (c *call) mayBeNumbered(resp *http.Response) bool {
+	return c.service.Resume && c.r.Method != http.MethodHead && resp.StatusCode/100 == 2
+}
+
+// readOpening reads a body until its bytes say whether it is a stream of numbered events, and returns
+// what it has read. One that ends before that is none.
+func readOpening(body io.Reader) (read []byte, opening stream.Opening, err error) {
+	buf := make([]byte, 4<<10)
+	for {
+		n, err := body.Read(buf)
+		read = append(read, buf[:n]...)
+		opening := stream.ReadOpening(read)
+		switch {
+		case opening != stream.OpeningUndecided:
+			return read, opening, nil
+		case err == io.EOF:
+			return read, stream.OpeningOther, nil
+		case err != nil:
+			return nil, "", err
+		}
 	}
-	declared := stream.MediaType(resp.Header)
-	return declared == stream.MediaTypeEvents || declared == ""
 }
 
 // eventStream parses server-sent events that arrive in chunks, which may end anywhere. Lines end
--- a/internal/demo/scenario_test.go
+++ b/internal/demo/scenario_test.go
@@ -253,7 +253,7 @@
 	}
 }
 
-// plain NAME|all up|down|lose=N|cut=N|poison=BODY|garbage|leave replaces the faults of plain
+// plain NAME|all up|down|lose=N|cut=N|poison=BODY|garbage|untyped|leave replaces the faults of plain
 // services; leave makes them report that they are leaving. plain NAME|all
 // announce|quiet=D|silent=D|replace changes what they tell their callers and keeps their
 // faults: announce makes every answer say that they leave, quiet makes them refuse requests,
@@ -271,6 +271,7 @@
 		for _, arg := range rest {
 			f.Down = f.Down || arg == "down"
 			f.Garbage = f.Garbage || arg == "garbage"
+			f.Untyped = f.Untyped || arg == "untyped"
 			if arg == "leave" {
 				p.SetLeaving()
 			}
@@ -294,7 +295,7 @@
 		f := standin.EngineFaults{Break: intArg(ts, named, "break", 0), Spoil: intArg(ts, named, "spoil", 0), FailResumed: intArg(ts, named, "failresumed", 0), EmptyResumed: intArg(ts, named, "emptyresumed", 0), Poison: named["poison"]}
 		if kind := named["spoilkind"]; kind != "" {
 			f.SpoilKind = standin.SpoilKind(kind)
-			if !slices.Contains(standin.SpoilKinds(), f.SpoilKind) {
+			if !slices.Contains(append(standin.SpoilKinds(), standin.SpoilPlain), f.SpoilKind) {
 				ts.Fatalf("unknown kind %q", kind)
 			}
 		}
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -38,6 +38,8 @@
 	// Cut is the number of calls that are executed but whose connection is dropped within
 	// the response.
 	Cut int `json:"cut"`
+	// Untyped makes responses name no Content-Type.
+	Untyped bool `json:"untyped"`
 	// Garbage makes every executed call return bytes that are not valid HTTP.
 	Garbage bool `json:"garbage"`
 	// Down drops connections before a call is executed.
@@ -161,6 +163,9 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
+	if faults.Untyped {
+		w.Header()["Content-Type"] = nil // else net/http guesses one
+	}
 	if faults.Cut > 0 {
 		fmt.Fprintf(w, `{"endpoint":%q,`, p.Name)
 		_ = http.NewResponseController(w).Flush()
