--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -101,6 +101,8 @@
 	suspect bool
 	// responseStarted is set once the response headers were sent to the caller.
 	responseStarted bool
+	// resumable is set if the response that has started is a stream of numbered events.
+	resumable bool
 	// reached is set once a byte of the request may have reached an endpoint, so
 	// that the endpoint may have executed it.
 	reached bool
@@ -265,6 +267,7 @@
 	for name, values := range a.Header {
 		c.w.Header()[name] = values
 	}
+	keepTypeMissing(c.w.Header())
 	c.w.Header().Set(HeaderRequestID, c.id)
 	c.w.Header().Set("Replayed-From", d.Winner.Request)
 	c.w.Header().Set("Trailer", HeaderOutcome)
