--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -184,3 +184,14 @@
 		require.Equal(t, 1, sequence.Count())
 	}
 }
+
+// An endpoint that starts a stream again repeats named events, too: those before an event that the
+// caller has are not relayed once more.
+func TestRepeatedNamedEventsAreNotRelayed(t *testing.T) {
+	sequence := stream.New("2", "")
+	sequence.AllowNamed = true
+	got, last, err := sequence.Next([]byte("event: x\ndata: a\n\nid: 1\ndata: a\n\nevent: x\ndata: b\n\nid: 2\ndata: a\n\nid: 3\ndata: a\n\nevent: x\ndata: c\n\n"))
+	require.NoError(t, err)
+	require.Equal(t, "id: 3\ndata: a\n\nevent: x\ndata: c\n\n", string(got))
+	require.EqualValues(t, 3, last)
+}
