--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -186,8 +186,11 @@
 		}
 		if err == io.EOF && isEventStream {
 			// A body without a type that has no event may be no stream, so that it does not complete one.
-			if broken := s.checkEnd(isFramed(resp) && (declared || !resumed)); broken != nil {
+			rest, broken := s.end(isFramed(resp) && (declared || !resumed))
+			if broken != nil {
 				err = broken
+			} else if failure := c.writeBody(rest, slot); failure != nil {
+				return failure
 			}
 		}
 		if err == io.EOF {
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -111,16 +111,16 @@
 	errNoEvent         = errors.New("response ended before its first event")
 )
 
-// checkEnd returns an error if the stream was broken off where it ended. framed is set if the
-// response stated where its body ends.
-func (s *eventStream) checkEnd(framed bool) error {
+// end returns what the caller lacks where the stream ended, or an error if the stream was broken off there.
+// framed is set if the response stated where its body ends.
+func (s *eventStream) end(framed bool) (rest []byte, err error) {
 	switch {
 	case s.withinEvent || len(s.incomplete) > 0:
-		return errIncompleteEvent
+		return nil, errIncompleteEvent
 	case !framed && !s.received:
-		return errNoEvent
+		return nil, errNoEvent
 	case s.sequence != nil:
 		return s.sequence.End()
 	}
-	return nil
+	return nil, nil
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -105,8 +105,11 @@
 			// It may be no stream, so that it does not complete one either.
 			return broken(errNoEvent)
 		}
-		if err == io.EOF && sequence != nil && sequence.End() != nil {
-			return broken(sequence.End())
+		if err == io.EOF && sequence != nil {
+			// Named events are invalid here, so that there are none left.
+			if _, incomplete := sequence.End(); incomplete != nil {
+				return broken(incomplete)
+			}
 		}
 		if err == io.EOF {
 			c.sendHeaders(a)
