--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -89,7 +89,7 @@
 	}()
 	c.sends++
 	c.h.Balancer.RecordLoad(c.choice.Endpoint, answer.Attrs, time.Now())
-	if answer.Attrs.NotRun {
+	if answer.Attrs.NotRun && answer.StatusCode >= http.StatusBadRequest {
 		run.End(placement.ResultRefused, time.Now())
 		discardBody(answer)
 		return outcome{kind: outcomeNotRun, reason: fleet.ReasonQueueFull, cause: fmt.Errorf("status %d", answer.StatusCode)}
