internal/gateway: a response keeps its missing Content-Type

A caller that goes by the type reads no events.

Before: TestMissingContentTypeIsNotGuessed failed, with text/plain; charset=utf-8.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -353,9 +353,11 @@
 	if keepAlive != "" {
 		header.Set("Keep-Alive", keepAlive)
 	}
-	if a.Header.Get("Date") == "" {
-		// Prevents net/http from adding a Date header of its own.
-		header["Date"] = nil
+	// Prevents net/http from adding headers of its own.
+	for _, name := range []string{"Date", "Content-Type"} {
+		if header.Get(name) == "" {
+			header[name] = nil
+		}
 	}
 	c.w.WriteHeader(a.StatusCode)
 }
--- a/internal/gateway/media_test.go
+++ b/internal/gateway/media_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/greengagestep/greengagestep/internal/event"
+	"github.com/greengagestep/greengagestep/pkg/arrangement"
 )
 
 // An operator tells blocks that the check of a stream knows from a response that names another
@@ -53,3 +54,28 @@
 		require.Equal(t, []any{"text/event-stream", "none", "text/plain"}, media)
 	})
 }
+
+// A response without a Content-Type reached the caller with a type that net/http guessed from its first bytes: a
+// stream of events came as plain text.
+func TestMissingContentTypeIsNotGuessed(t *testing.T) {
+	for _, config := range []arrangement.Config{streamConfig(), {Routes: []arrangement.Route{{Name: "r", Path: "/", Targets: []arrangement.Target{{Service: "portal", Weight: 1}}}}}} {
+		synctest.Test(t, func(t *testing.T) {
+			defer time.Sleep(time.Minute)
+			g := newTestGateway(t, config)
+			g.addEndpoint("i-1", func(r *http.Request, _ string, w io.Writer) bool {
+				writeResponse(w, r, http.StatusOK, "id: 1\ndata: a\n\n")
+				return true
+			})
+			req, err := http.NewRequest(http.MethodPost, "http://h/", strings.NewReader("body"))
+			require.NoError(t, err)
+			req.Header.Set("Request-Id", "1")
+			resp, err := g.client.Do(req)
+			require.NoError(t, err)
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.Equal(t, "id: 1\ndata: a\n\n", string(body))
+			require.NotContains(t, resp.Header, "Content-Type")
+		})
+	}
+}
