--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -13,6 +14,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/greengagestep/greengagestep/internal/claim"
 	"github.com/greengagestep/greengagestep/internal/dispatch"
 	"github.com/greengagestep/greengagestep/internal/endpoint"
@@ -124,18 +127,32 @@
 // forwardResponse forwards a response to the caller and charges the tokens in it to
 // the customer.
 func (c *call) forwardResponse(resp *http.Response, slot *dispatch.Slot) *endpoint.Failure {
-	isEventStream := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
-	if c.responseStarted && (!isEventStream || resp.StatusCode != http.StatusOK) {
+	resumed, mediaType := c.responseStarted, stream.MediaType(resp.Header)
+	declared := mediaType == stream.MediaTypeEvents
+	if resumed && (!c.mayBeNumbered(resp) || !declared && mediaType != "" || resp.StatusCode != http.StatusOK) {
 		return &endpoint.Failure{
 			Endpoint: slot.Endpoint, Reason: fleet.ReasonEndpointFailed, Reached: true,
 			Cause: fmt.Errorf("status %d instead of the remaining events of a resumed stream", resp.StatusCode),
 		}
 	}
+	body, numbered := io.Reader(resp.Body), c.mayBeNumbered(resp)
+	if numbered && !declared && !resumed {
+		// The bytes decide: endpoints have other responses beside their streams, and one that sends
+		// garbage may name any type.
+		read, opening, err := readOpening(resp.Body)
+		if err != nil {
+			return &endpoint.Failure{Endpoint: slot.Endpoint, Reason: fleet.ReasonEndpointFailed, Reached: true, Cause: err}
+		}
+		body, numbered = io.MultiReader(bytes.NewReader(read), resp.Body), opening == stream.OpeningEvents
+	}
+	isEventStream := numbered || declared && c.r.Method != http.MethodHead
 	c.writeHeader(resp)
+	c.resumable = numbered
 	s := &eventStream{}
-	if c.service.Resume {
+	if numbered {
 		s.sequence = stream.New(c.lastEventID, c.r.Header.Get(headerResume))
 		s.sequence.AllowNamed = true
+		s.sequence.OnNoEvent = c.noEventCounter(slot.Endpoint)
 	}
 	// A caller does not wait for the parts of a response with a known length one
 	// by one, so they need no flush.
@@ -144,7 +161,7 @@
 	buf := copyBuffers.Get().(*[copyBufferBytes]byte)
 	defer copyBuffers.Put(buf)
 	for {
-		n, err := resp.Body.Read(buf[:])
+		n, err := body.Read(buf[:])
 		data, last, invalid := buf[:n], int64(0), error(nil)
 		if isEventStream {
 			tokens := 0
@@ -168,7 +185,8 @@
 			return &endpoint.Failure{Endpoint: slot.Endpoint, Reason: fleet.ReasonInvalidResponse, Reached: true, Cause: invalid}
 		}
 		if err == io.EOF && isEventStream {
-			if broken := s.checkEnd(isFramed(resp)); broken != nil {
+			// A body without a type that has no event may be no stream, so that it does not complete one.
+			if broken := s.checkEnd(isFramed(resp) && (declared || !resumed)); broken != nil {
 				err = broken
 			}
 		}
@@ -184,6 +202,21 @@
 	}
 }
 
+// noEventCounter returns a function that counts the blocks without an event of one response. The
+// first one is a step of the request: an endpoint may send them without end.
+func (c *call) noEventCounter(endpoint string) func(stream.Kind) {
+	recorded := false
+	return func(kind stream.Kind) {
+		if !recorded {
+			recorded = true
+			c.recordStep("block without event", string(kind)+" of "+endpoint)
+		}
+		if c.h.Metrics != nil {
+			metrics.GetOrRegisterCounter("streams.noevent."+string(kind), c.h.Metrics).Inc(1)
+		}
+	}
+}
+
 // isFramed reports whether a response states where its body ends; otherwise it ends with its
 // connection.
 func isFramed(resp *http.Response) bool {
@@ -193,13 +226,13 @@
 // writeHeader sends the status and the headers to the caller if no earlier attempt
 // has sent them.
 func (c *call) writeHeader(resp *http.Response) {
-	if c.recorder != nil {
-		c.recorder.begin(resp)
-	}
 	if c.responseStarted {
 		return
 	}
 	c.responseStarted = true
+	if c.recorder != nil {
+		c.recorder.begin(resp)
+	}
 	header := c.w.Header()
 	for name, values := range resp.Header {
 		if slices.Contains(hopByHopHeaders, name) || name == HeaderRequestID || name == endpoint.HeaderLeaving {
@@ -208,10 +241,18 @@
 		header[name] = values
 	}
 	header.Del("Content-Length")
+	keepTypeMissing(header)
 	header.Set("Trailer", HeaderOutcome)
 	c.w.WriteHeader(resp.StatusCode)
 }
 
+// keepTypeMissing keeps net/http from guessing the Content-Type of a response without one.
+func keepTypeMissing(header http.Header) {
+	if _, ok := header["Content-Type"]; !ok {
+		header["Content-Type"] = nil
+	}
+}
+
 func (c *call) writeBody(p []byte, slot *dispatch.Slot) *endpoint.Failure {
 	if c.recorder != nil {
 		c.recorder.add(p)
--- a/internal/demo/soak_test.go
+++ b/internal/demo/soak_test.go
@@ -165,7 +165,10 @@
 	case 1:
 		signals.FallSilent(time.Duration(300+rng.IntN(1200)) * time.Millisecond)
 	case 2:
-		engine.Set(standin.EngineFaults{Break: rng.IntN(3), Spoil: rng.IntN(4)})
+		kinds := standin.SpoilKinds()
+		kind := kinds[rng.IntN(len(kinds))]
+		s.faultTrace = append(s.faultTrace, string(kind))
+		engine.Set(standin.EngineFaults{Break: rng.IntN(3), Spoil: rng.IntN(4), SpoilKind: kind})
 	case 3:
 		engine.Set(standin.EngineFaults{Break: rng.IntN(3), FailResumed: rng.IntN(4)})
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/greengagestep/greengagestep/internal/gauge"
 	"github.com/greengagestep/greengagestep/internal/placement"
 	"github.com/greengagestep/greengagestep/internal/quarantine"
 	"github.com/greengagestep/greengagestep/internal/upstream"
@@ -40,7 +41,7 @@
 // attempt sends the request to the chosen endpoint and relays the response, unless the
 // request becomes quarantined meanwhile.
 func (c *call) attempt(ctx context.Context) outcome {
-	c.crashProbe = nil
+	c.crashProbe, c.mediaType = nil, ""
 	c.lastAttempt = quarantine.Attempt{
 		Quarantine: c.h.Quarantine, Endpoint: c.choice.Endpoint.ID, Request: c.attrs.ID, Signatures: c.signatures, Sent: time.Now(),
 	}
@@ -237,10 +238,14 @@
 		return outcome{kind: outcomeFailed, reason: reason, cause: fmt.Errorf(format, args...)}
 	}
 	ok := a.StatusCode >= 200 && a.StatusCode < 300
+	c.mediaType = mediaTypeField(a.Header)
+	if ok && c.numbered() {
+		c.h.Metrics.Count(gauge.Name("stream_responses_total", "type", mediaTypeLabel(c.mediaType)))
+	}
 	switch {
 	case ok && !a.Attrs.Sealed:
 		return failed(fleet.ReasonInvalidResponse, "status %d without a response seal", a.StatusCode)
-	case a.Header.Get("Content-Encoding") != "":
+	case strings.Join(a.Header["Content-Encoding"], "") != "":
 		return failed(fleet.ReasonInvalidResponse, "response has an unexpected Content-Encoding")
 	case slices.Contains(notRunStatuses, a.StatusCode):
 		// The endpoint did not report the request as not run. Forwarding the
@@ -252,7 +257,7 @@
 	if c.headersSent && !ok {
 		return failed(fleet.ReasonEndpointFailed, "status %d instead of the remaining events of a resumed stream", a.StatusCode)
 	}
-	if ok && strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
+	if ok && c.isStream(a) {
 		return c.relayStream(a, run)
 	}
 	if c.headersSent {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -71,12 +71,18 @@
 	Down bool `json:"down"`
 	// Break is the number of streams whose connection is dropped halfway.
 	Break int `json:"break"`
-	// Spoil is the number of streams with a spoiled event halfway, which then go on as if
-	// it had been sound. Kinds of spoiled events take turns.
+	// Spoil is the number of streams that are spoiled halfway and then go on as if they had
+	// not been.
 	Spoil int `json:"spoil"`
+	// SpoilKind is the way in which they are; empty means that all kinds take turns.
+	SpoilKind SpoilKind `json:"spoilKind"`
+	// Comment makes streams begin with a comment, as a sign of life.
+	Comment bool `json:"comment"`
 	// FailResumed is the number of prompts with a Last-Event-ID that are answered with
 	// status 500.
 	FailResumed int `json:"failResumed"`
+	// EmptyResumed is the number of those that are answered with status 200 and nothing else.
+	EmptyResumed int `json:"emptyResumed"`
 	// Poison is a text that crashes the engine if a prompt contains it; an empty
 	// text matches no prompt.
 	Poison string `json:"poison"`
@@ -281,18 +287,25 @@
 	}
 	defer e.release()
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-ID"))
-	if from > 0 && e.takeFailure() {
+	if from > 0 && e.take(&e.faults.FailResumed) {
 		http.Error(w, "failed", http.StatusInternalServerError)
 		return
 	}
+	if from > 0 && e.take(&e.faults.EmptyResumed) {
+		return
+	}
 	breakAt, spoilAt, spoiled := e.startRequest(r, p, from)
-	w.Header().Set("Content-Type", "text/event-stream")
+	spoiled.SetType(w.Header())
 	e.mu.Lock()
-	unframed := e.faults.Unframed
+	unframed, comment := e.faults.Unframed, e.faults.Comment
 	e.mu.Unlock()
 	if unframed {
 		w.Header().Set("Transfer-Encoding", "identity")
 	}
+	if comment {
+		fmt.Fprint(w, ": alive\n\n")
+	}
+	fmt.Fprint(w, spoiled.Preface())
 	for i := from + 1; i <= p.Tokens; i++ {
 		if i == breakAt && unframed {
 			if i > from+1 {
@@ -311,13 +324,13 @@
 			return
 		}
 		if i == spoilAt {
-			fmt.Fprintf(w, spoiled, i)
+			fmt.Fprint(w, spoiled.Event(i, AnswerToken(p.Prompt, i)))
 			continue
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, AnswerToken(p.Prompt, i))
+		fmt.Fprint(w, answerEvent(i, AnswerToken(p.Prompt, i)))
 		_ = http.NewResponseController(w).Flush()
 	}
-	fmt.Fprint(w, "event: end\ndata: end\n\n")
+	fmt.Fprint(w, answerEnd+"\n\n")
 }
 
 // AnswerToken returns the i-th token, counted from 1, of the answer to a prompt. Every
@@ -330,25 +343,21 @@
 	return fmt.Sprintf("w%x", (sum+uint32(i)*2654435761)%0xfff)
 }
 
-// takeFailure reports whether the next resumed prompt is answered with status 500.
-func (e *Engine) takeFailure() bool {
+// take reports whether a fault that is to occur a number of times occurs now.
+func (e *Engine) take(count *int) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.faults.FailResumed == 0 {
+	if *count == 0 {
 		return false
 	}
-	e.faults.FailResumed--
+	*count--
 	return true
 }
 
-// spoiledEvents are formats of events that take the place of a token, given its number: without an
-// ID, with another ID, and bytes that are no event.
-var spoiledEvents = []string{"data: spoiled%.0d\n\n", "id: 1%d\ndata: spoiled\n\n", "spoiled%.0d\n\n"}
-
 // startRequest records the start of a request and returns the number of the token before
-// which the connection is dropped, and of the one that is replaced by a spoiled event, -1 for
+// which the connection is dropped, and of the one at which the stream is spoiled and how, -1 for
 // none. from is the last token that the client has already received.
-func (e *Engine) startRequest(r *http.Request, p Prompt, from int) (breakAt, spoilAt int, spoiled string) {
+func (e *Engine) startRequest(r *http.Request, p Prompt, from int) (breakAt, spoilAt int, spoiled SpoilKind) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.starts++
@@ -371,7 +380,10 @@
 	}
 	if e.faults.Spoil > 0 {
 		e.faults.Spoil--
-		return -1, halfway, spoiledEvents[e.faults.Spoil%len(spoiledEvents)]
+		if e.faults.SpoilKind != "" {
+			return -1, halfway, e.faults.SpoilKind
+		}
+		return -1, halfway, spoilKinds[e.faults.Spoil%len(spoilKinds)]
 	}
 	return -1, -1, ""
 }
