endpoint: the tokens that a response states are bounded

A figure that no response can have is charged as none and stands in the trail of the request.

TestReportedTokensAreBounded is new with the function; before, only figures that are not above zero were left out.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -195,7 +195,7 @@
 		}
 		if err == io.EOF {
 			if !isEventStream {
-				slot.Charge(reportedTokens(resp))
+				slot.Charge(c.reportedTokens(resp, slot.Endpoint))
 			}
 			return nil
 		}
@@ -266,14 +266,13 @@
 	return nil
 }
 
-// reportedTokens returns the number of tokens that an endpoint reports for a response
-// that is not an event stream, or 0 if it reports none.
-func reportedTokens(resp *http.Response) float64 {
-	n, err := strconv.ParseFloat(resp.Header.Get("Tokens"), 64)
-	if err != nil || !(n > 0) {
-		return 0
+// reportedTokens returns the tokens that a response which is not an event stream is charged for.
+func (c *call) reportedTokens(resp *http.Response, from string) float64 {
+	tokens, err := endpoint.ReportedTokens(resp.Header)
+	if err != nil {
+		c.recordStep("tokens not charged", from+": "+err.Error())
 	}
-	return n
+	return tokens
 }
 
 func (c *call) finish() {
--- a/internal/endpoint/answer.go
+++ b/internal/endpoint/answer.go
@@ -1,8 +1,10 @@
 package endpoint
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -39,6 +41,27 @@
 	return a
 }
 
+// headerTokens states the tokens of a response that is not an event stream.
+const headerTokens = "Tokens"
+
+// maxTokens is the largest number of tokens that one response can state. A customer is charged for them: a figure
+// without a bound would keep its requests from being served.
+const maxTokens = 1 << 30
+
+// ReportedTokens returns the number of tokens that an endpoint states for a response that is not an event
+// stream, zero if it states none. A figure that no response can have is an error.
+func ReportedTokens(h http.Header) (float64, error) {
+	text := h.Get(headerTokens)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(n >= 0 && n <= maxTokens) {
+		return 0, fmt.Errorf("header %s: %.40q is no number of tokens", headerTokens, text)
+	}
+	return n, nil
+}
+
 // elements returns the values of a header line, which a proxy may have joined.
 func elements(line string) []string {
 	all := strings.Split(line, ",")
--- a/internal/endpoint/answer_test.go
+++ b/internal/endpoint/answer_test.go
@@ -98,3 +98,17 @@
 		}
 	})
 }
+
+// One response that stated an infinite number of tokens kept the requests of its customer from being served.
+func TestReportedTokensAreBounded(t *testing.T) {
+	for text, want := range map[string]float64{"": 0, "0": 0, "5": 5, "2.5": 2.5, "1e6": 1e6} {
+		got, err := endpoint.ReportedTokens(http.Header{"Tokens": {text}})
+		require.NoError(t, err, text)
+		require.Equal(t, want, got, text)
+	}
+	for _, text := range []string{"Inf", "+Inf", "1e300", "1e10", "NaN", "-1", "-Inf", "many"} {
+		got, err := endpoint.ReportedTokens(http.Header{"Tokens": {text}})
+		require.Error(t, err, text)
+		require.Zero(t, got, text)
+	}
+}
