caller: a key that comes again with another query is another request

Cause: the fingerprint that a key is compared by had no query. It has now, where there is one; the quarantine's signature of a request stays as it was. While a fleet is updated, a request with a query that is repeated at an instance of the other version is rejected (422) instead of replayed.

Before: TestKeyOfRequestWithAnotherQueryIsRejected, 200 for 422.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -131,3 +131,12 @@
 	_, _ = digest.Write(b.head)
 	return fmt.Sprintf("%016x", digest.Sum64())
 }
+
+// keyFingerprint returns the fingerprint of a request for its idempotency key, which the query belongs to. One
+// without a query has the same as in earlier versions, whose records other instances may hold.
+func keyFingerprint(fingerprint, query string) string {
+	if query == "" {
+		return fingerprint
+	}
+	return fmt.Sprintf("%s-%016x", fingerprint, xxhash.Sum64String(query))
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -255,7 +255,7 @@
 	if key == "" || c.idempotent || c.h.Claims == nil {
 		return true
 	}
-	d, err := c.h.Claims.Begin(ctx, c.key.Customer, c.service.Name+"/"+key, c.fingerprint, c.id)
+	d, err := c.h.Claims.Begin(ctx, c.key.Customer, c.service.Name+"/"+key, keyFingerprint(c.fingerprint, c.r.URL.RawQuery), c.id)
 	if err != nil {
 		c.recordStep("claim failed", err.Error())
 		c.refuse(http.StatusServiceUnavailable, fleet.ReasonLogUnavailable, "the log service cannot be reached, so the key cannot be claimed")
