--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -24,11 +24,6 @@
 // it and replaces the heartbeat.
 const reportInterval = 500 * time.Millisecond
 
-// reuseLimit is how long an instance uses a slot for requests of its own, one after the
-// other, while requests wait at other instances. Then the slot returns to its home, which
-// knows for how long they have waited.
-const reuseLimit = 2 * time.Second
-
 // recoveryTimeout is the longest time that the new home of an endpoint waits for the
 // reports of the slots that are held under the earlier home.
 const recoveryTimeout = 3 * time.Second
@@ -260,7 +255,6 @@
 // useGrant starts a request in a slot that was granted for its account. If no request
 // of the account waits any more, the slot serves another account or is returned.
 func (s *Scheduler) useGrant(l *slot.Lease, now time.Time) {
-	l.GrantedAt = now
 	if e := s.endpoints[l.Endpoint]; e.Closed || s.withholds(e) {
 		s.decline(l, now)
 		return
@@ -323,9 +317,6 @@
 	if !known || e.Closed || s.withholds(e) || s.owners[l.Endpoint] != l.Home {
 		return false
 	}
-	if now.Sub(l.GrantedAt) >= reuseLimit && s.Ledger.WaitsElsewhere(l.Service) {
-		return false
-	}
 	return s.heldLeases.Valid(l, s.self(), now)
 }
 
--- a/internal/share/ledger.go
+++ b/internal/share/ledger.go
@@ -317,22 +317,6 @@
 	return first, second
 }
 
-// WaitsElsewhere reports whether requests for a service wait at other instances.
-func (l *Ledger) WaitsElsewhere(service string) bool {
-	s := l.services[service]
-	if s == nil {
-		return false
-	}
-	for _, c := range s.customers {
-		for _, a := range c.accounts {
-			if a.fleetWaiting > a.waiting {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // Lowest returns the lowest customer sort key (the first number of Order) among the
 // customers with requests waiting for a service anywhere in the fleet, and false if
 // no request waits.
--- a/internal/slot/decide.go
+++ b/internal/slot/decide.go
@@ -8,10 +8,6 @@
 	"github.com/greengagestep/greengagestep/internal/share"
 )
 
-// preferenceLimit is how long an account may wait at an entry instance without a grant
-// while other entry instances are preferred for the same account.
-const preferenceLimit = time.Second
-
 // Decide grants free slots to waiting requests, lowest order first, until no slot is
 // free or no request waits. It returns the entry instances that have new grants, sorted.
 func (h *Home) Decide(order Order, now time.Time) []string {
@@ -19,7 +15,7 @@
 	for _, service := range h.services() {
 		blocked := map[demand]bool{}
 		for free := h.Free(service, now); free > 0; {
-			e, k, ok := h.pick(service, order, blocked, now)
+			e, k, ok := h.pick(service, order, blocked)
 			if !ok {
 				break
 			}
@@ -28,7 +24,7 @@
 				blocked[demand{e.name, k}] = true
 				continue
 			}
-			h.grant(e, k, ep, now)
+			h.grant(e, k, ep)
 			granted[e.name] = true
 			free--
 		}
@@ -89,10 +85,9 @@
 }
 
 // pick returns the entry instance and account to serve next. Among entry instances with
-// waiting requests of the same account it prefers the one that has waited longest without
-// a grant, if that is over preferenceLimit, then those in the home's failure domain, then
-// the one with the most requests not covered by grants. Blocked demand is skipped.
-func (h *Home) pick(service string, order Order, blocked map[demand]bool, now time.Time) (*entry, share.Key, bool) {
+// waiting requests of the same account it prefers those in the home's failure domain,
+// then the one with the most requests not covered by grants. Blocked demand is skipped.
+func (h *Home) pick(service string, order Order, blocked map[demand]bool) (*entry, share.Key, bool) {
 	pendingCustomer := map[string]int{}
 	pendingKind := map[share.Key]int{}
 	for _, e := range h.entries {
@@ -112,9 +107,6 @@
 			}
 			first, second := order(k, pendingCustomer[k.Customer], pendingKind[k])
 			c := candidate{entry: e, key: k, first: first, second: second, sameDomain: e.domain == h.Domain, unserved: unserved}
-			if d := e.timeWithoutGrant(k, now); d > preferenceLimit {
-				c.overdue = d
-			}
 			if best.entry == nil || c.before(best) {
 				best = c
 			}
@@ -123,23 +115,11 @@
 	return best.entry, best.key, best.entry != nil
 }
 
-// timeWithoutGrant returns for how long an account has been known to wait at the entry
-// instance without a grant.
-func (e *entry) timeWithoutGrant(k share.Key, now time.Time) time.Duration {
-	since, known := e.ungrantedSince[k]
-	if !known {
-		e.ungrantedSince[k] = now
-		return 0
-	}
-	return now.Sub(since)
-}
-
 type candidate struct {
 	entry      *entry
 	key        share.Key
 	first      float64
 	second     float64
-	overdue    time.Duration // time without a grant, zero up to preferenceLimit
 	sameDomain bool
 	unserved   int
 }
@@ -157,9 +137,6 @@
 	if c.key.Kind != other.key.Kind {
 		return c.key.Kind < other.key.Kind
 	}
-	if c.overdue != other.overdue {
-		return c.overdue > other.overdue
-	}
 	if c.sameDomain != other.sameDomain {
 		return c.sameDomain
 	}
@@ -169,12 +146,11 @@
 	return cmp.Less(c.entry.name, other.entry.name)
 }
 
-func (h *Home) grant(e *entry, k share.Key, ep *endpoint, now time.Time) {
+func (h *Home) grant(e *entry, k share.Key, ep *endpoint) {
 	h.lastNumber++
 	l := &lease{number: h.lastNumber, entry: e.name, endpoint: ep.name, key: k}
 	e.leases[l.number] = l
 	ep.leases[l.number] = l
 	e.pending[k]++
-	e.ungrantedSince[k] = now
 	e.outbox = append(e.outbox, Grant{Number: l.number, Entry: e.name, Endpoint: ep.name, Key: k})
 }
--- a/internal/slot/held.go
+++ b/internal/slot/held.go
@@ -15,8 +15,6 @@
 	Service  string
 	// Key is the account that the slot serves now.
 	Key share.Key
-	// GrantedAt is when the grant arrived.
-	GrantedAt time.Time
 }
 
 // HeldLeases keeps the leases of one entry instance, per home. It is not safe for
--- a/internal/slot/home.go
+++ b/internal/slot/home.go
@@ -37,8 +37,7 @@
 // safe for concurrent use.
 type Home struct {
 	// Domain is the failure domain of the instance. Among entry instances with
-	// requests of the same account, those of this domain are preferred, but not for
-	// longer than preferenceLimit.
+	// requests of the same account, those of this domain are preferred.
 	Domain string
 
 	endpoints  map[string]*endpoint
@@ -76,16 +75,13 @@
 	domain      string
 	lastMessage time.Time
 	// received is the highest grant number that the entry instance has received.
-	received uint64
-	demand   map[share.Key]int
-	// ungrantedSince is when each account in demand last got a grant, or was first
-	// considered for one.
-	ungrantedSince map[share.Key]time.Time
-	leases         map[uint64]*lease
-	pending        map[share.Key]int // grants in outbox per account
-	outbox         []Grant           // grants that the entry instance has not received yet
-	needsList      bool              // the next message requests the full list of leases
-	avoidUntil     map[avoidKey]time.Time
+	received   uint64
+	demand     map[share.Key]int
+	leases     map[uint64]*lease
+	pending    map[share.Key]int // grants in outbox per account
+	outbox     []Grant           // grants that the entry instance has not received yet
+	needsList  bool              // the next message requests the full list of leases
+	avoidUntil map[avoidKey]time.Time
 }
 
 // avoidKey identifies an endpoint whose slot an entry instance declined for an account.
@@ -151,12 +147,11 @@
 	e := h.entries[name]
 	if e == nil {
 		e = &entry{
-			name:           name,
-			demand:         map[share.Key]int{},
-			ungrantedSince: map[share.Key]time.Time{},
-			leases:         map[uint64]*lease{},
-			pending:        map[share.Key]int{},
-			avoidUntil:     map[avoidKey]time.Time{},
+			name:       name,
+			demand:     map[share.Key]int{},
+			leases:     map[uint64]*lease{},
+			pending:    map[share.Key]int{},
+			avoidUntil: map[avoidKey]time.Time{},
 		}
 		h.entries[name] = e
 	}
@@ -169,7 +164,6 @@
 	e.domain = domain
 	if waiting <= 0 {
 		delete(e.demand, k)
-		delete(e.ungrantedSince, k)
 		return
 	}
 	e.demand[k] = waiting
@@ -208,7 +202,6 @@
 		return
 	}
 	delete(e.demand, l.key)
-	delete(e.ungrantedSince, l.key)
 	h.removeLease(e, l)
 }
 
