placement, entry: emptied failure domains and regions

The operators' feed carries evacuations beside configurations. From when an instance has read one, no new request goes to endpoints of the domain. Requests of routes and customers with regions reach endpoints only there.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/greengagestep/greengagestep/internal/admission"
 	"github.com/greengagestep/greengagestep/internal/audit"
 	"github.com/greengagestep/greengagestep/internal/budget"
+	"github.com/greengagestep/greengagestep/internal/evacuation"
 	"github.com/greengagestep/greengagestep/internal/event"
 	"github.com/greengagestep/greengagestep/internal/gateway"
 	"github.com/greengagestep/greengagestep/internal/gauge"
@@ -37,6 +38,8 @@
 	Name string
 	// Domain is the failure domain of the instance.
 	Domain string
+	// Regions holds the region of each failure domain; a domain that is missing is in none.
+	Regions map[string]string
 	// Callers and Ready are the listeners for callers and for the load balancer's
 	// readiness checks; Run closes them.
 	Callers net.Listener
@@ -50,7 +53,7 @@
 	// HeaderCodec translates the platform's headers.
 	HeaderCodec fleet.HeaderCodec
 	// Operators and Endpoints are the feeds of the records of operators and endpoints.
-	Operators fleet.Feed[watch.VersionedConfiguration]
+	Operators fleet.Feed[watch.OperatorRecord]
 	Endpoints fleet.Feed[fleet.EndpointInfo]
 	// HeartbeatInterval is how often endpoints write their records, which expire after three
 	// intervals without; zero means 1.2 s.
@@ -84,20 +87,21 @@
 	// Log takes JSON lines; nil means that nothing is logged.
 	Log *event.Writer
 
-	logger     *zap.Logger
-	operators  *watch.Follower[watch.VersionedConfiguration]
-	endpoints  *watch.Follower[fleet.EndpointInfo]
-	balancer   *placement.Balancer
-	pool       *upstream.Pool
-	tracker    *watch.EndpointTracker
-	quarantine *quarantine.List
-	handler    *gateway.Handler
-	lagMeter   *overload.Meter
-	idleConns  *idleConns
-	ledger     *admission.Ledger
-	peers      *peer.Exchange
-	stopping   chan struct{}
-	graceNanos atomic.Int64
+	logger      *zap.Logger
+	operators   *watch.Follower[watch.OperatorRecord]
+	endpoints   *watch.Follower[fleet.EndpointInfo]
+	balancer    *placement.Balancer
+	pool        *upstream.Pool
+	tracker     *watch.EndpointTracker
+	evacuations *evacuation.Set
+	quarantine  *quarantine.List
+	handler     *gateway.Handler
+	lagMeter    *overload.Meter
+	idleConns   *idleConns
+	ledger      *admission.Ledger
+	peers       *peer.Exchange
+	stopping    chan struct{}
+	graceNanos  atomic.Int64
 }
 
 const (
@@ -180,7 +184,7 @@
 	}
 	i.stopping = make(chan struct{})
 	i.graceNanos.Store(int64(i.Grace))
-	i.balancer = &placement.Balancer{LocalDomain: i.Domain, OnChange: i.endpointChanged, OnInvalidTime: i.countInvalidTime}
+	i.balancer = &placement.Balancer{LocalDomain: i.Domain, Regions: i.Regions, OnChange: i.endpointChanged, OnInvalidTime: i.countInvalidTime}
 	i.pool = &upstream.Pool{HeaderCodec: i.HeaderCodec, Dial: i.Dial}
 	i.tracker = &watch.EndpointTracker{
 		Balancer: i.balancer, OnMissing: i.logMissing, OnIgnored: i.logIgnored, DisputeTime: 2 * i.heartbeatInterval(),
@@ -205,9 +209,10 @@
 		},
 	}
 	i.quarantine.OnCrash = func(string) { i.handler.Metrics.Count("endpoint_crashes_total") }
-	i.operators = &watch.Follower[watch.VersionedConfiguration]{
+	i.evacuations = &evacuation.Set{}
+	i.operators = &watch.Follower[watch.OperatorRecord]{
 		Name: "operators", Feed: i.Operators, Wait: operatorsWait, MaxRecent: configurationsKept, Timeout: feedTimeout, MaxAge: i.maxAge(operatorsMaxAge, operatorsWait),
-		OnBatch: i.applyConfigurations, OnUnreachable: i.logUnreachable("operators"), OnReachable: i.logReachable("operators"),
+		OnBatch: i.applyOperatorRecords, OnUnreachable: i.logUnreachable("operators"), OnReachable: i.logReachable("operators"),
 	}
 	i.endpoints = &watch.Follower[fleet.EndpointInfo]{
 		Name: "endpoints", Feed: i.Endpoints, Timeout: feedTimeout, MaxAge: i.maxAge(endpointsMaxAge, 0),
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -137,7 +137,7 @@
 	callers         net.Listener
 	ready           net.Listener
 	metrics         net.Listener
-	operators       *fakeFeed[watch.VersionedConfiguration]
+	operators       *fakeFeed[watch.OperatorRecord]
 	endpoints       *fakeFeed[fleet.EndpointInfo]
 	quarantine      *fakeKeyValueStore
 	settings        chan entry.Settings
@@ -156,7 +156,7 @@
 
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{
-		t: t, net: &standin.MemoryNetwork{}, operators: &fakeFeed[watch.VersionedConfiguration]{}, endpoints: &fakeFeed[fleet.EndpointInfo]{},
+		t: t, net: &standin.MemoryNetwork{}, operators: &fakeFeed[watch.OperatorRecord]{}, endpoints: &fakeFeed[fleet.EndpointInfo]{},
 		quarantine: &fakeKeyValueStore{}, settings: make(chan entry.Settings, 1), done: make(chan error, 1),
 	}
 	endpoint := f.listen()
@@ -250,7 +250,7 @@
 	for _, p := range paths {
 		c.Config.Routes = append(c.Config.Routes, arrangement.Route{Name: p, Path: p, TimeoutMillis: int(f.routeTimeout.Milliseconds()), Targets: []arrangement.Target{{Service: "m", Weight: 1}}})
 	}
-	f.operators.write("config", c)
+	f.operators.write("config", &watch.OperatorRecord{Configuration: c})
 }
 
 func (f *fixture) startServing() {
@@ -426,10 +426,10 @@
 				defer time.Sleep(time.Minute)
 				f := newFixture(t)
 				f.startServing()
-				f.operators.write("config", &watch.VersionedConfiguration{Version: 6, Config: arrangement.Config{
+				f.operators.write("config", &watch.OperatorRecord{Configuration: &watch.VersionedConfiguration{Version: 6, Config: arrangement.Config{
 					Customers: []arrangement.Customer{{Name: "saar", Keys: []string{"k"}}},
 					Routes:    []arrangement.Route{{Name: "r", Path: "/a/", TimeoutMillis: int(limit.Milliseconds()), Targets: []arrangement.Target{{Service: "m", Weight: 1}}}},
-				}})
+				}}})
 				time.Sleep(2 * time.Second)
 				f.processingTime = limit - 100*time.Millisecond
 				// One call keeps the process from ending early.
--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -28,17 +28,21 @@
 	}
 }
 
-func (i *Instance) applyConfigurations(b watch.Batch[watch.VersionedConfiguration]) {
+// applyOperatorRecords applies a batch of the operators' feed. The instance serves from its first
+// configuration on, so the emptied failure domains of the batch come first.
+func (i *Instance) applyOperatorRecords(b watch.Batch[watch.OperatorRecord]) {
+	i.applyEvacuations(b)
 	for _, r := range b.Records {
 		if r.Err != nil {
-			i.logger.Warn(event.InvalidData, zap.Error(r.Err))
+			i.logger.Warn(event.InvalidData, zap.String("key", r.Key), zap.Error(r.Err))
 			continue
 		}
-		if r.Value == nil {
+		if r.Value == nil || r.Value.Configuration == nil {
 			continue
 		}
-		if i.handler.Use(r.Value.Config, r.Value.Version) {
-			i.logger.Info(event.Configuration, zap.Int64("version", r.Value.Version), zap.Int("routes", len(r.Value.Config.Routes)))
+		c := r.Value.Configuration
+		if i.handler.Use(c.Config, c.Version) {
+			i.logger.Info(event.Configuration, zap.Int64("version", c.Version), zap.Int("routes", len(c.Config.Routes)))
 		}
 	}
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -31,12 +31,15 @@
 		values[gauge.Name("retry_budget_left", "service", service)] = left
 	}
 	for service, c := range i.balancer.Services(now) {
-		for state, n := range map[string]int{"listed": c.Listed, "leaving": c.Leaving, "quiet": c.Quiet, "down": c.Down, "silent": c.Stalled} {
+		for state, n := range map[string]int{"listed": c.Listed, "leaving": c.Leaving, "evacuated": c.Evacuated, "quiet": c.Quiet, "down": c.Down, "silent": c.Stalled} {
 			values[gauge.Name("endpoints", "service", service, "state", state)] = float64(n)
 		}
 		values[gauge.Name("runs", "service", service)] = c.Runs
 		values[gauge.Name("slots", "service", service)] = c.Slots
 	}
+	for _, e := range i.evacuations.List() {
+		values[gauge.Name("evacuation_last_send_seconds", "domain", e.Domain)] = max(0, i.balancer.LastSend(e.Domain).Sub(e.Since).Seconds())
+	}
 	for customer, u := range i.ledger.LocalUsage(now) {
 		values[gauge.Name("customer_asked_tokens_per_second", "customer", customer)] = u.Demand
 		values[gauge.Name("customer_served_tokens_per_second", "customer", customer)] = u.Served
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -22,6 +22,8 @@
 	PlatformRecovered = "recovered"
 	// Configuration is logged when a configuration version is applied.
 	Configuration = "configuration"
+	// Evacuation is logged when operators have emptied a failure domain or taken it back.
+	Evacuation = "evacuation"
 	// ReadFromPeer is logged when records were read from another instance because
 	// the platform did not deliver them.
 	ReadFromPeer = "rescued"
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -57,7 +57,7 @@
 func (c *call) retryDelay(reason fleet.Reason) time.Duration {
 	if reason == fleet.ReasonNoEndpoint || reason == fleet.ReasonQueueFull {
 		now := time.Now()
-		if at, ok := c.h.Balancer.AvailableFrom(c.service, now); ok {
+		if at, ok := c.h.Balancer.AvailableFrom(c.placementRequest(), now); ok {
 			return admission.ReturnDelay(at.Sub(now), rand.Float64())
 		}
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -74,6 +74,7 @@
 		case "", placement.UnavailableDown, placement.UnavailableSilent, placement.UnavailableReturning:
 			// A connection that is ready shows that the endpoint is not down, and the
 			// request is among those that it gets.
+			run.RecordSend(time.Now())
 			return nil
 		default:
 			return unavailableError(reason)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -31,7 +31,7 @@
 			return false
 		}
 		if !ok {
-			c.fail(outcome{kind: outcomeNotRun, reason: fleet.ReasonNoEndpoint})
+			c.fail(outcome{kind: outcomeNotRun, reason: c.h.Balancer.RefusalReason(c.placementRequest(), time.Now())})
 			return false
 		}
 		c.choice = choice
@@ -83,6 +83,7 @@
 	return placement.Request{
 		Service: c.service, Shared: c.attrs.SharedParts(), AffinityKey: c.attrs.LastSharedPartID(), Tokens: c.attrs.PromptTokens(),
 		Stream: c.route.Stream, TargetLatency: c.route.TargetLatency(), Avoid: slices.Concat(c.avoid, c.refusedBy),
-		Events: c.config.eventCount(c.service, c.attrs.OutputEstimate),
+		Events:  c.config.eventCount(c.service, c.attrs.OutputEstimate),
+		Regions: c.config.allowedRegions(c.route, c.customer),
 	}
 }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/greengagestep/greengagestep/pkg/arrangement"
@@ -20,8 +21,9 @@
 type activeConfig struct {
 	version         int64
 	routes          *arrangement.Routes
-	customers       map[string]string // customer names by API key
-	noAuth          bool              // no customers are configured: requests need no key
+	customers       map[string]string   // customer names by API key
+	regions         map[string][]string // regions of customers that have some, by customer name
+	noAuth          bool                // no customers are configured: requests need no key
 	limits          arrangement.Limits
 	targetLatencies map[string]time.Duration // shortest target latency of the routes to each service
 	tokensPerEvent  map[string]int           // tokens in one stream event, by service
@@ -33,11 +35,33 @@
 	return float64(tokens) / float64(max(cfg.tokensPerEvent[service], 1))
 }
 
+// allowedRegions returns the regions whose endpoints may get a customer's request on a route, as
+// in placement.Request. Those of the route and of the customer both bind.
+func (cfg *activeConfig) allowedRegions(route arrangement.Route, customer string) []string {
+	ofCustomer := cfg.regions[customer]
+	switch {
+	case len(route.Regions) == 0:
+		return ofCustomer
+	case len(ofCustomer) == 0:
+		return route.Regions
+	}
+	both := []string{}
+	for _, r := range route.Regions {
+		if slices.Contains(ofCustomer, r) {
+			both = append(both, r)
+		}
+	}
+	return both
+}
+
 // Use applies a configuration and reports whether it did: a version that is not newer
 // than the current one is ignored. It is safe for concurrent use.
 func (h *Handler) Use(config arrangement.Config, version int64) bool {
-	cfg := &activeConfig{version: version, routes: arrangement.NewRoutes(config.Routes), customers: map[string]string{}, limits: config.Limits}
+	cfg := &activeConfig{version: version, routes: arrangement.NewRoutes(config.Routes), customers: map[string]string{}, regions: map[string][]string{}, limits: config.Limits}
 	for _, c := range config.Customers {
+		if len(c.Regions) > 0 {
+			cfg.regions[c.Name] = c.Regions
+		}
 		for _, key := range c.Keys {
 			cfg.customers[key] = c.Name
 		}
--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -22,6 +22,8 @@
 	UnavailableLeavingByAnswer Unavailability = "leaving-by-answer"
 	UnavailableLeavingByPeer   Unavailability = "leaving-by-peer"
 	UnavailableLeavingByRecord Unavailability = "leaving-by-record"
+	// UnavailableEvacuated means that operators have emptied the endpoint's failure domain.
+	UnavailableEvacuated Unavailability = "evacuated"
 	// UnavailableQuiet means that the endpoint asked this instance for no requests for a
 	// while.
 	UnavailableQuiet Unavailability = "quiet"
@@ -54,6 +56,12 @@
 	leavingByPeer time.Time
 	// leavingByRecord is set while the newest record says that the endpoint leaves.
 	leavingByRecord bool
+	// evacuated is set while operators keep the endpoint's failure domain empty. It follows
+	// from the domain, for every incarnation alike.
+	evacuated bool
+	// unknownSince is since when nothing is known of how warm the endpoint is, because its
+	// failure domain was taken back then; zero means that this did not happen.
+	unknownSince time.Time
 	// quietUntil is the end of the time for which the endpoint wants no requests from this
 	// instance, by its answers: the latest end that one of them named. It outlives a record
 	// that lapses. Other instances are not concerned.
@@ -77,6 +85,8 @@
 		return UnavailableLeavingByPeer
 	case a.leavingByRecord:
 		return UnavailableLeavingByRecord
+	case a.evacuated:
+		return UnavailableEvacuated
 	case now.Before(a.quietUntil):
 		return UnavailableQuiet
 	case a.down && s.silent.Load():
@@ -118,6 +128,9 @@
 // mayProbe reports whether a connection to the endpoint may be tried now without a request.
 func (s *endpointState) mayProbe(now time.Time) bool {
 	reason := s.unavailability(now)
+	if reason == UnavailableEvacuated {
+		return !now.Before(s.quietUntil)
+	}
 	return !reason.Leaving() && reason != UnavailableQuiet
 }
 
@@ -179,12 +192,16 @@
 	}
 }
 
-// AvailableFrom returns when the first endpoint of a service takes requests again, if none takes
-// any now and at least one asked for a while without them. Otherwise it returns false.
-func (b *Balancer) AvailableFrom(service string, now time.Time) (at time.Time, ok bool) {
+// AvailableFrom returns when the first endpoint in the regions of a request takes requests again,
+// if none takes any now and at least one asked for a while without them. Otherwise it returns
+// false.
+func (b *Balancer) AvailableFrom(r Request, now time.Time) (at time.Time, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, s := range b.services[service] {
+	for _, s := range b.services[r.Service] {
+		if !s.inRegions(r.Regions) {
+			continue
+		}
 		switch s.unavailability(now) {
 		case "":
 			return time.Time{}, false
--- a/internal/placement/availability_test.go
+++ b/internal/placement/availability_test.go
@@ -317,7 +317,7 @@
 		time.Sleep(time.Minute - time.Nanosecond)
 		require.Empty(t, b.Probes(time.Now()))
 		require.False(t, run.MayProbe(time.Now()))
-		at, ok := b.AvailableFrom("model", time.Now())
+		at, ok := b.AvailableFrom(placement.Request{Service: "model"}, time.Now())
 		require.True(t, ok)
 		require.Equal(t, time.Now().Add(time.Nanosecond), at)
 		time.Sleep(time.Nanosecond)
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -28,6 +28,8 @@
 type Balancer struct {
 	// LocalDomain is the failure domain of this instance.
 	LocalDomain string
+	// Regions holds the region of each failure domain; a domain that is missing is in none.
+	Regions map[string]string
 	// Instances returns how many instances send to the endpoints; nil means
 	// that only this one does.
 	Instances func() int
@@ -42,6 +44,8 @@
 	services      map[string][]*endpointState
 	byID          map[string]*endpointState
 	former        formerEndpoints
+	evacuated     map[string]bool      // failure domains that operators have emptied
+	lastSends     map[string]time.Time // when this instance last sent a request, by failure domain of the endpoint
 	departures    departureLog
 	latencyModels map[string]*latencyModel
 	fills         []CacheFill // the newest fills by requests of this instance, oldest first
@@ -131,7 +135,8 @@
 type endpointState struct {
 	Endpoint
 	availability
-	quietReported bool // OnChange was told that it is quiet, and not yet that this ended
+	quietReported bool   // OnChange was told that it is quiet, and not yet that this ended
+	region        string // of its failure domain; empty means that it is in none
 	hash          uint64
 	local         Work                  // of requests sent by this instance
 	remote        map[string]remoteWork // of requests sent by other instances, by their address
@@ -206,7 +211,8 @@
 		}
 		b.notifyChange(s, c)
 	}
-	s.Endpoint, s.leavingByRecord = e, e.Leaving
+	s.Endpoint, s.leavingByRecord, s.region = e, e.Leaving, b.Regions[e.Domain]
+	s.setEvacuated(b.evacuated[e.Domain], time.Now())
 }
 
 // Remove removes an endpoint. An unknown ID is ignored.
@@ -306,9 +312,9 @@
 }
 
 // Counts counts the endpoints of a service. Each of those listed counts at most once as
-// Leaving, Quiet, Down or Stalled, in this order.
+// Leaving, Evacuated, Quiet, Down or Stalled, in this order.
 type Counts struct {
-	Listed, Leaving, Quiet, Down, Stalled int
+	Listed, Leaving, Evacuated, Quiet, Down, Stalled int
 	// Runs counts requests of all instances, Slots how many the endpoints run
 	// at a time.
 	Runs, Slots float64
@@ -329,6 +335,8 @@
 			switch {
 			case s.unavailability(now).Leaving():
 				c.Leaving++
+			case s.evacuated:
+				c.Evacuated++
 			case s.unavailability(now) == UnavailableQuiet:
 				c.Quiet++
 			case s.down:
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -32,6 +32,9 @@
 	TargetLatency time.Duration
 	// Avoid lists the IDs of endpoints that failed the request or refused it.
 	Avoid []string
+	// Regions lists the regions whose endpoints may get the request; nil means all, a list
+	// that is empty but not nil none.
+	Regions []string
 }
 
 // Choice is an endpoint chosen for a request.
@@ -118,7 +121,7 @@
 	usable := 0
 	probability := sampleProbability(len(list), instances)
 	for _, s := range list {
-		if !s.usable(now) || slices.Contains(r.Avoid, s.ID) {
+		if !s.usable(now) || !s.inRegions(r.Regions) || slices.Contains(r.Avoid, s.ID) {
 			continue
 		}
 		usable++
@@ -151,7 +154,7 @@
 	}
 	var top, next uint64
 	for _, s := range list {
-		if !s.usable(now) {
+		if !s.usable(now) || !s.inRegions(r.Regions) {
 			continue
 		}
 		switch h := mix(s.hash ^ r.AffinityKey); {
--- a/internal/watch/follow.go
+++ b/internal/watch/follow.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/greengagestep/greengagestep/internal/evacuation"
 	"github.com/greengagestep/greengagestep/pkg/arrangement"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
@@ -23,6 +24,12 @@
 	Config  arrangement.Config `json:"text"`
 }
 
+// OperatorRecord is a record that an operator writes. Exactly one of its fields is set.
+type OperatorRecord struct {
+	Configuration *VersionedConfiguration `json:"config,omitempty"`
+	Evacuation    *evacuation.Record      `json:"evacuation,omitempty"`
+}
+
 // Batch is the result of one read of a feed.
 type Batch[T any] struct {
 	Records []fleet.KeyedRecord[T]
@@ -30,6 +37,11 @@
 	// no longer exist.
 	Snapshot bool
 	At       time.Time
+	// Since is when the platform was last known to have none of the records; zero means not
+	// known.
+	Since time.Time
+	// Relayed is set when the records came from another instance.
+	Relayed bool
 }
 
 // Position is how far an instance has read a feed and how recent that knowledge is.
@@ -252,6 +264,7 @@
 
 // reset replaces all known records with the newest ones. The lock is held.
 func (f *Follower[T]) reset(records []fleet.KeyedRecord[T], next int64, read Position, at time.Time) {
+	since := f.confirmedAt
 	f.initialized, f.next, f.confirmedAt = true, next, time.Time{}
 	f.confirm(read, at)
 	old := f.latest
@@ -263,7 +276,7 @@
 	}
 	f.retain(records)
 	f.recent = nil
-	f.OnBatch(Batch[T]{Records: records, Snapshot: true, At: time.Now()})
+	f.OnBatch(Batch[T]{Records: records, Snapshot: true, At: time.Now(), Since: since, Relayed: read.ReaderID != f.readerID})
 }
 
 // advance adds the records between two offsets. The lock is held.
@@ -271,6 +284,7 @@
 	if !f.initialized || from != f.next {
 		return
 	}
+	since := f.confirmedAt
 	f.next = next
 	f.confirm(read, at)
 	if next-from == int64(len(records)) {
@@ -282,7 +296,7 @@
 		f.recent = nil
 	}
 	if len(records) > 0 {
-		f.OnBatch(Batch[T]{Records: records, At: time.Now()})
+		f.OnBatch(Batch[T]{Records: records, At: time.Now(), Since: since, Relayed: read.ReaderID != f.readerID})
 	}
 }
 
--- a/pkg/arrangement/check.go
+++ b/pkg/arrangement/check.go
@@ -148,6 +148,7 @@
 		if len(customer.Keys) == 0 {
 			c.report(at, "customer %q has no keys", customer.Name)
 		}
+		c.regions(at, "customer", customer.Name, customer.Regions)
 		for j, key := range customer.Keys {
 			keyAt := fmt.Sprintf("%s.keys[%d]", at, j)
 			if key == "" {
@@ -161,6 +162,18 @@
 	}
 }
 
+// regions checks the names of the regions of a customer or route at a YAML path.
+func (c *checker) regions(at, section, name string, regions []string) {
+	for i, region := range regions {
+		if region == "" {
+			c.report(fmt.Sprintf("%s.regions[%d]", at, i), "%s %q has an empty region", section, name)
+		}
+		if slices.Contains(regions[:i], region) {
+			c.report(fmt.Sprintf("%s.regions[%d]", at, i), "%s %q lists region %q twice", section, name, region)
+		}
+	}
+}
+
 func (c *checker) kinds() {
 	names := map[string]bool{}
 	for i, k := range c.config.Kinds {
@@ -202,6 +215,7 @@
 		}
 		prefixes[prefix] = r.Name
 		c.route(at, r)
+		c.regions(at, "route", r.Name, r.Regions)
 		c.targets(at, r, services)
 	}
 }
--- a/pkg/arrangement/config.go
+++ b/pkg/arrangement/config.go
@@ -92,6 +92,9 @@
 	Weight float64 `yaml:"weight,omitempty" json:"weight,omitempty"`
 	// Keys lists the API keys that identify the customer's callers.
 	Keys []string `yaml:"keys" json:"keys"`
+	// Regions lists the regions whose endpoints may run the customer's requests; empty
+	// means all. Those of the route bind as well.
+	Regions []string `yaml:"regions,omitempty" json:"regions,omitempty"`
 }
 
 // Kind is a kind of work. Within a customer, all kinds have equal shares.
--- a/pkg/arrangement/route.go
+++ b/pkg/arrangement/route.go
@@ -55,6 +55,9 @@
 	Public bool `yaml:"public,omitempty" json:"public,omitempty"`
 	// HasPromptParts is set when requests list the parts of their prompts.
 	HasPromptParts bool `yaml:"prompts,omitempty" json:"prompts,omitempty"`
+	// Regions lists the regions whose endpoints may run the requests; empty means all.
+	// Those of the customer bind as well.
+	Regions []string `yaml:"regions,omitempty" json:"regions,omitempty"`
 }
 
 // Target is one of the services that a route splits its requests among.
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -31,6 +31,8 @@
 	ReasonCancelled       Reason = "cancelled"
 	ReasonStopping        Reason = "stopping"
 	ReasonNoEndpoint      Reason = "no-endpoint"
+	ReasonEvacuated       Reason = "evacuated"
+	ReasonRegion          Reason = "region"
 	ReasonNotReady        Reason = "not-ready"
 	ReasonQuarantine      Reason = "quarantined"
 	ReasonLogUnavailable  Reason = "log-unavailable"
