--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -9,6 +9,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -46,6 +47,7 @@
 	mu      sync.Mutex
 	records []fleet.KeyedRecord[T]
 	down    bool // the platform does not respond
+	trimmed bool // the next read of changes finds its position gone
 }
 
 var errPlatformDown = errors.New("platform does not respond")
@@ -62,6 +64,22 @@
 	f.records = append(f.records, fleet.KeyedRecord[T]{Key: key, Value: value})
 }
 
+// writeInvalid writes a record that cannot be read.
+func (f *fakeFeed[T]) writeInvalid(key string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.records = append(f.records, fleet.KeyedRecord[T]{Key: key, Err: err})
+}
+
+// trim drops all records of some keys, without a record that says so, and makes the next read of
+// changes fail.
+func (f *fakeFeed[T]) trim(keys ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.trimmed = true
+	f.records = slices.DeleteFunc(f.records, func(r fleet.KeyedRecord[T]) bool { return slices.Contains(keys, r.Key) })
+}
+
 func (f *fakeFeed[T]) Newest(context.Context) ([]fleet.KeyedRecord[T], int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -70,6 +88,11 @@
 
 func (f *fakeFeed[T]) Changes(ctx context.Context, from int64, wait time.Duration) ([]fleet.KeyedRecord[T], int64, error) {
 	f.mu.Lock()
+	if f.trimmed {
+		f.trimmed = false
+		f.mu.Unlock()
+		return nil, 0, fleet.ErrTrimmed
+	}
 	records, down := append([]fleet.KeyedRecord[T](nil), f.records[from-1:]...), f.down
 	f.mu.Unlock()
 	if down {
