--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -32,6 +32,8 @@
 	TargetLatency time.Duration
 	// Avoid lists the IDs of endpoints that failed the request or refused it.
 	Avoid []string
+	// Warm is set if cold endpoints are not to be chosen.
+	Warm bool
 	// Regions lists the regions whose endpoints may get the request; nil means all, a list
 	// that is empty but not nil none.
 	Regions []string
@@ -65,6 +67,12 @@
 	// Tokens is how many prompt tokens the endpoint has to process,
 	// MissingTokens included.
 	Tokens int
+	// Cold is set if the endpoint is cold: the request needs a start that the home of the
+	// endpoint grants.
+	Cold bool
+	// StartUntil is the end of the time in which a start that was granted may be used; zero
+	// means that there is none.
+	StartUntil time.Time
 
 	state *endpointState
 }
@@ -120,11 +128,16 @@
 	leastWait := time.Duration(math.MaxInt64)
 	usable := 0
 	probability := sampleProbability(len(list), instances)
+	var justWarm []*endpointState // left out because they were cold until lately
 	for _, s := range list {
-		if !s.usable(now) || !s.inRegions(r.Regions) || slices.Contains(r.Avoid, s.ID) {
+		if !s.usable(now) || !s.inRegions(r.Regions) || slices.Contains(r.Avoid, s.ID) || r.Warm && s.isCold(now) {
 			continue
 		}
 		usable++
+		if rand.Float64() >= s.warmShare(now) {
+			justWarm = append(justWarm, s)
+			continue
+		}
 		if found && s != first && s != second && !s.cachesAllShared(r, now) && rand.Float64() > probability {
 			continue
 		}
@@ -134,8 +147,14 @@
 			best, least, found = c, cost, true
 		}
 	}
+	if !found && len(justWarm) > 0 {
+		s := justWarm[rand.IntN(len(justWarm))]
+		best, found = b.estimate(s, r, now), true
+		leastWait = best.Wait
+	}
 	best.Listed, best.Usable = len(list), usable
 	if found {
+		best.Cold = best.state.isCold(now)
 		best.LeastWait = leastWait
 	}
 	if found && !best.state.reportedAt.IsZero() {
--- a/internal/placement/evacuation.go
+++ b/internal/placement/evacuation.go
@@ -25,21 +25,21 @@
 	}
 	for _, s := range b.byID {
 		if s.Domain == domain {
-			s.setEvacuated(evacuated, now)
+			b.setEvacuated(s, evacuated, now)
 		}
 	}
 }
 
-func (s *endpointState) setEvacuated(evacuated bool, now time.Time) {
-	if s.evacuated && !evacuated {
-		s.forgetWarmth(now)
-	}
+// setEvacuated sets whether the failure domain of an endpoint is emptied. One that is taken back may
+// have become cold meanwhile.
+func (b *Balancer) setEvacuated(s *endpointState, evacuated bool, now time.Time) {
+	ended := s.evacuated && !evacuated
 	s.evacuated = evacuated
+	if ended {
+		b.markUncertain(s, "its failure domain was emptied", now)
+	}
 }
 
-// forgetWarmth records that nothing is known any more of how warm the endpoint is.
-func (a *availability) forgetWarmth(now time.Time) { a.unknownSince = now }
-
 // LastSend returns when this instance last sent a request to an endpoint of a failure domain; zero
 // means never.
 func (b *Balancer) LastSend(domain string) time.Time {
@@ -101,7 +101,7 @@
 			elsewhere = elsewhere || reason == ""
 		case reason == UnavailableEvacuated:
 			evacuated = evacuated || !s.down
-		case reason == "", reason == UnavailableQuiet, reason == UnavailableReturning:
+		case reason == "", reason == UnavailableQuiet, reason == UnavailableReturning, reason == UnavailableCold:
 			return fleet.ReasonNoEndpoint
 		}
 	}
