Callers that read slowly no longer stop their endpoints; one account of bytes an instance

Cause (read in the code): relayStream and relayBody read the endpoint and wrote to the caller in one loop, and no write had a bound.

internal/backlog decides (bodies, unread responses, who is given up), internal/outlet writes to callers. gateway.BodyMemory is now part of the account: body_test.go sets Backlog.MaxBytes and reads Backlog.Bodies, with the same bounds. The room for bodies is 0.34 of the memory beyond 48 MiB: 168 MB of 544 (163 before), 33 MB of 144 (43 before).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,10 +18,12 @@
 
 	"github.com/greengagestep/greengagestep/internal/admission"
 	"github.com/greengagestep/greengagestep/internal/audit"
+	"github.com/greengagestep/greengagestep/internal/backlog"
 	"github.com/greengagestep/greengagestep/internal/budget"
 	"github.com/greengagestep/greengagestep/internal/event"
 	"github.com/greengagestep/greengagestep/internal/gateway"
 	"github.com/greengagestep/greengagestep/internal/gauge"
+	"github.com/greengagestep/greengagestep/internal/outlet"
 	"github.com/greengagestep/greengagestep/internal/overload"
 	"github.com/greengagestep/greengagestep/internal/peer"
 	"github.com/greengagestep/greengagestep/internal/placement"
@@ -116,8 +118,12 @@
 	// library.
 	callerMemoryShare = 0.2
 	connectionBytes   = 24 << 10
-	// bodyMemoryShare is the fraction of the memory that the bodies of requests may take.
-	bodyMemoryShare = 0.3
+	// processBytes is the memory that the process takes without callers, heldShare the fraction of
+	// the rest that may be held for callers: bodies of requests and unread responses. Bodies may
+	// take bodyShare of that.
+	processBytes = 48 << 20
+	heldShare    = 0.4
+	bodyShare    = 0.85
 	// endpointsMaxAge and operatorsMaxAge are how old the data about endpoints and the
 	// configuration may become before the platform is read: a leaving endpoint and a
 	// new version must be known well within two seconds.
@@ -198,12 +204,12 @@
 	i.handler = &gateway.Handler{
 		HeaderCodec: i.HeaderCodec, Balancer: i.balancer, Overload: i.lagMeter, Ledger: i.ledger, RetryDetector: &admission.RetryDetector{},
 		Pool: i.pool, Quarantine: i.quarantine, Metrics: &gauge.Set{Gauges: i.gauges}, Logger: i.logger,
-		Bodies: gateway.BodyMemory{MaxBytes: int64(bodyMemoryShare * float64(i.MaxMemoryBytes))},
 		Budget: &budget.Budget{
 			Ratio: i.RetryRatio, Slack: i.RetrySlack, Window: i.RetryWindow,
 			Instances: func() int { return 1 + i.peers.Peers(time.Now()) },
 		},
 	}
+	i.handler.Backlog.MaxBytes, i.handler.Backlog.MaxBodyBytes = heldBytes(i.MaxMemoryBytes)
 	i.quarantine.OnCrash = func(string) { i.handler.Metrics.Count("endpoint_crashes_total") }
 	i.operators = &watch.Follower[watch.VersionedConfiguration]{
 		Name: "operators", Feed: i.Operators, Wait: operatorsWait, MaxRecent: configurationsKept, Timeout: feedTimeout, MaxAge: i.maxAge(operatorsMaxAge, operatorsWait),
@@ -229,6 +235,22 @@
 	}
 }
 
+// heldBytes returns how many bytes may be held for callers in a process that may use maxMemory bytes, and
+// how many of these by bodies; zero means that there is no bound.
+func heldBytes(maxMemory int64) (total, bodies int64) {
+	total = int64(heldShare * float64(max(maxMemory-processBytes, maxMemory/4)))
+	return total, int64(bodyShare * float64(total))
+}
+
+// wrapCaller returns the connection of a caller that may read slowly.
+func (i *Instance) wrapCaller(c net.Conn) *outlet.Conn {
+	return outlet.New(c, &i.handler.Backlog, func(customer string, reason backlog.Reason) {
+		i.handler.Metrics.Count(gauge.Name("callers_given_up_total", "reason", string(reason)))
+		i.logger.Warn(event.CallerGivenUp, zap.String("customer", customer), zap.String("reason", string(reason)),
+			zap.Stringer("caller", c.RemoteAddr()), zap.Int64("unread", i.handler.Backlog.Unread()), zap.Int64("bodies", i.handler.Backlog.Bodies()))
+	})
+}
+
 // maxCallerConns returns how many connections callers may open; zero means any number.
 func (i *Instance) maxCallerConns() int {
 	byFiles := int(callerFileShare * float64(i.MaxFiles))
@@ -270,7 +292,7 @@
 		Handler: i.idleConns.wrap(i.handler), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
 		ConnContext: i.idleConns.register, ConnState: i.idleConns.track, ErrorLog: zap.NewStdLog(i.logger),
 	}
-	tree.Add(&service.Server{Listener: callerListener{i.Callers, i.idleConns}, HTTP: callers})
+	tree.Add(&service.Server{Listener: callerListener{i.Callers, i.idleConns, i.wrapCaller}, HTTP: callers})
 	tree.Add(&service.Server{Listener: i.Ready, HTTP: &http.Server{Handler: http.HandlerFunc(i.serveReady), ReadTimeout: headerTimeout}})
 	tree.Add(i.operators)
 	tree.Add(i.endpoints)
--- a/internal/entry/idle.go
+++ b/internal/entry/idle.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/greengagestep/greengagestep/internal/outlet"
 )
 
 const (
@@ -88,6 +90,8 @@
 type callerListener struct {
 	net.Listener
 	conns *idleConns
+	// wrap wraps each connection.
+	wrap func(net.Conn) *outlet.Conn
 }
 
 // Accept implements net.Listener.
@@ -96,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &callerConn{Conn: c, conns: l.conns}
+	conn := &callerConn{Conn: l.wrap(c), conns: l.conns}
 	conn.waiting.Store(true)
 	return conn, nil
 }
@@ -106,6 +110,11 @@
 
 // register is the server's ConnContext.
 func (i *idleConns) register(ctx context.Context, c net.Conn) context.Context {
+	if conn, ok := c.(*callerConn); ok {
+		if out, ok := conn.Conn.(*outlet.Conn); ok {
+			ctx = outlet.NewContext(ctx, out)
+		}
+	}
 	return context.WithValue(ctx, connectionKey{}, c)
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -39,6 +39,9 @@
 	// Request is logged once for each request, with the outcome that its caller
 	// received.
 	Request = "request"
+	// CallerGivenUp is logged when the connection of a caller is closed because it reads too little of
+	// its response.
+	CallerGivenUp = "unread"
 	// Panic is logged with the stack when an unexpected error ended a background task
 	// of the instance.
 	Panic = "panic"
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -16,6 +16,7 @@
 	"github.com/greengagestep/greengagestep/internal/admission"
 	"github.com/greengagestep/greengagestep/internal/event"
 	"github.com/greengagestep/greengagestep/internal/gauge"
+	"github.com/greengagestep/greengagestep/internal/outlet"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
@@ -43,6 +44,7 @@
 	kind   outcomeKind
 	reason fleet.Reason
 	cause  error
+	status int // of the response that was relayed; only if kind is outcomeDone
 }
 
 // refuse responds with status 503 and a Retry-After header to a request that no
@@ -93,7 +95,8 @@
 // the instance ends. It panics with http.ErrAbortHandler if no error response can be written any
 // more.
 func (c *call) endExpired(ctx context.Context) {
-	if c.r.Context().Err() != nil {
+	c.endIfGivenUp()
+	if c.left || c.r.Context().Err() != nil {
 		c.recordEnd(0, "left", "caller closed the connection")
 		panic(http.ErrAbortHandler)
 	}
@@ -112,6 +115,42 @@
 	}
 }
 
+// endIfGivenUp ends a request whose caller was given up: it panics with http.ErrAbortHandler.
+func (c *call) endIfGivenUp() {
+	var givenUp outlet.GivenUp
+	if errors.As(c.conn.Err(), &givenUp) {
+		c.recordEnd(0, "broken", string(fleet.ReasonUnread))
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// deliver waits until the caller has read what was relayed of a complete response, which the deadline of
+// the request does not cut off, and records its end. It panics with http.ErrAbortHandler if the caller does
+// not read, so that what it has cannot pass as complete.
+func (c *call) deliver(status int) {
+	if c.conn.Behind() {
+		c.releaseBody()
+		c.awaitReader()
+	}
+	c.recordEnd(status, "answer", "")
+}
+
+func (c *call) awaitReader() {
+	ctx, cancel := c.h.ending.join(c.r.Context())
+	defer cancel()
+	err := c.conn.Await(ctx)
+	switch {
+	case err == nil:
+		return
+	case errors.Is(err, errEnding):
+		c.recordEnd(0, "broken", string(fleet.ReasonStopping))
+	default:
+		c.endIfGivenUp()
+		c.recordEnd(0, "left", "caller closed the connection")
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // recordEnd counts and logs the result that the caller got. A status of zero means that
 // the connection was closed. Ending is "answer" if a response of an endpoint was relayed,
 // "own" if the gateway generated the response, "broken" if the response was cut off and
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -70,6 +70,9 @@
 	request := c.endpointRequest()
 	request.OnHead = func(a fleet.ResponseAttrs) { run.RecordHead(a, time.Now()) }
 	request.Permit = func() error {
+		if err := c.hopeless(time.Now()); err != nil {
+			return err
+		}
 		switch reason := run.Unavailability(time.Now()); reason {
 		case "", placement.UnavailableDown, placement.UnavailableSilent, placement.UnavailableReturning:
 			// A connection that is ready shows that the endpoint is not down, and the
@@ -158,6 +161,8 @@
 	r := placement.ResultUnreachable
 	var unavailable unavailableError
 	switch {
+	case errors.Is(err, errNoTimeLeft), errors.Is(err, errCallerLeft):
+		o.reason, r = fleet.ReasonDeadline, placement.ResultCanceled
 	case errors.As(err, &unavailable):
 		o.kind, r = outcomeUnavailable, placement.ResultCanceled
 	case ctx.Err() != nil:
@@ -276,7 +281,7 @@
 	c.recordFirst(run)
 	c.sendHeaders(a)
 	if _, err := c.w.Write(head); err != nil {
-		return c.abort(a, err)
+		return callerFailed(err)
 	}
 	if len(head) < maxBufferedResponseBytes {
 		return c.finish(a)
@@ -286,7 +291,7 @@
 	for {
 		n, err := a.Read(buf[:])
 		if _, werr := c.w.Write(buf[:n]); werr != nil {
-			return c.abort(a, werr)
+			return callerFailed(werr)
 		}
 		if err == io.EOF {
 			return c.finish(a)
@@ -311,7 +316,7 @@
 	}
 }
 
-// finish records a response that was relayed to its end. One that ends with its connection
+// finish returns the outcome of a response that was relayed to its end. One that ends with its connection
 // may have been ended by a crash.
 func (c *call) finish(a *upstream.Answer) outcome {
 	if a.Framed || c.lastAttempt.Running() {
@@ -319,12 +324,11 @@
 	} else {
 		c.probeForCrash()
 	}
-	c.recordEnd(a.StatusCode, "answer", "")
 	var cause error
 	if a.StatusCode >= 500 {
 		cause = fmt.Errorf("status %d", a.StatusCode)
 	}
-	return outcome{kind: outcomeDone, cause: cause}
+	return outcome{kind: outcomeDone, cause: cause, status: a.StatusCode}
 }
 
 // abort returns the outcome of a response that was cut off after its headers were sent. The
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/greengagestep/greengagestep/pkg/fleet"
@@ -14,11 +13,6 @@
 const (
 	// bodyReadTimeout is the time limit for reading a request body.
 	bodyReadTimeout = 10 * time.Second
-	// largeBodyBytes is the size from which a body is large: large ones leave a part of the
-	// memory for bodies to the others.
-	largeBodyBytes = 256 << 10
-	// largeBodyShare is the fraction of that memory that large bodies may take.
-	largeBodyShare = 2.0 / 3
 	// unreadBodyTimeout bounds how long a response of the gateway itself waits for the rest of
 	// a body, which the server reads before it responds on a connection that it keeps.
 	unreadBodyTimeout = 100 * time.Millisecond
@@ -26,58 +20,6 @@
 	firstBodyBytes = 8 << 10
 )
 
-// BodyMemory bounds the memory that the bodies of requests in progress take together. MaxBytes is
-// set before the first request. The zero value has no bound. It is safe for concurrent use.
-type BodyMemory struct {
-	// MaxBytes is the bound; zero means none.
-	MaxBytes int64
-
-	used      atomic.Int64
-	usedLarge atomic.Int64 // by large bodies
-}
-
-// Used returns how many bytes the bodies of requests in progress take.
-func (m *BodyMemory) Used() int64 { return m.used.Load() }
-
-// reserve takes n more bytes for a body that takes held already. It reports false, and takes none,
-// if there are too few.
-func (m *BodyMemory) reserve(held, n int64) bool {
-	if m.MaxBytes == 0 {
-		return true
-	}
-	if m.used.Add(n) > m.MaxBytes {
-		m.used.Add(-n)
-		return false
-	}
-	if held+n < largeBodyBytes {
-		return true
-	}
-	if held < largeBodyBytes {
-		// What was taken while the body was small counts from now on, too.
-		n += held
-	}
-	if m.usedLarge.Add(n) > int64(largeBodyShare*float64(m.MaxBytes)) {
-		m.usedLarge.Add(-n)
-		m.used.Add(-n)
-		if held < largeBodyBytes {
-			m.used.Add(held)
-		}
-		return false
-	}
-	return true
-}
-
-// release gives back the bytes of a body.
-func (m *BodyMemory) release(held int64) {
-	if m.MaxBytes == 0 {
-		return
-	}
-	m.used.Add(-held)
-	if held >= largeBodyBytes {
-		m.usedLarge.Add(-held)
-	}
-}
-
 var (
 	errBodyTooLarge = errors.New("body exceeds the limit of the configuration")
 	errBodyMemory   = errors.New("bodies of other requests take the memory for bodies")
@@ -186,15 +128,20 @@
 }
 
 func (c *call) reserveBody(n int64) bool {
-	if !c.h.Bodies.reserve(c.bodyHeld, n) {
-		return false
+	ok, victims := c.h.Backlog.ReserveBody(c.customer, c.bodyHeld, n, time.Now())
+	for _, v := range victims {
+		go v.Reader.GiveUp(v.Reason)
+	}
+	if ok {
+		c.bodyHeld += n
 	}
-	c.bodyHeld += n
-	return true
+	return ok
 }
 
 // releaseBody gives back the memory of the body. Further calls do nothing.
 func (c *call) releaseBody() {
-	c.h.Bodies.release(c.bodyHeld)
-	c.bodyHeld = 0
+	if c.bodyHeld > 0 {
+		c.h.Backlog.ReleaseBody(c.customer, c.bodyHeld)
+	}
+	c.body, c.bodyHeld = nil, 0
 }
--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -25,7 +25,7 @@
 		Routes: []arrangement.Route{{Name: "r", Path: "/", Targets: []arrangement.Target{{Service: "portal", Weight: 1}}, Repeat: arrangement.RepeatNever, Attempts: 1}},
 		Limits: arrangement.Limits{MaxBodyBytes: maxBodyBytes},
 	})
-	g.handler.Bodies.MaxBytes = maxBytes
+	g.handler.Backlog.MaxBytes = maxBytes
 	g.addEndpoint("i-1", func(r *http.Request, body string, w io.Writer) bool {
 		time.Sleep(time.Second)
 		writeResponse(w, r, http.StatusOK, fmt.Sprint(len(body)))
@@ -79,8 +79,8 @@
 					})
 				}
 				time.Sleep(500 * time.Millisecond)
-				require.LessOrEqual(t, g.handler.Bodies.Used(), int64(maxBytes))
-				require.Positive(t, g.handler.Bodies.Used())
+				require.LessOrEqual(t, g.handler.Backlog.Bodies(), int64(maxBytes))
+				require.Positive(t, g.handler.Backlog.Bodies())
 				for range 10 {
 					all.Go(func() {
 						status, body, _ := g.send(small, chunked)
@@ -91,7 +91,7 @@
 				all.Wait()
 				require.EqualValues(t, 12, served.Load()+refused.Load())
 				require.InDelta(t, 2, served.Load(), 1)
-				require.Zero(t, g.handler.Bodies.Used())
+				require.Zero(t, g.handler.Backlog.Bodies())
 				status, _, _ := g.send(large, chunked)
 				require.Equal(t, http.StatusOK, status, "there is room again")
 			})
@@ -111,13 +111,13 @@
 				status, body, _ := g.send(size, chunked)
 				require.Equal(t, http.StatusOK, status, "%d bytes: %s", size, body)
 				require.Equal(t, fmt.Sprint(size), body)
-				require.Zero(t, g.handler.Bodies.Used())
+				require.Zero(t, g.handler.Backlog.Bodies())
 			}
 			for _, size := range []int{limit + 1, 2 * limit} {
 				status, body, _ := g.send(size, chunked)
 				require.Equal(t, http.StatusRequestEntityTooLarge, status)
 				require.Equal(t, "body-too-large", body)
-				require.Zero(t, g.handler.Bodies.Used())
+				require.Zero(t, g.handler.Backlog.Bodies())
 			}
 		})
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,8 +15,10 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagestep/greengagestep/internal/admission"
+	"github.com/greengagestep/greengagestep/internal/backlog"
 	"github.com/greengagestep/greengagestep/internal/budget"
 	"github.com/greengagestep/greengagestep/internal/gauge"
+	"github.com/greengagestep/greengagestep/internal/outlet"
 	"github.com/greengagestep/greengagestep/internal/overload"
 	"github.com/greengagestep/greengagestep/internal/placement"
 	"github.com/greengagestep/greengagestep/internal/quarantine"
@@ -45,8 +48,9 @@
 	// Quarantine finds out which requests crash endpoints, so that they are refused;
 	// nil means that no request is quarantined.
 	Quarantine fleet.Quarantine
-	// Bodies bounds the memory for the bodies of requests.
-	Bodies BodyMemory
+	// Backlog bounds the memory for the bodies of requests and for responses that callers have not
+	// read, if their connections are of package outlet.
+	Backlog backlog.Account
 	// Metrics receives the counters and latencies of requests, reservations and
 	// failed attempts.
 	Metrics *gauge.Set
@@ -71,6 +75,7 @@
 	h          *Handler
 	w          http.ResponseWriter
 	r          *http.Request
+	conn       *outlet.Conn // nil if the connection blocks when the caller reads slowly
 	arrived    time.Time
 	config     *activeConfig
 	attrs      fleet.RequestAttrs
@@ -102,6 +107,7 @@
 	// retryWithdrawn is set if the retry after the last attempt has been taken out of the
 	// budget already.
 	retryWithdrawn bool
+	left           bool   // the caller closed the connection, whether the server has noticed or not
 	headersSent    bool   // response headers were written to the caller
 	lastEventID    string // ID of the last event written to the caller; empty if none
 }
@@ -110,7 +116,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	c := &call{h: h, w: w, r: r, arrived: time.Now(), attrs: h.HeaderCodec.DecodeRequest(r.Header)}
+	c := &call{h: h, w: w, r: r, conn: outlet.FromContext(r.Context()), arrived: time.Now(), attrs: h.HeaderCodec.DecodeRequest(r.Header)}
 	if h.Overload != nil {
 		// The request has waited to be read for about the scheduling lag of
 		// the process, and that time counts, too.
@@ -152,7 +158,7 @@
 	c.pastTarget = c.h.RetryDetector.PastTarget(c.route.Name, c.attrs.Timeout, c.route.TargetLatency())
 	c.h.Ledger.RecordDemand(c.customer, c.tokenCost(), c.arrived)
 	for {
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || c.hopeless(time.Now()) != nil {
 			c.endExpired(ctx)
 			return
 		}
@@ -161,6 +167,7 @@
 		}
 		o := c.attempt(ctx)
 		if o.kind == outcomeDone {
+			c.deliver(o.status)
 			return
 		}
 		c.logFailedAttempt(o)
@@ -169,7 +176,7 @@
 			continue
 		}
 		c.avoid = append(c.avoid, c.choice.Endpoint.ID)
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || c.hopeless(time.Now()) != nil {
 			c.endExpired(ctx)
 			return
 		}
@@ -185,6 +192,32 @@
 	}
 }
 
+var (
+	errNoTimeLeft = errors.New("no time is left to answer the request")
+	errCallerLeft = errors.New("the caller has closed the connection")
+)
+
+// peekLag is the scheduling lag from which on the closing of a caller's connection may be noticed too late.
+const peekLag = 20 * time.Millisecond
+
+// hopeless returns an error if the response cannot reach the caller in time any more, so that the request
+// must not be sent on. Beside a processor that lags, a response takes about the lag on its way, and
+// neither timers nor the server tell in time that the caller's time is over.
+func (c *call) hopeless(now time.Time) error {
+	lag := time.Duration(0)
+	if c.h.Overload != nil {
+		lag = c.h.Overload.Lag()
+	}
+	if !c.deadline.IsZero() && c.deadline.Sub(now) <= lag {
+		return errNoTimeLeft
+	}
+	if lag >= peekLag && c.conn.Closed() {
+		c.left = true
+		return errCallerLeft
+	}
+	return nil
+}
+
 // shouldRetry reports whether the request is retried at another endpoint.
 func (c *call) shouldRetry(o outcome) bool {
 	if c.retryWithdrawn {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/greengagestep/greengagestep/internal/budget"
 	"github.com/greengagestep/greengagestep/internal/gateway"
 	"github.com/greengagestep/greengagestep/internal/gauge"
+	"github.com/greengagestep/greengagestep/internal/outlet"
 	"github.com/greengagestep/greengagestep/internal/placement"
 	"github.com/greengagestep/greengagestep/internal/standin"
 	"github.com/greengagestep/greengagestep/internal/upstream"
@@ -109,8 +110,10 @@
 	require.True(t, g.handler.Use(config, 1))
 	listener, err := n.Listen()
 	require.NoError(t, err)
-	srv := &http.Server{Handler: g.handler}
-	go func() { _ = srv.Serve(listener) }()
+	srv := &http.Server{Handler: g.handler, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		return outlet.NewContext(ctx, c.(*outlet.Conn))
+	}}
+	go func() { _ = srv.Serve(callerListener{listener, g}) }()
 	g.client = &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			return n.Dial(ctx, "tcp", listener.Addr().String())
@@ -128,6 +131,20 @@
 	return g
 }
 
+// callerListener accepts the connections of callers.
+type callerListener struct {
+	net.Listener
+	gateway *testGateway
+}
+
+func (l callerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return outlet.New(c, &l.gateway.handler.Backlog, nil), nil
+}
+
 // addEndpoint starts a simulated endpoint and adds it to the balancer.
 func (g *testGateway) addEndpoint(id string, handle endpointFunc) {
 	l, err := g.network.Listen()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -91,7 +92,7 @@
 			}
 			lastEventAt = now
 			if ferr := c.forward(a, checked.part, checked.last); ferr != nil {
-				return broken(ferr)
+				return callerFailed(ferr)
 			}
 		}
 		if checked.err != nil {
@@ -121,6 +122,11 @@
 	}
 }
 
+// callerFailed returns the outcome of a response that could not be written to the caller.
+func callerFailed(cause error) outcome {
+	return outcome{kind: outcomeUnknown, reason: fleet.ReasonCancelled, cause: fmt.Errorf("writing to the caller: %w", cause)}
+}
+
 // checkedBlocks is what complete blocks of a stream hold.
 type checkedBlocks struct {
 	part     []byte // for the caller
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -45,6 +45,8 @@
 	// ReasonBodyMemory means that the bodies of requests in progress take all memory that
 	// there is for bodies.
 	ReasonBodyMemory Reason = "body-memory-short"
+	// ReasonUnread means that the caller read too little of its response.
+	ReasonUnread Reason = "response-unread"
 	// ReasonQuiet means that all endpoints of the service want no requests for a while.
 	ReasonQuiet Reason = "endpoint-quiet"
 )
