--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -70,6 +70,11 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// StartupOver and StartupSlack bound the requests of all instances to a cold endpoint: in
+	// any second the start-up rate of its service, times StartupOver, plus StartupSlack. A
+	// StartupOver under 1 counts as 1.
+	StartupOver  float64
+	StartupSlack float64
 	// MaxMemoryBytes is how much memory the process may use; zero means no bound.
 	MaxMemoryBytes int64
 	// MaxFiles is how many files the process may open; zero means no bound.
@@ -180,7 +185,7 @@
 	}
 	i.stopping = make(chan struct{})
 	i.graceNanos.Store(int64(i.Grace))
-	i.balancer = &placement.Balancer{LocalDomain: i.Domain, OnChange: i.endpointChanged, OnInvalidTime: i.countInvalidTime}
+	i.balancer = &placement.Balancer{LocalDomain: i.Domain, OnChange: i.endpointChanged, OnInvalidTime: i.countInvalidTime, HeartbeatInterval: i.heartbeatInterval()}
 	i.pool = &upstream.Pool{HeaderCodec: i.HeaderCodec, Dial: i.Dial}
 	i.tracker = &watch.EndpointTracker{
 		Balancer: i.balancer, OnMissing: i.logMissing, OnIgnored: i.logIgnored, DisputeTime: 2 * i.heartbeatInterval(),
--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -7,7 +7,10 @@
 
 	"github.com/greengagestep/greengagestep/internal/event"
 	"github.com/greengagestep/greengagestep/internal/gauge"
+	"github.com/greengagestep/greengagestep/internal/placement"
+	"github.com/greengagestep/greengagestep/internal/warmup"
 	"github.com/greengagestep/greengagestep/internal/watch"
+	"github.com/greengagestep/greengagestep/pkg/arrangement"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
@@ -38,11 +41,26 @@
 			continue
 		}
 		if i.handler.Use(r.Value.Config, r.Value.Version) {
+			i.balancer.SetStartup(i.startups(r.Value.Config), time.Now())
 			i.logger.Info(event.Configuration, zap.Int64("version", r.Value.Version), zap.Int("routes", len(r.Value.Config.Routes)))
 		}
 	}
 }
 
+// startups returns the services whose endpoints are cold after their start.
+func (i *Instance) startups(config arrangement.Config) map[string]placement.Startup {
+	startups := map[string]placement.Startup{}
+	for _, s := range config.Services {
+		if s.StartupRate > 0 {
+			startups[s.Name] = placement.Startup{
+				Limit: warmup.Limit{Rate: s.StartupRate, Over: i.StartupOver, Slack: i.StartupSlack},
+				Time:  s.StartupTime(),
+			}
+		}
+	}
+	return startups
+}
+
 func (i *Instance) logUnreachable(feed string) func(error) {
 	return func(err error) { i.logger.Warn(event.DependencyLost, zap.String("feed", feed), zap.Error(err)) }
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -27,11 +27,14 @@
 			values["platform_calls_away"]++
 		}
 	}
+	granted, refused := i.peers.Starts()
+	values[gauge.Name("starts_total", "answer", "granted")] = float64(granted)
+	values[gauge.Name("starts_total", "answer", "refused")] = float64(refused)
 	for service, left := range i.handler.Budget.Remaining(now) {
 		values[gauge.Name("retry_budget_left", "service", service)] = left
 	}
 	for service, c := range i.balancer.Services(now) {
-		for state, n := range map[string]int{"listed": c.Listed, "leaving": c.Leaving, "quiet": c.Quiet, "down": c.Down, "silent": c.Stalled} {
+		for state, n := range map[string]int{"listed": c.Listed, "leaving": c.Leaving, "quiet": c.Quiet, "cold": c.Cold, "down": c.Down, "silent": c.Stalled} {
 			values[gauge.Name("endpoints", "service", service, "state", state)] = float64(n)
 		}
 		values[gauge.Name("runs", "service", service)] = c.Runs
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -64,20 +64,17 @@
 func (c *call) exchange(ctx context.Context) outcome {
 	run, unavailable := c.h.Balancer.Begin(c.choice, c.placementRequest(), time.Now())
 	if unavailable != "" {
+		c.countExpired(unavailable)
 		return outcome{kind: outcomeUnavailable, reason: fleet.ReasonNoEndpoint, cause: unavailableError(unavailable)}
 	}
 	c.run = run
 	request := c.endpointRequest()
 	request.OnHead = func(a fleet.ResponseAttrs) { run.RecordHead(a, time.Now()) }
 	request.Permit = func() error {
-		switch reason := run.Unavailability(time.Now()); reason {
-		case "", placement.UnavailableDown, placement.UnavailableSilent, placement.UnavailableReturning:
-			// A connection that is ready shows that the endpoint is not down, and the
-			// request is among those that it gets.
-			return nil
-		default:
+		if reason := run.Permit(time.Now()); reason != "" {
 			return unavailableError(reason)
 		}
+		return nil
 	}
 	answer, err := c.h.Pool.Send(ctx, c.choice.Endpoint.Address, request, c.attrs.ID)
 	if err != nil {
@@ -108,6 +105,16 @@
 	return o
 }
 
+// countExpired counts a start at a cold endpoint that was not used in time, and a request to an
+// endpoint that became cold after it was chosen.
+func (c *call) countExpired(reason placement.Unavailability) {
+	if reason != placement.UnavailableCold {
+		return
+	}
+	c.startRefusals++
+	c.h.Metrics.Count(gauge.Name("starts_expired_total", "service", c.service))
+}
+
 // unavailableError is the error of an attempt whose endpoint became unavailable after it was
 // chosen.
 type unavailableError placement.Unavailability
@@ -160,6 +167,7 @@
 	switch {
 	case errors.As(err, &unavailable):
 		o.kind, r = outcomeUnavailable, placement.ResultCanceled
+		c.countExpired(placement.Unavailability(unavailable))
 	case ctx.Err() != nil:
 		r = placement.ResultCanceled
 	case f.Reached:
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/greengagestep/greengagestep/internal/admission"
 	"github.com/greengagestep/greengagestep/internal/gauge"
 	"github.com/greengagestep/greengagestep/internal/placement"
+	"github.com/greengagestep/greengagestep/internal/warmup"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
@@ -16,6 +18,9 @@
 	// maxReservations is the maximum number of reservations tried for one request:
 	// each costs a round trip to another instance, the endpoint's home.
 	maxReservations = 3
+	// maxStartRefusals is after how many refused starts a request is sent to warm endpoints
+	// only.
+	maxStartRefusals = 3
 	// lowLoadFraction is the fraction of an endpoint's slots in use below which a
 	// request is sent without a reservation, provided that it would not wait there.
 	lowLoadFraction = 0.5
@@ -36,12 +41,18 @@
 		}
 		c.choice = choice
 		if c.runs > 0 {
-			return true
+			if !choice.Cold || c.reserveStart(ctx, math.MaxInt64) {
+				return true
+			}
+			continue
 		}
 		if c.admit(ctx) {
 			c.h.Ledger.RecordServed(c.customer, c.tokenCost(), time.Now())
 			return true
 		}
+		if c.grant == fleet.GrantNoStart {
+			continue
+		}
 		if c.grant != fleet.GrantRefused || len(c.refusedBy) == maxReservations {
 			c.fail(outcome{kind: outcomeNotRun, reason: fleet.ReasonQueueFull})
 			return false
@@ -62,16 +73,51 @@
 			"shorter", strconv.FormatBool(c.choice.LeastWait <= limit)))
 		return false
 	}
+	if c.choice.Cold {
+		return c.reserveStart(ctx, limit)
+	}
 	if c.h.Homes == nil || !c.route.Stream {
 		return true
 	}
 	if !c.h.Homes.Sparse() && c.choice.Wait == 0 && c.choice.Runs < lowLoadFraction*float64(c.choice.Endpoint.Slots) {
 		return true
 	}
-	c.grant = c.h.Homes.Reserve(ctx, fleet.Reservation{Endpoint: c.choice.Endpoint.ID, Tokens: c.choice.Tokens, MaxWait: limit})
+	return c.reserve(ctx, limit)
+}
+
+// reserveStart reports whether the request may be started at the chosen endpoint, which is cold. The
+// home grants the starts of all instances.
+func (c *call) reserveStart(ctx context.Context, limit time.Duration) bool {
+	c.grant = fleet.GrantNoStart
+	if c.h.Homes == nil {
+		c.startRefusals = maxStartRefusals
+		return false
+	}
+	return c.reserve(ctx, limit)
+}
+
+// reserve reports whether the home of the chosen endpoint admits the request.
+func (c *call) reserve(ctx context.Context, limit time.Duration) bool {
+	requested := time.Now()
+	c.grant = c.h.Homes.Reserve(ctx, fleet.Reservation{Endpoint: c.choice.Endpoint.ID, Tokens: c.choice.Tokens, MaxWait: limit, Start: c.choice.Cold})
 	c.h.Metrics.Count(gauge.Name("reservations_total", "answer", string(c.grant)))
-	if c.grant != fleet.GrantRefused {
+	switch c.grant {
+	case fleet.GrantStart:
+		c.choice.StartUntil = requested.Add(warmup.GrantLifetime)
+		return true
+	case fleet.GrantNoStart:
+		c.startRefusals++
+		return false
+	case fleet.GrantAccepted:
 		return true
+	case fleet.GrantNoAnswer:
+		if !c.choice.Cold {
+			return true
+		}
+		c.grant = fleet.GrantNoStart
+		c.startRefusals++
+		return false
+	case fleet.GrantRefused:
 	}
 	if c.h.Balancer.Unavailability(c.choice, time.Now()) == "" {
 		c.refusedBy = append(c.refusedBy, c.choice.Endpoint.ID)
@@ -83,6 +129,7 @@
 	return placement.Request{
 		Service: c.service, Shared: c.attrs.SharedParts(), AffinityKey: c.attrs.LastSharedPartID(), Tokens: c.attrs.PromptTokens(),
 		Stream: c.route.Stream, TargetLatency: c.route.TargetLatency(), Avoid: slices.Concat(c.avoid, c.refusedBy),
+		Warm:   c.startRefusals >= maxStartRefusals,
 		Events: c.config.eventCount(c.service, c.attrs.OutputEstimate),
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,21 +84,22 @@
 	pastTarget bool      // retry whose target latency has already passed
 	deadline   time.Time // for the complete response; zero means no deadline
 
-	sends       int                     // attempts that may have reached an endpoint
-	runs        int                     // attempts that an endpoint may have run
-	avoid       []string                // endpoints whose attempts failed or were refused
-	connections upstream.Connections    // of all attempts
-	refusedBy   []string                // endpoints whose home instance refused a reservation
-	maxWait     time.Duration           // longest wait with which it is admitted, of the last choice
-	grant       fleet.ReservationResult // result of the last reservation; empty if none was requested
-	choice      placement.Choice
-	run         *placement.Run // of the last attempt that was begun
-	timeToFirst time.Duration  // from arrival to the first event or the response; zero until then
-	longestGap  time.Duration  // longest time between two relayed parts of a stream
-	lastAttempt quarantine.Attempt
-	mediaType   string        // of the response of the last attempt, as a log field; empty without a response
-	stopWatch   func()        // ends the watch of the quarantine in the last attempt; nil without a quarantine
-	crashProbe  chan struct{} // closed when the endpoint of the last attempt was probed for a crash; nil if it is not
+	sends         int                     // attempts that may have reached an endpoint
+	runs          int                     // attempts that an endpoint may have run
+	avoid         []string                // endpoints whose attempts failed or were refused
+	connections   upstream.Connections    // of all attempts
+	refusedBy     []string                // endpoints whose home instance refused a reservation
+	startRefusals int                     // starts at cold endpoints that were refused or expired
+	maxWait       time.Duration           // longest wait with which it is admitted, of the last choice
+	grant         fleet.ReservationResult // result of the last reservation; empty if none was requested
+	choice        placement.Choice
+	run           *placement.Run // of the last attempt that was begun
+	timeToFirst   time.Duration  // from arrival to the first event or the response; zero until then
+	longestGap    time.Duration  // longest time between two relayed parts of a stream
+	lastAttempt   quarantine.Attempt
+	mediaType     string        // of the response of the last attempt, as a log field; empty without a response
+	stopWatch     func()        // ends the watch of the quarantine in the last attempt; nil without a quarantine
+	crashProbe    chan struct{} // closed when the endpoint of the last attempt was probed for a crash; nil if it is not
 	// retryWithdrawn is set if the retry after the last attempt has been taken out of the
 	// budget already.
 	retryWithdrawn bool
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/greengagestep/greengagestep/internal/placement"
 	"github.com/greengagestep/greengagestep/internal/quarantine"
 	"github.com/greengagestep/greengagestep/internal/service"
+	"github.com/greengagestep/greengagestep/internal/warmup"
 	"github.com/greengagestep/greengagestep/internal/watch"
 )
 
@@ -81,6 +82,11 @@
 	livePeers, neighborCount int
 	neighborsAt              time.Time
 	source                   *peer // neighbor that sends the records of feeds; nil if none does
+	// starts grants the starts at cold endpoints of which this instance was the home by all of
+	// views. heardPeers is set once it has heard a peer.
+	starts     warmup.Home
+	views      warmup.Views[membersView]
+	heardPeers bool
 	// unauthenticated counts requests whose signature was not made with the
 	// fleet key.
 	unauthenticated atomic.Int64
@@ -90,6 +96,7 @@
 type peer struct {
 	Member
 	lastReceived   time.Time
+	knownSince     time.Time
 	sequence       int64 // of the newest message received
 	lastSent       time.Time
 	sentMessages   []sentMessage // the newest ones, oldest first
@@ -140,7 +147,7 @@
 	}
 	p := x.peers[m.Address]
 	if p == nil {
-		p = &peer{Member: m, lastAnnounced: now, positions: map[string]int64{}, ringHash: hashID(m.Name)}
+		p = &peer{Member: m, knownSince: now, lastAnnounced: now, positions: map[string]int64{}, ringHash: hashID(m.Name)}
 		x.peers[m.Address] = p
 	}
 	// A live peer says itself when it has restarted: others may still know its earlier start.
@@ -198,6 +205,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.refreshNeighbors(now)
+	x.recordView(now)
 	if x.sparse {
 		x.selectSource(now)
 	}
--- a/internal/peer/home.go
+++ b/internal/peer/home.go
@@ -37,6 +37,10 @@
 	Tokens   int    `json:"t"`
 	// Limit is the longest acceptable wait at the endpoint, in microseconds.
 	Limit int64 `json:"l"`
+	// Start is set if the requesting instance takes the endpoint for cold, and Cold is how
+	// long it is still cold by what that instance knows itself, in milliseconds.
+	Start bool  `json:"s,omitempty"`
+	Cold  int64 `json:"c,omitempty"`
 }
 
 // wireGrant is the response to a wireReservation.
@@ -47,6 +51,12 @@
 	Work []byte `json:"w"`
 	// Departures says that the requested endpoint leaves.
 	Departures []placement.Departure `json:"l,omitempty"`
+	// Cold is how long the endpoint is still cold, Start says that the request may be started
+	// there, and Next after which time the next start is free if this one was refused. Times
+	// are in milliseconds.
+	Cold  int64 `json:"c,omitempty"`
+	Start bool  `json:"s,omitempty"`
+	Next  int64 `json:"n,omitempty"`
 }
 
 // endpointHomes returns the home of each endpoint by ID: the live instance in its
@@ -129,18 +139,21 @@
 	}
 	if m.Address == x.Self.Address {
 		x.mu.Unlock()
-		return fleet.GrantAccepted
+		return x.reserveHere(r, now)
 	}
 	p := x.peers[m.Address]
 	if p == nil || now.Before(p.reserveAfter) {
 		x.mu.Unlock()
-		return fleet.GrantNoAnswer
+		return x.noAnswer(r, now)
 	}
 	x.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	var grant wireGrant
-	reservation := wireReservation{From: x.Self.Address, Endpoint: r.Endpoint, Tokens: r.Tokens, Limit: r.MaxWait.Microseconds()}
+	reservation := wireReservation{From: x.Self.Address, Endpoint: r.Endpoint, Tokens: r.Tokens, Limit: r.MaxWait.Microseconds(), Start: r.Start}
+	if cold := x.Balancer.OwnCold(r.Endpoint, now); cold > 0 {
+		reservation.Cold = milliseconds(cold)
+	}
 	if err := x.postSigned(ctx, m.Address, ReservePath, purposeReserve, reservation, &grant); err != nil {
 		if context.Cause(ctx) == context.Canceled {
 			// The caller canceled its request; this says nothing about the
@@ -150,12 +163,22 @@
 		x.mu.Lock()
 		p.reserveAfter = time.Now().Add(reserveBackoff)
 		x.mu.Unlock()
-		return fleet.GrantNoAnswer
+		return x.noAnswer(r, time.Now())
 	}
 	x.Balancer.SetHomeWork(x.unpackWork(grant.Work, time.Now()), time.Now())
 	x.Balancer.MergeDepartures(grant.Departures, time.Now())
-	if grant.Granted {
+	if grant.Cold > 0 {
+		x.Balancer.LearnCold(r.Endpoint, time.Duration(grant.Cold)*time.Millisecond, time.Now())
+	}
+	switch {
+	case grant.Granted && grant.Start:
+		return fleet.GrantStart
+	case grant.Granted && !r.Start && grant.Cold == 0:
 		return fleet.GrantAccepted
+	case grant.Granted || grant.Next > 0:
+		// An instance of an earlier version grants without a start.
+		x.delayStart(r.Endpoint, time.Duration(grant.Next)*time.Millisecond, time.Now())
+		return fleet.GrantNoStart
 	}
 	return fleet.GrantRefused
 }
@@ -177,8 +200,7 @@
 	}
 	x.mu.Unlock()
 	others := x.Balancer.WorkExcept(reservation.From, ids, now)
-	granted := x.Balancer.Grant(reservation.From, fleet.Reservation{
-		Endpoint: reservation.Endpoint, Tokens: reservation.Tokens, MaxWait: time.Duration(reservation.Limit) * time.Microsecond,
-	}, now)
-	x.writeSigned(w, signature, wireGrant{Granted: granted, Work: pack(others), Departures: x.Balancer.DepartureOf(reservation.Endpoint, now)})
+	grant := wireGrant{Work: pack(others), Departures: x.Balancer.DepartureOf(reservation.Endpoint, now)}
+	x.decide(&grant, reservation, now)
+	x.writeSigned(w, signature, grant)
 }
--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -30,6 +30,9 @@
 	UnavailableSilent Unavailability = "silent"
 	// UnavailableDown means that no connection to the endpoint can be made.
 	UnavailableDown Unavailability = "down"
+	// UnavailableCold means that the endpoint is cold or may be, and that the request has no
+	// start that its home granted.
+	UnavailableCold Unavailability = "cold"
 	// UnavailableReturning means that such a while has just ended and that the endpoint has
 	// as many requests of this instance as it gets at that time.
 	UnavailableReturning Unavailability = "returning"
@@ -63,6 +66,7 @@
 	down            bool
 	connectFailures int       // failures to connect in a row
 	retryAt         time.Time // when a connection may be tried again while down
+	warmth
 }
 
 // unavailability returns why a new request may not be sent to the endpoint now. It decides for
@@ -83,6 +87,8 @@
 		return UnavailableSilent
 	case a.down:
 		return UnavailableDown
+	case s.isCold(now):
+		return UnavailableCold
 	case !a.quietUntil.IsZero() && float64(s.local.Runs) >= s.returnLimit(now):
 		return UnavailableReturning
 	}
@@ -103,13 +109,22 @@
 	return max(1, elapsed.Seconds()/returnTime.Seconds()*float64(s.Slots))
 }
 
-// usable reports whether a new request may be sent to the endpoint now.
-func (s *endpointState) usable(now time.Time) bool { return s.unavailability(now) == "" }
+// usable reports whether a new request may be sent to the endpoint now. For a cold endpoint it
+// reports whether a start may be requested.
+func (s *endpointState) usable(now time.Time) bool {
+	switch s.unavailability(now) {
+	case "":
+		return true
+	case UnavailableCold:
+		return !now.Before(s.startAfter)
+	}
+	return false
+}
 
 // usableByOthers reports whether other instances may send new requests to the endpoint now.
 func (s *endpointState) usableByOthers(now time.Time) bool {
 	switch s.unavailability(now) {
-	case "", UnavailableQuiet, UnavailableReturning:
+	case "", UnavailableQuiet, UnavailableReturning, UnavailableCold:
 		return !s.down
 	}
 	return false
@@ -134,7 +149,7 @@
 
 // outlasting returns the part of what is known that outlives the record of the endpoint.
 func (a availability) outlasting() availability {
-	return availability{leavingByAnswer: a.leavingByAnswer, leavingByPeer: a.leavingByPeer, quietUntil: a.quietUntil}
+	return availability{leavingByAnswer: a.leavingByAnswer, leavingByPeer: a.leavingByPeer, quietUntil: a.quietUntil, warmth: a.warmth}
 }
 
 // current returns the state of the same incarnation that is listed now, which differs from s if the
@@ -180,7 +195,8 @@
 }
 
 // AvailableFrom returns when the first endpoint of a service takes requests again, if none takes
-// any now and at least one asked for a while without them. Otherwise it returns false.
+// any now and at least one asked for a while without them or is cold and has no start free. Otherwise
+// it returns false.
 func (b *Balancer) AvailableFrom(service string, now time.Time) (at time.Time, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -192,6 +208,13 @@
 			if !ok || s.quietUntil.Before(at) {
 				at, ok = s.quietUntil, true
 			}
+		case UnavailableCold:
+			if !now.Before(s.startAfter) {
+				return time.Time{}, false
+			}
+			if !ok || s.startAfter.Before(at) {
+				at, ok = s.startAfter, true
+			}
 		}
 	}
 	return at, ok
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -37,12 +37,15 @@
 	// OnInvalidTime is called, with the balancer locked, when a measured time is negative.
 	// Nothing is learned from it. nil is allowed.
 	OnInvalidTime func(service string, m Measurement)
+	// HeartbeatInterval is how often endpoints write their records.
+	HeartbeatInterval time.Duration
 
 	mu            sync.Mutex
 	services      map[string][]*endpointState
 	byID          map[string]*endpointState
 	former        formerEndpoints
 	departures    departureLog
+	startups      map[string]Startup // of the services with a start-up rate, by name
 	latencyModels map[string]*latencyModel
 	fills         []CacheFill // the newest fills by requests of this instance, oldest first
 	fillCount     int64       // number of all fills by requests of this instance
@@ -115,14 +118,16 @@
 // The conditions of endpoints. ConditionListed means that the endpoint was added,
 // ConditionRestarted that it came back under its ID after a restart or with another
 // address or service, ConditionLeaving that it gets no new requests, ConditionQuiet that it gets
-// none for a while, ConditionGone that it was removed, ConditionDown that no connection to it can
-// be made, and ConditionUp that it is reachable again.
+// none for a while, ConditionGone that it was removed, ConditionCold that it gets requests at a
+// limited rate only, ConditionDown that no connection to it can be made, and ConditionUp that it is
+// reachable again or no longer cold.
 const (
 	ConditionListed    Condition = "listed"
 	ConditionRestarted Condition = "reborn"
 	ConditionLeaving   Condition = "leaving"
 	ConditionQuiet     Condition = "quiet"
 	ConditionGone      Condition = "gone"
+	ConditionCold      Condition = "cold"
 	ConditionDown      Condition = "down"
 	ConditionUp        Condition = "up"
 )
@@ -132,6 +137,9 @@
 	Endpoint
 	availability
 	quietReported bool // OnChange was told that it is quiet, and not yet that this ended
+	startup       Startup
+	coldReported  bool      // OnChange was told that it is cold, and not yet that this ended
+	startAfter    time.Time // earliest time of the next request for a start
 	hash          uint64
 	local         Work                  // of requests sent by this instance
 	remote        map[string]remoteWork // of requests sent by other instances, by their address
@@ -190,8 +198,9 @@
 		b.remove(s, ConditionRestarted, "its record has another start time, service or address")
 		s = nil
 	}
-	if s == nil {
-		s = &endpointState{Endpoint: e, availability: b.former.recall(e.incarnation(), time.Now()), hash: xxhash.Sum64String(e.ID), remote: map[string]remoteWork{}, cache: newPromptCache(), slowdown: 1}
+	isNew := s == nil
+	if isNew {
+		s = &endpointState{Endpoint: e, startup: b.startups[e.Service], availability: b.former.recall(e.incarnation(), time.Now()), hash: xxhash.Sum64String(e.ID), remote: map[string]remoteWork{}, cache: newPromptCache(), slowdown: 1}
 		b.byID[e.ID] = s
 		b.services[e.Service] = append(b.services[e.Service], s)
 		b.notifyChange(s, Change{To: ConditionListed, Cause: "its directory record"})
@@ -207,6 +216,7 @@
 		b.notifyChange(s, c)
 	}
 	s.Endpoint, s.leavingByRecord = e, e.Leaving
+	b.recordWarmth(s, e, isNew)
 }
 
 // Remove removes an endpoint. An unknown ID is ignored.
@@ -306,9 +316,9 @@
 }
 
 // Counts counts the endpoints of a service. Each of those listed counts at most once as
-// Leaving, Quiet, Down or Stalled, in this order.
+// Leaving, Quiet, Down, Cold or Stalled, in this order.
 type Counts struct {
-	Listed, Leaving, Quiet, Down, Stalled int
+	Listed, Leaving, Quiet, Down, Cold, Stalled int
 	// Runs counts requests of all instances, Slots how many the endpoints run
 	// at a time.
 	Runs, Slots float64
@@ -333,6 +343,8 @@
 				c.Quiet++
 			case s.down:
 				c.Down++
+			case s.isCold(now):
+				c.Cold++
 			case s.stalled(now):
 				c.Stalled++
 			}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -32,6 +32,8 @@
 	TargetLatency time.Duration
 	// Avoid lists the IDs of endpoints that failed the request or refused it.
 	Avoid []string
+	// Warm is set if cold endpoints are not to be chosen.
+	Warm bool
 }
 
 // Choice is an endpoint chosen for a request.
@@ -62,6 +64,12 @@
 	// Tokens is how many prompt tokens the endpoint has to process,
 	// MissingTokens included.
 	Tokens int
+	// Cold is set if the endpoint is cold: the request needs a start that the home of the
+	// endpoint grants.
+	Cold bool
+	// StartUntil is the end of the time in which a start that was granted may be used; zero
+	// means that there is none.
+	StartUntil time.Time
 
 	state *endpointState
 }
@@ -118,10 +126,13 @@
 	usable := 0
 	probability := sampleProbability(len(list), instances)
 	for _, s := range list {
-		if !s.usable(now) || slices.Contains(r.Avoid, s.ID) {
+		if !s.usable(now) || slices.Contains(r.Avoid, s.ID) || r.Warm && s.isCold(now) {
 			continue
 		}
 		usable++
+		if found && rand.Float64() >= s.warmShare(now) {
+			continue
+		}
 		if found && s != first && s != second && !s.cachesAllShared(r, now) && rand.Float64() > probability {
 			continue
 		}
@@ -133,6 +144,7 @@
 	}
 	best.Listed, best.Usable = len(list), usable
 	if found {
+		best.Cold = best.state.isCold(now)
 		best.LeastWait = leastWait
 	}
 	if found && !best.state.reportedAt.IsZero() {
--- a/internal/placement/fault.go
+++ b/internal/placement/fault.go
@@ -93,15 +93,16 @@
 		s.silentFrom, s.silentTo = from, to
 	}
 	if s.silent.Load() {
-		b.setUp(s, "it sent data")
+		b.setUp(s, "it sent data", to)
 	}
 }
 
-func (b *Balancer) setUp(s *endpointState, cause string) {
+func (b *Balancer) setUp(s *endpointState, cause string, now time.Time) {
 	s.silent.Store(false)
 	s.connectFailures = 0
 	s.down = false
 	b.notifyChange(s, Change{To: ConditionUp, Cause: cause})
+	b.markUncertain(s, "came back after its connections failed", now)
 }
 
 // silentBetween returns how much of the time between from and to fell into the endpoint's last
@@ -143,7 +144,7 @@
 	switch {
 	case s == nil:
 	case ok:
-		b.setUp(s, "probe connected")
+		b.setUp(s, "probe connected", now)
 	case s.silent.Load():
 		s.backOff(now)
 	default:
@@ -160,7 +161,7 @@
 		f.failureRate -= failureGain * f.failureRate
 		s.connectFailures = 0
 		if s.down {
-			b.setUp(s, "request was answered")
+			b.setUp(s, "request was answered", now)
 		}
 	case ResultFailed:
 		f.failureRate += failureGain * (1 - f.failureRate)
@@ -183,7 +184,7 @@
 		b.notifyChange(s, Change{To: ConditionDown, Reason: UnavailableSilent, Cause: "connection timed out"})
 	case ResultRefused:
 		if s.silent.Load() {
-			b.setUp(s, "request was refused")
+			b.setUp(s, "request was refused", now)
 		}
 	case ResultCanceled:
 	}
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -33,10 +33,16 @@
 // endpoint, the one that grants its slots. A granted slot counts as taken at once, so that
 // instances which ask at the same time do not get the same one.
 func (b *Balancer) Grant(to string, r fleet.Reservation, now time.Time) bool {
+	return b.GrantStart(to, r, now, func() bool { return true })
+}
+
+// GrantStart is like Grant for an endpoint that may be cold: start is called, with the balancer
+// locked, if nothing else speaks against the request, and has the last word.
+func (b *Balancer) GrantStart(to string, r fleet.Reservation, now time.Time, start func() bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.byID[r.Endpoint]
-	if s == nil || !s.usableByOthers(now) || b.wait(s, now) > r.MaxWait {
+	if s == nil || !s.usableByOthers(now) && !(r.Start && s.mayHaveReturned(now)) || b.wait(s, now) > r.MaxWait || !start() {
 		return false
 	}
 	s.dropGrants("", now)
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -13,10 +13,11 @@
 	state       *endpointState
 	tokens      int
 	sentAt      time.Time
-	tokensAhead float64 // prompt tokens of earlier requests still to be processed at sentAt
-	unary       bool    // the response is not a stream of events
-	started     bool    // the first event or the response has arrived, or the request has ended
-	streaming   bool    // the first event of a stream has arrived, and the request has not ended
+	startUntil  time.Time // end of the time in which the request may be sent to a cold endpoint
+	tokensAhead float64   // prompt tokens of earlier requests still to be processed at sentAt
+	unary       bool      // the response is not a stream of events
+	started     bool      // the first event or the response has arrived, or the request has ended
+	streaming   bool      // the first event of a stream has arrived, and the request has not ended
 	ended       bool
 	expectedMS  float64 // milliseconds to the first event or the response, without the endpoint's slowdown
 	// hostSlowdown is that of the endpoint's machine when the request was sent.
@@ -30,15 +31,19 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := c.state
-	if reason := s.unavailability(now); reason != "" {
+	if reason := s.unavailability(now); reason != "" && (reason != UnavailableCold || !now.Before(c.StartUntil)) {
 		return nil, reason
 	}
+	if s.coldReported && !s.isCold(now) {
+		s.coldReported = false
+		b.notifyChange(s, Change{To: ConditionUp, Cause: "first request after it was cold"})
+	}
 	if s.quietReported {
 		s.quietReported = false
 		b.notifyChange(s, Change{To: ConditionUp, Cause: "first request after it was quiet"})
 	}
 	_, ahead := b.totalWork(s, now)
-	run := &Run{balancer: b, state: s, tokens: c.Tokens, sentAt: now, tokensAhead: ahead, unary: !r.Stream, expectedMS: ms(c.Expected) / s.currentSlowdown(now), hostSlowdown: s.currentHostSlowdown(now)}
+	run := &Run{balancer: b, state: s, startUntil: c.StartUntil, tokens: c.Tokens, sentAt: now, tokensAhead: ahead, unary: !r.Stream, expectedMS: ms(c.Expected) / s.currentSlowdown(now), hostSlowdown: s.currentHostSlowdown(now)}
 	if s.local.Runs == 0 {
 		s.lastReceived.Store(sinceEpoch(now))
 	}
@@ -62,6 +67,26 @@
 	return r.balancer.current(r.state).unavailability(now)
 }
 
+// Permit returns why the request of the run may not be sent to the endpoint now, over a connection
+// that is ready. A connection shows that the endpoint is not down, but not that it is warm. It is safe
+// for concurrent use.
+func (r *Run) Permit(now time.Time) Unavailability {
+	r.balancer.mu.Lock()
+	defer r.balancer.mu.Unlock()
+	s := r.balancer.current(r.state)
+	switch reason := s.unavailability(now); reason {
+	case "", UnavailableReturning:
+		return ""
+	case UnavailableCold, UnavailableDown, UnavailableSilent:
+		if !s.startup.Limit.Limited() && reason != UnavailableCold || now.Before(r.startUntil) {
+			return ""
+		}
+		return UnavailableCold
+	default:
+		return reason
+	}
+}
+
 // MayProbe reports whether a connection to the endpoint of the run may be tried now without a
 // request. It is safe for concurrent use.
 func (r *Run) MayProbe(now time.Time) bool {
@@ -73,7 +98,7 @@
 // RecordHead records what the endpoint says of itself in the head of any answer on the connection
 // of the run. It has to be called as soon as the head has arrived. It is safe for concurrent use.
 func (r *Run) RecordHead(a fleet.ResponseAttrs, now time.Time) {
-	if !a.Leaving && a.QuietFor <= 0 {
+	if !a.Leaving && a.QuietFor <= 0 && a.Cold <= 0 {
 		return
 	}
 	r.balancer.mu.Lock()
@@ -84,6 +109,9 @@
 	if a.QuietFor > 0 {
 		r.balancer.recordQuiet(r.state, now.Add(a.QuietFor), now)
 	}
+	if a.Cold > 0 {
+		r.balancer.recordColdAnswer(r.state, a.Cold, now)
+	}
 }
 
 // RecordData records that the endpoint has sent data. It is safe for concurrent use.
--- a/internal/watch/endpoint_tracker.go
+++ b/internal/watch/endpoint_tracker.go
@@ -185,6 +185,7 @@
 		t.pauses = t.pauses[max(len(t.pauses)-maxReadPauses, 0):]
 	}
 	t.dataAt = dataAt
+	t.Balancer.SetRecordsRead(dataAt)
 	if now.Sub(dataAt) <= freshAge || !dataAt.Before(t.graceEnd()) {
 		t.removeExpired(now)
 	}
--- a/pkg/arrangement/check.go
+++ b/pkg/arrangement/check.go
@@ -90,6 +90,15 @@
 	if s.Rate < 0 {
 		c.report(at+".rate", "rate of service %q must not be negative", s.Name)
 	}
+	if s.StartupRate < 0 {
+		c.report(at+".starts", "starts of service %q must not be negative", s.Name)
+	}
+	if s.StartupSeconds < 0 || s.StartupSeconds > maxStartupSeconds {
+		c.report(at+".startup", "startup of service %q must be 0 to %d seconds", s.Name, maxStartupSeconds)
+	}
+	if s.StartupRate > 0 && s.StartupSeconds == 0 {
+		c.report(at+".starts", "service %q limits starts, but states no startup time", s.Name)
+	}
 	if s.MaxBodyBytes < 0 {
 		c.report(at+".body", "body of service %q must not be negative", s.Name)
 	}
--- a/pkg/arrangement/config.go
+++ b/pkg/arrangement/config.go
@@ -5,6 +5,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
@@ -79,11 +80,22 @@
 	// and cached prompts together. The default (zero) value means a service
 	// without a model.
 	MemoryTokens int `yaml:"memory,omitempty" json:"memory,omitempty"`
+	// StartupRate is how many requests per second an endpoint gets from all instances
+	// together while it is cold after its start. The default (zero) value means that its
+	// start makes no difference.
+	StartupRate float64 `yaml:"starts,omitempty" json:"starts,omitempty"`
+	// StartupSeconds is how long an endpoint is cold after its start, in seconds.
+	StartupSeconds float64 `yaml:"startup,omitempty" json:"startup,omitempty"`
 	// TokensPerEvent is how many tokens one event of a stream contains. The
 	// default (zero) value is 1.
 	TokensPerEvent int `yaml:"stride,omitempty" json:"stride,omitempty"`
 }
 
+// StartupTime returns how long an endpoint of the service is cold after its start.
+func (s Service) StartupTime() time.Duration {
+	return time.Duration(s.StartupSeconds * float64(time.Second))
+}
+
 // Customer is one of the parties that share the capacity of the endpoints.
 type Customer struct {
 	Name string `yaml:"name" json:"name"`
@@ -122,6 +134,7 @@
 	defaultMaxBodyBytes = 8 << 20
 	defaultMaxWaiting   = 1000
 	maxUrgency          = 9
+	maxStartupSeconds   = 3600
 )
 
 var defaultIdempotentMethods = []string{"GET", "HEAD", "OPTIONS", "PUT", "DELETE"}
--- a/pkg/fleet/feed.go
+++ b/pkg/fleet/feed.go
@@ -36,8 +36,8 @@
 	Slots   int
 	// Leaving is set when the endpoint is draining and must get no new requests.
 	Leaving bool
-	// Cold is the remaining warm-up time, in which the endpoint is still slow
-	// after its start.
+	// Cold is the remaining warm-up time when the record was written, in which the
+	// endpoint is still slow and gets requests at a limited rate.
 	Cold time.Duration
 	// Born identifies the start of the endpoint process: it differs between
 	// starts. Zero means unknown.
--- a/pkg/fleet/request.go
+++ b/pkg/fleet/request.go
@@ -116,6 +116,9 @@
 	// QuietFor is how long the endpoint wants no requests from this instance, from
 	// the arrival of the response on; zero means that it did not ask for that.
 	QuietFor time.Duration
+	// Cold is how long the endpoint says that it is still cold after its start; zero means
+	// that it did not say so.
+	Cold time.Duration
 }
 
 // HeaderCodec converts between HTTP headers and the attributes of requests and
--- a/pkg/fleet/reservation.go
+++ b/pkg/fleet/reservation.go
@@ -14,6 +14,9 @@
 	Tokens int
 	// MaxWait is the longest time that the request may be queued at the endpoint.
 	MaxWait time.Duration
+	// Start is set if the requesting instance takes the endpoint for cold: then the request
+	// needs a start.
+	Start bool
 }
 
 // ReservationResult is the response of a home instance to a Reservation.
@@ -23,6 +26,12 @@
 const (
 	// GrantAccepted means that the home counts the capacity as in use.
 	GrantAccepted ReservationResult = "given"
+	// GrantStart means that, too, and that the request may be started at the endpoint although
+	// that is cold, shortly after it was requested.
+	GrantStart ReservationResult = "start"
+	// GrantNoStart means that the endpoint is cold and no start is free, or that its home
+	// did not respond.
+	GrantNoStart ReservationResult = "no-start"
 	// GrantRefused means that the request would be queued at the endpoint for
 	// longer than MaxWait.
 	GrantRefused ReservationResult = "refused"
