--- a/internal/peer/ring_test.go
+++ b/internal/peer/ring_test.go
@@ -37,7 +37,9 @@
 	// their size.
 	departures, departureBytes int
 	// lose is how many of the next messages and responses are lost.
-	lose    int
+	lose int
+	// link reports whether a message between two addresses arrives; nil means that all do.
+	link    func(from, to string) bool
 	members []*peer.Exchange
 	feeds   []*watch.Follower[string]
 	stops   []context.CancelFunc
@@ -53,6 +55,9 @@
 	f := m.fleet
 	f.mu.Lock()
 	h := f.handlers[r.URL.Host]
+	if f.link != nil && !f.link(m.from, r.URL.Host) {
+		h = nil
+	}
 	f.messages[m.from]++
 	f.bytes[m.from] += int(r.ContentLength)
 	f.mu.Unlock()
@@ -90,6 +95,26 @@
 	}
 }
 
+func (f *fleetInMemory) setLink(link func(from, to string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.link = link
+}
+
+// home returns the home of an endpoint.
+func (f *fleetInMemory) home(e placement.Endpoint) *peer.Exchange {
+	var members []peer.Member
+	for _, x := range f.members {
+		members = append(members, x.Self)
+	}
+	for _, x := range f.members {
+		if x.Self == peer.Home(e, members) {
+			return x
+		}
+	}
+	return nil
+}
+
 // loses reports whether a message is lost.
 func (f *fleetInMemory) loses() bool {
 	f.mu.Lock()
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -125,12 +125,14 @@
 	leastWait := time.Duration(math.MaxInt64)
 	usable := 0
 	probability := sampleProbability(len(list), instances)
+	var justWarm []*endpointState // left out because they were cold until lately
 	for _, s := range list {
 		if !s.usable(now) || slices.Contains(r.Avoid, s.ID) || r.Warm && s.isCold(now) {
 			continue
 		}
 		usable++
-		if found && rand.Float64() >= s.warmShare(now) {
+		if rand.Float64() >= s.warmShare(now) {
+			justWarm = append(justWarm, s)
 			continue
 		}
 		if found && s != first && s != second && !s.cachesAllShared(r, now) && rand.Float64() > probability {
@@ -142,6 +144,11 @@
 			best, least, found = c, cost, true
 		}
 	}
+	if !found && len(justWarm) > 0 {
+		s := justWarm[rand.IntN(len(justWarm))]
+		best, found = b.estimate(s, r, now), true
+		leastWait = best.Wait
+	}
 	best.Listed, best.Usable = len(list), usable
 	if found {
 		best.Cold = best.state.isCold(now)
