--- a/internal/peer/start.go
+++ b/internal/peer/start.go
@@ -4,23 +4,21 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/greengagestep/greengagestep/internal/warmup"
+	"github.com/greengagestep/greengagestep/internal/placement"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
-const (
-	// asksPerStart is how many instances on average request each start of a cold endpoint once
-	// its home has refused one: enough that few starts stay unused, however many instances
-	// there are.
-	asksPerStart = 4
-	// knownSilence is how long an instance that is not heard counts as a part of the fleet.
-	knownSilence = 20 * time.Second
-)
+// knownSilence is how long an instance that is not heard counts as a part of the fleet.
+const knownSilence = 20 * time.Second
 
 // membersView is what an instance takes the members of the fleet for, itself included.
 type membersView struct {
 	members []Member
-	hashes  []uint64
+	hashes  []uint64 // of the members' names
+	// nearMembers and nearHashes are those of this instance's failure domain: only they can be
+	// homes of the endpoints there.
+	nearMembers []Member
+	nearHashes  []uint64
 	// mayGrant is set unless this instance may be on the smaller side of a cut.
 	mayGrant bool
 }
@@ -37,7 +35,13 @@
 	}
 	x.views.Set(digest, func() membersView {
 		members = append(members, x.Self)
-		return membersView{members, memberHashes(members), mayGrant}
+		v := membersView{members: members, hashes: memberHashes(members), mayGrant: mayGrant}
+		for i, m := range members {
+			if m.Domain == x.Self.Domain {
+				v.nearMembers, v.nearHashes = append(v.nearMembers, m), append(v.nearHashes, v.hashes[i])
+			}
+		}
+		return v
 	}, now)
 }
 
@@ -59,6 +63,14 @@
 	return live+1 >= silent
 }
 
+// home returns the home of an endpoint by the view of an instance in the given failure domain.
+func (v *membersView) home(e placement.Endpoint, domain string) Member {
+	if e.Domain == domain {
+		return selectHome(e, v.nearMembers, v.nearHashes)
+	}
+	return selectHome(e, v.members, v.hashes)
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -77,7 +89,7 @@
 		return max(wait, reserveBackoff), false
 	}
 	for _, v := range views {
-		if !v.mayGrant || selectHome(e, v.members, v.hashes).Address != x.Self.Address {
+		if !v.mayGrant || v.home(e, x.Self.Domain).Address != x.Self.Address {
 			return reserveBackoff, false
 		}
 	}
@@ -150,8 +162,7 @@
 	x.mu.Lock()
 	peers := x.livePeers
 	x.mu.Unlock()
-	spread := time.Duration(float64(warmup.Window) / float64(max(limit.Starts(), 1)) * float64(peers) / asksPerStart)
-	x.Balancer.DelayStart(endpoint, next+time.Duration(rand.Float64()*float64(spread)), now)
+	x.Balancer.DelayStart(endpoint, next+time.Duration(rand.Float64()*float64(limit.Spread(peers+1))), now)
 }
 
 // Starts returns how many starts at cold endpoints this instance granted and refused as their home.
--- a/internal/peer/start_test.go
+++ b/internal/peer/start_test.go
@@ -133,9 +133,11 @@
 		x.Balancer.HeartbeatInterval = 1200 * time.Millisecond
 		x.Balancer.SetStartup(map[string]placement.Startup{"m": {Limit: startLimit, Time: coldTime}}, time.Now())
 	}
-	time.Sleep(5 * time.Second)
+	time.Sleep(3 * time.Second)
 	for _, x := range f.members {
 		require.Equal(t, n-1, x.Peers(time.Now()))
+		// The balancer learns the number of instances.
+		_, _ = x.Balancer.Choose(placement.Request{Service: "m"}, time.Now())
 	}
 	return f
 }
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -45,6 +45,7 @@
 	byID          map[string]*endpointState
 	former        formerEndpoints
 	departures    departureLog
+	instances     int                // that send to the endpoints, as of the last choice
 	startups      map[string]Startup // of the services with a start-up rate, by name
 	latencyModels map[string]*latencyModel
 	fills         []CacheFill // the newest fills by requests of this instance, oldest first
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -118,6 +118,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.instances = instances
 	list := b.services[r.Service]
 	first, second := preferredEndpoints(list, r, now)
 	best, found := Choice{}, false
--- a/internal/placement/warmth.go
+++ b/internal/placement/warmth.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/greengagestep/greengagestep/internal/warmup"
@@ -217,12 +218,15 @@
 	}
 }
 
-// reportCold tells OnChange once that an endpoint is cold.
+// reportCold tells OnChange once that an endpoint is cold. The instances spread their first requests for
+// starts there.
 func (b *Balancer) reportCold(s *endpointState, cause string, now time.Time) {
 	if s.coldReported || !s.isCold(now) {
 		return
 	}
 	s.coldReported = true
+	// All instances learn it at about the same time.
+	s.startAfter = latest(s.startAfter, now.Add(time.Duration(rand.Float64()*float64(s.startup.Limit.Spread(b.instances)))))
 	b.notifyChange(s, Change{To: ConditionCold, Reason: UnavailableCold, Cause: cause, For: s.coldEnd().Sub(now)})
 }
 
--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -42,6 +42,16 @@
 	return int(min(math.Floor(bound/MaxHomes), math.Ceil(l.Rate*Window.Seconds())))
 }
 
+// asksPerStart is how many instances on average request each start of a cold endpoint: enough that few
+// starts stay unused, however many instances there are.
+const asksPerStart = 4
+
+// Spread returns the time over which the given number of instances spread their requests for the starts
+// at one endpoint.
+func (l Limit) Spread(instances int) time.Duration {
+	return time.Duration(float64(Window) / float64(max(l.Starts(), 1)) * float64(max(instances-1, 0)) / asksPerStart)
+}
+
 // Home grants the starts of the endpoints of which an instance is the home. The zero value is ready
 // to use. It is safe for concurrent use.
 type Home struct {
