--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -49,6 +49,7 @@
 	evacuated     map[string]bool      // failure domains that operators have emptied
 	lastSends     map[string]time.Time // when this instance last sent a request, by failure domain of the endpoint
 	departures    departureLog
+	instances     int                // that send to the endpoints, as of the last choice
 	startups      map[string]Startup // of the services with a start-up rate, by name
 	latencyModels map[string]*latencyModel
 	fills         []CacheFill // the newest fills by requests of this instance, oldest first
