--- a/internal/entry/evacuation_test.go
+++ b/internal/entry/evacuation_test.go
@@ -15,11 +15,11 @@
 )
 
 func (f *fixture) evacuate(domain string) {
-	f.operators.write("evacuate/"+domain, &watch.OperatorRecord{Evacuation: &evacuation.Record{Domain: domain}})
+	f.operators.write("emptied/"+domain, &watch.OperatorRecord{Evacuation: &evacuation.Record{Domain: domain}})
 }
 
 // takeBack deletes the record that empties a domain.
-func (f *fixture) takeBack(domain string) { f.operators.write("evacuate/"+domain, nil) }
+func (f *fixture) takeBack(domain string) { f.operators.write("emptied/"+domain, nil) }
 
 // requireServed sends a request, which must be served or refused for a reason.
 func (f *fixture) requireServed(refusal fleet.Reason) {
@@ -99,12 +99,12 @@
 		f := newFixture(t)
 		f.startServing()
 		f.evacuate("nowhere")
-		f.operators.writeInvalid("evacuate/", errors.New("names no domain"))
+		f.operators.writeInvalid("emptied/", errors.New("names no domain"))
 		f.publish(6, "/a/")
 		time.Sleep(time.Second)
 		f.requireServed("")
 		f.evacuate("a")
-		f.operators.writeInvalid("evacuate/a", errors.New("cannot be read"))
+		f.operators.writeInvalid("emptied/a", errors.New("cannot be read"))
 		f.publish(7, "/a/")
 		time.Sleep(time.Second)
 		f.requireServed(fleet.ReasonEvacuated)
@@ -123,7 +123,7 @@
 		f.operators.trim()
 		time.Sleep(time.Second)
 		f.requireServed(fleet.ReasonEvacuated)
-		f.operators.trim("evacuate/a")
+		f.operators.trim("emptied/a")
 		time.Sleep(time.Second)
 		f.requireServed("")
 		f.shutDown()
--- a/internal/peer/home.go
+++ b/internal/peer/home.go
@@ -47,6 +47,8 @@
 	Work []byte `json:"w"`
 	// Departures says that the requested endpoint leaves.
 	Departures []placement.Departure `json:"l,omitempty"`
+	// Evacuated says that the failure domain of the requested endpoint is emptied.
+	Evacuated bool `json:"v,omitempty"`
 }
 
 // endpointHomes returns the home of each endpoint by ID: the live instance in its
@@ -154,6 +156,9 @@
 	}
 	x.Balancer.SetHomeWork(x.unpackWork(grant.Work, time.Now()), time.Now())
 	x.Balancer.MergeDepartures(grant.Departures, time.Now())
+	if grant.Evacuated {
+		x.Balancer.RecordEvacuated(r.Endpoint, time.Now())
+	}
 	if grant.Granted {
 		return fleet.GrantAccepted
 	}
@@ -180,5 +185,7 @@
 	granted := x.Balancer.Grant(reservation.From, fleet.Reservation{
 		Endpoint: reservation.Endpoint, Tokens: reservation.Tokens, MaxWait: time.Duration(reservation.Limit) * time.Microsecond,
 	}, now)
-	x.writeSigned(w, signature, wireGrant{Granted: granted, Work: pack(others), Departures: x.Balancer.DepartureOf(reservation.Endpoint, now)})
+	x.writeSigned(w, signature, wireGrant{
+		Granted: granted, Work: pack(others), Departures: x.Balancer.DepartureOf(reservation.Endpoint, now), Evacuated: x.Balancer.IsEvacuated(reservation.Endpoint),
+	})
 }
--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -59,6 +59,9 @@
 	// evacuated is set while operators keep the endpoint's failure domain empty. It follows
 	// from the domain, for every incarnation alike.
 	evacuated bool
+	// evacuatedUntil is until when the same holds because the home of an endpoint of the
+	// domain has said so; zero means that none has.
+	evacuatedUntil time.Time
 	// unknownSince is since when nothing is known of how warm the endpoint is, because its
 	// failure domain was taken back then; zero means that this did not happen.
 	unknownSince time.Time
@@ -85,7 +88,7 @@
 		return UnavailableLeavingByPeer
 	case a.leavingByRecord:
 		return UnavailableLeavingByRecord
-	case a.evacuated:
+	case a.evacuated || now.Before(a.evacuatedUntil):
 		return UnavailableEvacuated
 	case now.Before(a.quietUntil):
 		return UnavailableQuiet
--- a/internal/placement/evacuation.go
+++ b/internal/placement/evacuation.go
@@ -34,9 +34,40 @@
 	if s.evacuated && !evacuated {
 		s.forgetWarmth(now)
 	}
+	if s.evacuated != evacuated {
+		s.evacuatedUntil = time.Time{}
+	}
 	s.evacuated = evacuated
 }
 
+// evacuationLead is how long this instance relies on a home that says that a domain is emptied: it
+// learns the same from the operator's record within this time.
+const evacuationLead = time.Second
+
+// IsEvacuated reports whether the failure domain of an endpoint is emptied. An unknown ID is in
+// none.
+func (b *Balancer) IsEvacuated(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.byID[id]
+	return s != nil && s.evacuated
+}
+
+// RecordEvacuated records that the home of an endpoint has said that its failure domain is emptied.
+func (b *Balancer) RecordEvacuated(id string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.byID[id]
+	if e == nil {
+		return
+	}
+	for _, s := range b.byID {
+		if s.Domain == e.Domain {
+			s.evacuatedUntil = now.Add(evacuationLead)
+		}
+	}
+}
+
 // forgetWarmth records that nothing is known any more of how warm the endpoint is.
 func (a *availability) forgetWarmth(now time.Time) { a.unknownSince = now }
 
--- a/internal/watch/follow_test.go
+++ b/internal/watch/follow_test.go
@@ -425,6 +425,43 @@
 	})
 }
 
+// operatorFeed is a feed of operators' records that only a peer can read.
+type operatorFeed struct{}
+
+func (operatorFeed) Newest(context.Context) ([]fleet.KeyedRecord[watch.OperatorRecord], int64, error) {
+	return nil, 0, errors.New("down")
+}
+
+func (operatorFeed) Changes(context.Context, int64, time.Duration) ([]fleet.KeyedRecord[watch.OperatorRecord], int64, error) {
+	return nil, 0, errors.New("down")
+}
+
+// An instance that cannot reach the platform learns both kinds of operators' records from a peer, as
+// updates and as a snapshot, and how old they may be.
+func TestOperatorRecordsFromPeer(t *testing.T) {
+	var batches []watch.Batch[watch.OperatorRecord]
+	isolated := &watch.Follower[watch.OperatorRecord]{Name: "operators", Feed: operatorFeed{}, OnBatch: func(b watch.Batch[watch.OperatorRecord]) { batches = append(batches, b) }}
+	now := time.Now()
+	for _, update := range []string{
+		`{"n":3,"a":40,"i":1,"c":1,"w":true,"r":[{"k":"config","v":{"config":{"version":7,"text":{"services":null,"customers":null,"kinds":null}}}},{"k":"x","v":{"evacuation":{"domain":"a"}}}]}`,
+		`{"n":4,"a":0,"i":1,"c":2,"f":3,"r":[{"k":"x"}]}`,
+		`{"n":9,"a":0,"i":1,"c":3,"w":true,"r":[]}`,
+	} {
+		_, err := isolated.Receive([]byte(update), false, now, 0)
+		require.NoError(t, err)
+		now = now.Add(100 * time.Millisecond)
+	}
+	require.Len(t, batches, 3)
+	require.EqualValues(t, 7, batches[0].Records[0].Value.Configuration.Version)
+	require.Equal(t, "a", batches[0].Records[1].Value.Evacuation.Domain)
+	require.True(t, batches[0].Since.IsZero())
+	require.Nil(t, batches[1].Records[0].Value)
+	require.Equal(t, now.Add(-340*time.Millisecond), batches[1].Since)
+	require.True(t, batches[1].Relayed)
+	require.True(t, batches[2].Snapshot)
+	require.Empty(t, batches[2].Records)
+}
+
 // Property: in whatever order records arrive from the store and from a peer, an instance
 // never returns to an older record: the values of a key never decrease.
 func TestRecordsNeverRevert(t *testing.T) {
