run: operators empty failure domains

Callers' requests and orders are withheld there by endpoint.Table.Check, waiting ones are refused at once if no other endpoint is left.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -55,6 +55,9 @@
 	// QuietUntil returns until when all endpoints of a service want no requests, and
 	// false if one takes them now.
 	QuietUntil func(service string) (time.Time, bool)
+	// IsEvacuated reports whether a service has no endpoint because of emptied failure
+	// domains; nil means never.
+	IsEvacuated func(service string) bool
 	// RecordResult records whether a call to an endpoint succeeded.
 	RecordResult func(name string, ok bool)
 	// Crashed reports whether an endpoint that broke a connection no longer
@@ -343,6 +346,9 @@
 // takes any, unless its response has begun: that waits for the first endpoint.
 func (c *call) acquire(ctx context.Context, request queue.Request, retry bool) (*dispatch.Slot, error) {
 	for {
+		if c.h.IsEvacuated != nil && c.h.IsEvacuated(c.service.Name) {
+			return nil, &dispatch.Refused{Reason: fleet.ReasonEvacuated}
+		}
 		until, quiet := c.quietUntil()
 		if !quiet {
 			slot, err := c.h.Dispatcher.Acquire(ctx, request, retry)
--- a/internal/command/query.go
+++ b/internal/command/query.go
@@ -180,6 +180,9 @@
 func printStatus(w io.Writer, st operator.Status) {
 	fmt.Fprintf(w, "%s in %s: configuration version %d, leader %s, %d waiting, %d running, %d slots held\n",
 		st.Name, st.Domain, st.Version, st.Leader, st.Waiting, st.Running, st.HeldSlots)
+	for _, domain := range st.Evacuated {
+		fmt.Fprintf(w, "failure domain %s is evacuated\n", domain)
+	}
 	printTable(w, func(w io.Writer) {
 		for _, m := range st.Members {
 			fmt.Fprintf(w, "instance\t%s\t%s\t%s\tversion %d\n", m.Name, m.Domain, m.State, m.Version)
--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -96,6 +96,8 @@
 	// Draining reports whether an endpoint must get no new requests because it
 	// is about to load another model; nil means never.
 	Draining func(name string) bool
+	// Evacuated reports whether operators have emptied a failure domain; nil means never.
+	Evacuated func(domain string) bool
 	// OnChange is called for every transition; nil is allowed.
 	OnChange func(Change)
 
--- a/internal/endpoint/verdict.go
+++ b/internal/endpoint/verdict.go
@@ -13,6 +13,7 @@
 const (
 	ReasonUnlisted  Reason = "not in the instance list"
 	ReasonLeaving   Reason = "leaving"
+	ReasonEvacuated Reason = "evacuated"
 	ReasonQuiet     Reason = "quiet"
 	ReasonEjected   Reason = "ejected"
 	ReasonNoReport  Reason = "no load report yet"
@@ -28,11 +29,12 @@
 
 // The sources, in the order of their precedence.
 const (
-	SourceAnswer Source = "answer" // the head of one of its answers to this instance
-	SourceReport Source = "report" // its load report
-	SourceList   Source = "record" // its record in the instance list
-	SourceHome   Source = "peer"   // the endpoint's home
-	SourceSelf   Source = "self"   // what this instance concluded from calls to it
+	SourceOperator Source = "operator" // the configuration in force
+	SourceAnswer   Source = "answer"   // the head of one of its answers to this instance
+	SourceReport   Source = "report"   // its load report
+	SourceList     Source = "record"   // its record in the instance list
+	SourceHome     Source = "peer"     // the endpoint's home
+	SourceSelf     Source = "self"     // what this instance concluded from calls to it
 )
 
 // Use is what a request to an endpoint is for.
@@ -99,6 +101,8 @@
 	switch {
 	case e.leaving:
 		return Verdict{Reason: ReasonLeaving, Source: e.leavingSource, Age: now.Sub(e.leavingSince)}
+	case use != UseProbe && t.evacuated(e):
+		return Verdict{Reason: ReasonEvacuated, Source: SourceOperator}
 	case now.Before(e.quietUntil):
 		return Verdict{Reason: ReasonQuiet, Source: SourceAnswer, Age: now.Sub(e.quietSince)}
 	case use != UseCaller:
@@ -172,7 +176,7 @@
 	}
 	var first time.Time
 	for _, e := range t.entries {
-		if e.instance.Service != service || e.leaving {
+		if e.instance.Service != service || e.leaving || t.evacuated(e) {
 			continue
 		}
 		if !now.Before(e.quietUntil) {
@@ -188,6 +192,26 @@
 	return first, !first.IsZero()
 }
 
+func (t *Table) evacuated(e *entry) bool {
+	return t.Evacuated != nil && t.Evacuated(e.instance.Domain)
+}
+
+// IsEvacuated reports whether all endpoints of a service that do not leave are in emptied failure
+// domains, and whether there are any.
+func (t *Table) IsEvacuated(service string) bool {
+	found := false
+	for _, e := range t.entries {
+		if e.instance.Service != service || e.leaving {
+			continue
+		}
+		if !t.evacuated(e) {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
 // quietRecovery is the time after quiet in which an instance sends an endpoint more and
 // more requests at a time again.
 const quietRecovery = 2 * time.Second
--- a/internal/endpoint/verdict_test.go
+++ b/internal/endpoint/verdict_test.go
@@ -53,6 +53,9 @@
 		"leaving by peer": {func(table *endpoint.Table, _ endpoint.Target) {
 			table.SetHomeState(endpoint.State{Name: "m0", Closed: true, ClosedReason: "leaving", Incarnation: 1}, start)
 		}, endpoint.ReasonLeaving, endpoint.SourceHome, all},
+		"evacuated": {func(table *endpoint.Table, _ endpoint.Target) {
+			table.Evacuated = func(string) bool { return true }
+		}, endpoint.ReasonEvacuated, endpoint.SourceOperator, all[:2]},
 		"quiet": {func(table *endpoint.Table, target endpoint.Target) {
 			table.RecordAnswer(target, quiet(time.Minute), start)
 		}, endpoint.ReasonQuiet, endpoint.SourceAnswer, all},
--- a/internal/publication/state.go
+++ b/internal/publication/state.go
@@ -198,7 +198,7 @@
 	if err := json.Unmarshal(data, &sections); err != nil {
 		return nil, err
 	}
-	for _, name := range []string{"services", "customers", "kinds", "models", "routes"} {
+	for _, name := range []string{"services", "customers", "kinds", "models", "routes", "evacuated"} {
 		if sections[name] == nil {
 			sections[name] = json.RawMessage("[]")
 		}
--- a/internal/router/operators.go
+++ b/internal/router/operators.go
@@ -73,7 +73,9 @@
 // status returns the state of the instance and what it knows about its peers.
 func (r *Router) status() operator.Status {
 	status := operator.Status{Name: r.Name, Domain: r.Domain, Incarnation: r.self.Incarnation, Stopping: r.isStopping()}
-	_, status.Version = r.follower.Config()
+	var config arrangement.Config
+	config, status.Version = r.follower.Config()
+	status.Evacuated = config.Evacuated
 	status.SentBytes, status.UptimeSeconds = r.bytesSent.Count(), time.Since(r.started).Seconds()
 	r.dispatcher.With(func(s *scheduler.Scheduler) {
 		own := s.Status()
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -54,6 +55,10 @@
 		return 1
 	}
 	t.HasRequiredModel = r.hasRequiredModel
+	t.Evacuated = func(domain string) bool {
+		config := r.policy.config.Load()
+		return config != nil && slices.Contains(config.Evacuated, domain)
+	}
 	t.Draining = func(name string) bool { return r.isDraining(name, time.Now()) }
 	t.OnChange = func(c endpoint.Change) {
 		r.trail.Add(audit.Entry{Type: audit.EventEndpoint, Subject: c.Name, Change: c.To, Cause: c.Cause})
@@ -116,8 +121,11 @@
 	r.mu.Unlock()
 	endpoints := make([]scheduler.Endpoint, 0, len(states))
 	reasons := make(map[string]string, len(states))
-	quiet := map[string]bool{}
+	quiet, evacuated := map[string]bool{}, map[string]bool{}
 	for _, s := range states {
+		if _, known := evacuated[s.Service]; !known {
+			evacuated[s.Service] = r.isEvacuated(s.Service)
+		}
 		reasons[s.Name] = s.ClosedReason
 		endpoints = append(endpoints, scheduler.Endpoint{
 			Name: s.Name, Service: s.Service, Domain: s.Domain, Slots: s.Slots, Closed: s.Closed, Quiet: s.Quiet, Limit: s.Limit,
@@ -133,6 +141,11 @@
 				s.RefuseWaiting(service, fleet.ReasonQuiet)
 			}
 		}
+		for service, all := range evacuated {
+			if all {
+				s.RefuseWaiting(service, fleet.ReasonEvacuated)
+			}
+		}
 	})
 	r.updateReadiness(states)
 	r.inForce.Store(&reasons)
@@ -187,6 +200,16 @@
 	return r.endpoints.QuietUntil(service, time.Now())
 }
 
+// isEvacuated implements caller.Handler's IsEvacuated.
+func (r *Router) isEvacuated(service string) bool {
+	if config := r.policy.config.Load(); config == nil || len(config.Evacuated) == 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.endpoints.IsEvacuated(service)
+}
+
 // pollLoads requests load reports from the endpoints that this instance is the home
 // of.
 func (r *Router) pollLoads(ctx context.Context) {
--- a/pkg/arrangement/arrangement_test.go
+++ b/pkg/arrangement/arrangement_test.go
@@ -41,6 +41,7 @@
 		{"a route that resumes without event streams", "services:\n  - name: a\nroutes:\n  - name: r\n    path: /r/\n    repeat: resume\n    to: [{service: a}]\n", `6:13: route "r" resumes, but its answers are no streams`},
 		{"two routes with the same host and path", "services:\n  - name: a\nroutes:\n  - {name: r, path: /r/, to: [{service: a}]}\n  - {name: s, path: /r/, to: [{service: a}]}\n", `routes "r" and "s" have the same host and path "/r/"`},
 		{"a region that is listed twice", "services:\n  - name: a\nroutes:\n  - name: r\n    path: /r/\n    regions: [n, n]\n    to: [{service: a}]\n", `6:18: route "r" lists region "n" twice`},
+		{"a domain that is evacuated twice", "services:\n  - name: a\nevacuated: [d0, d1, d0]\n", `3:21: failure domain "d0" is listed as evacuated twice`},
 		{"an empty region", "customers:\n  - name: a\n    keys: [k]\n    regions: ['']\n", `4:15: customer "a" has an empty region`},
 		{"a target latency above the timeout", "services:\n  - name: a\nroutes:\n  - name: r\n    path: /r/\n    aim: 500\n    timeout: 100\n    to: [{service: a}]\n", `6:10: aim of route "r" is over its timeout of 100 ms`},
 	} {
--- a/pkg/arrangement/check.go
+++ b/pkg/arrangement/check.go
@@ -27,6 +27,7 @@
 	c.models()
 	c.routes()
 	c.limits()
+	c.evacuated()
 	slices.SortStableFunc(c.faults, func(a, b Fault) int {
 		if a.Line != b.Line {
 			return a.Line - b.Line
@@ -174,6 +175,18 @@
 	}
 }
 
+func (c *checker) evacuated() {
+	for i, domain := range c.config.Evacuated {
+		at := fmt.Sprintf("$.evacuated[%d]", i)
+		if domain == "" {
+			c.report(at, "an evacuated failure domain has no name")
+		}
+		if slices.Contains(c.config.Evacuated[:i], domain) {
+			c.report(at, "failure domain %q is listed as evacuated twice", domain)
+		}
+	}
+}
+
 func (c *checker) kinds() {
 	names := map[string]bool{}
 	for i, k := range c.config.Kinds {
--- a/pkg/arrangement/config.go
+++ b/pkg/arrangement/config.go
@@ -17,6 +17,8 @@
 	Models    []Model    `yaml:"models,omitempty" json:"models,omitempty"`
 	Routes    []Route    `yaml:"routes,omitempty" json:"routes,omitempty"`
 	Limits    Limits     `yaml:"limits,omitempty" json:"limits,omitzero"`
+	// Evacuated lists the failure domains whose endpoints get no new requests.
+	Evacuated []string `yaml:"evacuated,omitempty" json:"evacuated,omitempty"`
 }
 
 // Limits holds limits on what callers may send, and the total rate of the endpoints.
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -9,8 +9,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/goccy/go-yaml"
+
 	"github.com/greengagestep/greengagestep/pkg/arrangement"
 )
 
@@ -33,6 +36,8 @@
 	Endpoints          []Endpoint        `json:"endpoints"`
 	CustomerAccounts   []Account         `json:"accounts"`
 	WaitsFor           map[string]string `json:"waits,omitempty"`
+	// Evacuated lists the failure domains whose endpoints get no new requests.
+	Evacuated []string `json:"evacuated,omitempty"`
 	// SentBytes is the number of bytes that the instance has sent to its peers
 	// since its start, and UptimeSeconds the time since its start.
 	SentBytes     int64   `json:"sent"`
@@ -180,6 +185,25 @@
 	return result, c.call(ctx, http.MethodPost, "/configuration", p, &result)
 }
 
+// Evacuate publishes the configuration in force with a failure domain emptied or, if emptied is not
+// set, taken back. It returns a *Refusal if another version was published meanwhile. A domain that
+// is as it should be is published again.
+func (c *Client) Evacuate(ctx context.Context, actor, domain string, emptied bool) (PublishResult, error) {
+	conf, err := c.Configuration(ctx)
+	if err != nil {
+		return PublishResult{}, err
+	}
+	conf.Text.Evacuated = slices.DeleteFunc(conf.Text.Evacuated, func(d string) bool { return d == domain })
+	if emptied {
+		conf.Text.Evacuated = append(conf.Text.Evacuated, domain)
+	}
+	text, err := yaml.Marshal(conf.Text)
+	if err != nil {
+		return PublishResult{}, fmt.Errorf("operator: configuration cannot be encoded: %w", err)
+	}
+	return c.Publish(ctx, Proposal{Actor: actor, BaseVersion: conf.Version, Text: string(text)})
+}
+
 func (c *Client) call(ctx context.Context, method, path string, requestBody, responseBody any) error {
 	var body io.Reader
 	if requestBody != nil {
