gateway, command: greengagestep where says where a request would go now, and why

It asks an instance at its address for metrics; costs, waits and exclusions come from the functions that decide, and nothing is counted, learned or granted.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -72,7 +72,7 @@
 		SilenceErrors: true,
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(newRun(), newServe(), newCheck(), p.newPublish(), p.newEvacuate(), p.newShow(), p.newStatus(), p.newAudit(), p.newExplain(), newDemo())
+	root.AddCommand(newRun(), newServe(), newCheck(), p.newPublish(), p.newEvacuate(), p.newShow(), p.newStatus(), p.newAudit(), p.newExplain(), p.newWhere(), newDemo())
 	return root
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -282,6 +282,7 @@
 	if i.Metrics != nil {
 		mux := http.NewServeMux()
 		mux.Handle("GET /metrics", i.handler.Metrics)
+		mux.HandleFunc("GET /explain", i.serveExplain)
 		tree.Add(&service.Server{Listener: i.Metrics, HTTP: &http.Server{Handler: mux, ReadTimeout: headerTimeout}})
 	}
 	tree.Add(i.Log)
