--- a/internal/peer/home.go
+++ b/internal/peer/home.go
@@ -57,6 +57,8 @@
 	Cold  int64 `json:"c,omitempty"`
 	Start bool  `json:"s,omitempty"`
 	Next  int64 `json:"n,omitempty"`
+	// Evacuated says that the failure domain of the requested endpoint is emptied.
+	Evacuated bool `json:"v,omitempty"`
 }
 
 // endpointHomes returns the home of each endpoint by ID: the live instance in its
@@ -170,6 +172,9 @@
 	if grant.Cold > 0 {
 		x.Balancer.LearnCold(r.Endpoint, time.Duration(grant.Cold)*time.Millisecond, time.Now())
 	}
+	if grant.Evacuated {
+		x.Balancer.RecordEvacuated(r.Endpoint, time.Now())
+	}
 	switch {
 	case grant.Granted && grant.Start:
 		return fleet.GrantStart
@@ -200,7 +205,9 @@
 	}
 	x.mu.Unlock()
 	others := x.Balancer.WorkExcept(reservation.From, ids, now)
-	grant := wireGrant{Work: pack(others), Departures: x.Balancer.DepartureOf(reservation.Endpoint, now)}
+	grant := wireGrant{
+		Work: pack(others), Departures: x.Balancer.DepartureOf(reservation.Endpoint, now), Evacuated: x.Balancer.IsEvacuated(reservation.Endpoint),
+	}
 	x.decide(&grant, reservation, now)
 	x.writeSigned(w, signature, grant)
 }
--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -62,6 +62,9 @@
 	// evacuated is set while operators keep the endpoint's failure domain empty. It follows
 	// from the domain, for every incarnation alike.
 	evacuated bool
+	// evacuatedUntil is until when the same holds because the home of an endpoint of the
+	// domain has said so; zero means that none has.
+	evacuatedUntil time.Time
 	// quietUntil is the end of the time for which the endpoint wants no requests from this
 	// instance, by its answers: the latest end that one of them named. It outlives a record
 	// that lapses. Other instances are not concerned.
@@ -86,7 +89,7 @@
 		return UnavailableLeavingByPeer
 	case a.leavingByRecord:
 		return UnavailableLeavingByRecord
-	case a.evacuated:
+	case a.evacuated || now.Before(a.evacuatedUntil):
 		return UnavailableEvacuated
 	case now.Before(a.quietUntil):
 		return UnavailableQuiet
