Long bodies: endpoints that do not read are given up, large bodies are spread

Cause (read in the code): the body is written by a goroutine without a bound, and bytes that an endpoint leaves no room for do not count in the delivery watch. Without a deadline the request waited for good and held its body. Now no byte taken for 5 s closes the connection; the attempt counts as failed at that endpoint, and the body goes to the next one where the route permits. net/http hides the write's error type, so that the writer itself closes the connection.

Each MiB of large bodies (256 KiB and more) that this instance has at an endpoint costs the next large one 100 ms there. Only own requests count: endpoints do not tell their memory, nor other instances their bytes.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -82,7 +82,7 @@
 func (c *call) placementRequest() placement.Request {
 	return placement.Request{
 		Service: c.service, Shared: c.attrs.SharedParts(), AffinityKey: c.attrs.LastSharedPartID(), Tokens: c.attrs.PromptTokens(),
-		Stream: c.route.Stream, TargetLatency: c.route.TargetLatency(), Avoid: slices.Concat(c.avoid, c.refusedBy),
+		Stream: c.route.Stream, TargetLatency: c.route.TargetLatency(), Avoid: slices.Concat(c.avoid, c.refusedBy), BodyBytes: int64(len(c.body)),
 		Events: c.config.eventCount(c.service, c.attrs.OutputEstimate),
 	}
 }
--- a/internal/gateway/reader_test.go
+++ b/internal/gateway/reader_test.go
@@ -18,7 +18,9 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/greengagestep/greengagestep/internal/overload"
+	"github.com/greengagestep/greengagestep/internal/placement"
 	"github.com/greengagestep/greengagestep/pkg/arrangement"
+	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
 // ask sends a request on a new connection and reads nothing.
@@ -325,3 +327,41 @@
 		})
 	}
 }
+
+// An endpoint takes only the beginning of a long body and sends nothing, and the request has no time
+// limit: it waited for good, and held its body. Another endpoint gets the whole body.
+func TestEndpointThatDoesNotReadBodyIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(time.Minute)
+		config := unaryConfig()
+		config.Routes[0].TimeoutMillis = 0
+		g := newTestGateway(t, config)
+		l, err := g.network.Listen()
+		require.NoError(t, err)
+		g.listeners["i-1"] = l
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = conn.Read(make([]byte, 1000))
+			}
+		}()
+		g.balancer.Put(placement.Endpoint{ID: "i-1", EndpointInfo: fleet.EndpointInfo{Service: "portal", Address: l.Addr().String(), Domain: "a", Slots: 1000}})
+		sent := time.Now()
+		// The first endpoint is the only one until the request has been sent.
+		time.AfterFunc(time.Second, func() {
+			g.addEndpoint("i-2", func(r *http.Request, body string, w io.Writer) bool {
+				writeResponse(w, r, http.StatusOK, fmt.Sprint(len(body)))
+				return true
+			})
+		})
+		g.client.Timeout = 30 * time.Second
+		status, body, _ := g.send(100_000, false)
+		require.Equal(t, http.StatusOK, status, body)
+		require.Equal(t, "100000", body)
+		require.WithinDuration(t, sent, time.Now(), 12*time.Second)
+		require.Zero(t, g.handler.Backlog.Bodies())
+	})
+}
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -136,6 +136,7 @@
 	local         Work                  // of requests sent by this instance
 	remote        map[string]remoteWork // of requests sent by other instances, by their address
 	remoteSum     workSum               // of all in remote
+	bodyBytes     int64                 // of large bodies sent by this instance
 	// grants lists the slots that this instance, as the home of the endpoint,
 	// granted to others.
 	grants []pendingGrant
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -30,6 +30,8 @@
 	// TargetLatency is the longest time to the first event or the response that
 	// counts as on time; zero means that none is set.
 	TargetLatency time.Duration
+	// BodyBytes is the length of the body: large ones are spread.
+	BodyBytes int64
 	// Avoid lists the IDs of endpoints that failed the request or refused it.
 	Avoid []string
 }
@@ -255,7 +257,7 @@
 	if s.stalled(now) {
 		cost += stallCostMS
 	}
-	return cost + s.fault.cost(now)
+	return cost + s.bodyCost(r) + s.fault.cost(now)
 }
 
 // loadCostMS is what an endpoint with all slots taken costs more than an empty one, in
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -12,6 +12,7 @@
 	balancer    *Balancer
 	state       *endpointState
 	tokens      int
+	bodyBytes   int64 // of a large body
 	sentAt      time.Time
 	tokensAhead float64 // prompt tokens of earlier requests still to be processed at sentAt
 	unary       bool    // the response is not a stream of events
@@ -38,12 +39,13 @@
 		b.notifyChange(s, Change{To: ConditionUp, Cause: "first request after it was quiet"})
 	}
 	_, ahead := b.totalWork(s, now)
-	run := &Run{balancer: b, state: s, tokens: c.Tokens, sentAt: now, tokensAhead: ahead, unary: !r.Stream, expectedMS: ms(c.Expected) / s.currentSlowdown(now), hostSlowdown: s.currentHostSlowdown(now)}
+	run := &Run{balancer: b, state: s, tokens: c.Tokens, bodyBytes: r.largeBody(), sentAt: now, tokensAhead: ahead, unary: !r.Stream, expectedMS: ms(c.Expected) / s.currentSlowdown(now), hostSlowdown: s.currentHostSlowdown(now)}
 	if s.local.Runs == 0 {
 		s.lastReceived.Store(sinceEpoch(now))
 	}
 	s.local.Runs++
 	s.local.Tokens += c.Tokens
+	s.bodyBytes += run.bodyBytes
 	if len(r.Shared) > 0 {
 		ids := prefixHashes(r.Shared)
 		if s.cache.cachedTokens(r.Shared, now) < tokenCount(r.Shared) {
@@ -166,6 +168,7 @@
 	}
 	r.ended = true
 	r.state.local.Runs--
+	r.state.bodyBytes -= r.bodyBytes
 	if !r.started {
 		r.started = true
 		r.state.local.Tokens -= r.tokens
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -238,7 +238,7 @@
 		result <- req.Write(c.netConn)
 		return result
 	}
-	go func() { result <- req.Write(c.netConn) }()
+	go func() { result <- req.Write(steadyWriter{c}) }()
 	return result
 }
 
