--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -110,10 +110,7 @@
 	require.True(t, g.handler.Use(config, 1))
 	listener, err := n.Listen()
 	require.NoError(t, err)
-	srv := &http.Server{Handler: g.handler, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-		return outlet.NewContext(ctx, c.(*outlet.Conn))
-	}}
-	go func() { _ = srv.Serve(callerListener{listener, g}) }()
+	g.serve(listener)
 	g.client = &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			return n.Dial(ctx, "tcp", listener.Addr().String())
@@ -123,7 +120,6 @@
 		g.handler.Wait()
 		g.client.CloseIdleConnections()
 		g.handler.Pool.Close()
-		_ = srv.Close()
 		for _, l := range g.listeners {
 			_ = l.Close()
 		}
@@ -131,6 +127,15 @@
 	return g
 }
 
+// serve serves callers that connect to a listener until the end of the test.
+func (g *testGateway) serve(l net.Listener) {
+	srv := &http.Server{Handler: g.handler, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		return outlet.NewContext(ctx, c.(*outlet.Conn))
+	}}
+	go func() { _ = srv.Serve(callerListener{l, g}) }()
+	g.t.Cleanup(func() { _ = srv.Close() })
+}
+
 // callerListener accepts the connections of callers.
 type callerListener struct {
 	net.Listener
