--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -128,7 +128,7 @@
 func (c *call) placementRequest() placement.Request {
 	return placement.Request{
 		Service: c.service, Shared: c.attrs.SharedParts(), AffinityKey: c.attrs.LastSharedPartID(), Tokens: c.attrs.PromptTokens(),
-		Stream: c.route.Stream, TargetLatency: c.route.TargetLatency(), Avoid: slices.Concat(c.avoid, c.refusedBy),
+		Stream: c.route.Stream, TargetLatency: c.route.TargetLatency(), Avoid: slices.Concat(c.avoid, c.refusedBy), BodyBytes: int64(len(c.body)),
 		Warm:    c.startRefusals >= maxStartRefusals,
 		Events:  c.config.eventCount(c.service, c.attrs.OutputEstimate),
 		Regions: c.config.allowedRegions(c.route, c.customer),
