--- a/internal/warmup/warmup_test.go
+++ b/internal/warmup/warmup_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -42,19 +43,77 @@
 				used = append(used, now+time.Duration(rapid.Int64Range(0, int64(warmup.GrantLifetime)-1).Draw(t, "delay")))
 			}
 		}
-		bound := l.Rate*max(l.Over, 1) + l.Slack
-		for _, from := range used {
-			n := 0
-			for _, at := range used {
-				if at >= from && at < from+time.Second {
-					n++
+		requireBound(t, l, used)
+	})
+}
+
+// requireBound checks that no second has more starts than allowed.
+func requireBound(t *rapid.T, l warmup.Limit, used []time.Duration) {
+	bound := l.Rate*max(l.Over, 1) + l.Slack
+	for _, from := range used {
+		n := 0
+		for _, at := range used {
+			if at >= from && at < from+time.Second {
+				n++
+			}
+		}
+		require.LessOrEqual(t, float64(n), bound)
+	}
+}
+
+// Cuts and changes of membership make any two of four instances the homes of an endpoint at a time, as
+// often as they like, and instances stand still: they go on with what they knew when they wake.
+func TestNoSecondExceedsBoundWhileHomesChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := warmup.Limit{Rate: 12, Over: 1.5, Slack: 5}
+		var homes [4]struct {
+			warmup.Home
+			views       warmup.Views[bool]
+			pausedUntil time.Duration
+		}
+		var used []time.Duration
+		claims := [warmup.MaxHomes]int{0, 1}
+		nextChange, nextPause := 3*time.Second, 3*time.Second
+		for now := time.Duration(0); now < 12*time.Second; now += 20 * time.Millisecond {
+			if now >= nextChange {
+				claims[rapid.IntRange(0, warmup.MaxHomes-1).Draw(t, "side")] = rapid.IntRange(0, len(homes)-1).Draw(t, "home")
+				nextChange += time.Duration(rapid.IntRange(100, 2500).Draw(t, "change")) * time.Millisecond
+			}
+			if now >= nextPause {
+				homes[rapid.IntRange(0, len(homes)-1).Draw(t, "paused")].pausedUntil = now + time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause"))*time.Millisecond
+				nextPause += time.Duration(rapid.IntRange(100, 2500).Draw(t, "next pause")) * time.Millisecond
+			}
+			for i := range homes {
+				h := &homes[i]
+				if now < h.pausedUntil {
+					continue
+				}
+				// The first request after a pause is decided before the next view.
+				used = appendStart(t, used, &h.Home, &h.views, l, now)
+				claim := slices.Contains(claims[:], i)
+				digest := uint64(1)
+				if claim {
+					digest = 2
 				}
+				h.views.Set(digest, func() bool { return claim }, start.Add(now))
 			}
-			require.LessOrEqual(t, float64(n), bound)
 		}
+		requireBound(t, l, used)
 	})
 }
 
+// appendStart requests a start at a home and adds the time at which it is used.
+func appendStart(t *rapid.T, used []time.Duration, h *warmup.Home, v *warmup.Views[bool], l warmup.Limit, now time.Duration) []time.Duration {
+	views, _, ok := v.Recent(start.Add(now))
+	if !ok || slices.Contains(views, false) {
+		return used
+	}
+	if _, ok := h.Start("i-1", l, start.Add(now)); !ok {
+		return used
+	}
+	return append(used, now+time.Duration(rapid.Int64Range(0, int64(warmup.GrantLifetime)-1).Draw(t, "delay")))
+}
+
 // While callers wait, a home grants its starts at an even pace.
 func TestStartsDoNotBunch(t *testing.T) {
 	l := warmup.Limit{Rate: 12, Over: 1.5, Slack: 5}
