--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -64,21 +64,21 @@
 func (c *call) exchange(ctx context.Context) outcome {
 	run, unavailable := c.h.Balancer.Begin(c.choice, c.placementRequest(), time.Now())
 	if unavailable != "" {
+		c.countExpired(unavailable)
 		return outcome{kind: outcomeUnavailable, reason: fleet.ReasonNoEndpoint, cause: unavailableError(unavailable)}
 	}
 	c.run = run
 	request := c.endpointRequest()
 	request.OnHead = func(a fleet.ResponseAttrs) { run.RecordHead(a, time.Now()) }
 	request.Permit = func() error {
-		switch reason := run.Unavailability(time.Now()); reason {
-		case "", placement.UnavailableDown, placement.UnavailableSilent, placement.UnavailableReturning:
-			// A connection that is ready shows that the endpoint is not down, and the
-			// request is among those that it gets.
-			run.RecordSend(time.Now())
-			return nil
-		default:
+		if err := c.hopeless(time.Now()); err != nil {
+			return err
+		}
+		if reason := run.Permit(time.Now()); reason != "" {
 			return unavailableError(reason)
 		}
+		run.RecordSend(time.Now())
+		return nil
 	}
 	answer, err := c.h.Pool.Send(ctx, c.choice.Endpoint.Address, request, c.attrs.ID)
 	if err != nil {
@@ -109,6 +109,16 @@
 	return o
 }
 
+// countExpired counts a start at a cold endpoint that was not used in time, and a request to an
+// endpoint that became cold after it was chosen.
+func (c *call) countExpired(reason placement.Unavailability) {
+	if reason != placement.UnavailableCold {
+		return
+	}
+	c.startRefusals++
+	c.h.Metrics.Count(gauge.Name("starts_expired_total", "service", c.service))
+}
+
 // unavailableError is the error of an attempt whose endpoint became unavailable after it was
 // chosen.
 type unavailableError placement.Unavailability
@@ -159,8 +169,11 @@
 	r := placement.ResultUnreachable
 	var unavailable unavailableError
 	switch {
+	case errors.Is(err, errNoTimeLeft), errors.Is(err, errCallerLeft):
+		o.reason, r = fleet.ReasonDeadline, placement.ResultCanceled
 	case errors.As(err, &unavailable):
 		o.kind, r = outcomeUnavailable, placement.ResultCanceled
+		c.countExpired(placement.Unavailability(unavailable))
 	case ctx.Err() != nil:
 		r = placement.ResultCanceled
 	case f.Reached:
@@ -277,7 +290,7 @@
 	c.recordFirst(run)
 	c.sendHeaders(a)
 	if _, err := c.w.Write(head); err != nil {
-		return c.abort(a, err)
+		return callerFailed(err)
 	}
 	if len(head) < maxBufferedResponseBytes {
 		return c.finish(a)
@@ -287,7 +300,7 @@
 	for {
 		n, err := a.Read(buf[:])
 		if _, werr := c.w.Write(buf[:n]); werr != nil {
-			return c.abort(a, werr)
+			return callerFailed(werr)
 		}
 		if err == io.EOF {
 			return c.finish(a)
@@ -312,7 +325,7 @@
 	}
 }
 
-// finish records a response that was relayed to its end. One that ends with its connection
+// finish returns the outcome of a response that was relayed to its end. One that ends with its connection
 // may have been ended by a crash.
 func (c *call) finish(a *upstream.Answer) outcome {
 	if a.Framed || c.lastAttempt.Running() {
@@ -320,12 +333,11 @@
 	} else {
 		c.probeForCrash()
 	}
-	c.recordEnd(a.StatusCode, "answer", "")
 	var cause error
 	if a.StatusCode >= 500 {
 		cause = fmt.Errorf("status %d", a.StatusCode)
 	}
-	return outcome{kind: outcomeDone, cause: cause}
+	return outcome{kind: outcomeDone, cause: cause, status: a.StatusCode}
 }
 
 // abort returns the outcome of a response that was cut off after its headers were sent. The
