--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -193,6 +193,7 @@
 	if i.Lag == nil {
 		i.Lag = i.lagMeter.Lag
 	}
+	i.balancer.Lag = i.Lag
 	i.ledger = &admission.Ledger{}
 	i.quarantine = quarantine.New(&audit.Trail{Instance: i.Name, Logger: i.logger})
 	i.handler = &gateway.Handler{
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -31,6 +31,9 @@
 	// Instances returns how many instances send to the endpoints; nil means
 	// that only this one does.
 	Instances func() int
+	// Lag returns by how much this process is behind at the moment, the time for which what has
+	// arrived waits to be read; nil means that it never is. It must not call the balancer.
+	Lag func() time.Duration
 	// OnChange is called, with the balancer locked, when the condition of an
 	// endpoint changes; nil is allowed.
 	OnChange func(c Change)
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -21,6 +21,7 @@
 	expectedMS  float64 // milliseconds to the first event or the response, without the endpoint's slowdown
 	// hostSlowdown is that of the endpoint's machine when the request was sent.
 	hostSlowdown float64
+	lagging      bool // the process was behind when the request was sent
 }
 
 // Begin records that a request is sent to the endpoint of a choice. If the endpoint has become
@@ -38,7 +39,7 @@
 		b.notifyChange(s, Change{To: ConditionUp, Cause: "first request after it was quiet"})
 	}
 	_, ahead := b.totalWork(s, now)
-	run := &Run{balancer: b, state: s, tokens: c.Tokens, sentAt: now, tokensAhead: ahead, unary: !r.Stream, expectedMS: ms(c.Expected) / s.currentSlowdown(now), hostSlowdown: s.currentHostSlowdown(now)}
+	run := &Run{balancer: b, state: s, tokens: c.Tokens, sentAt: now, tokensAhead: ahead, unary: !r.Stream, expectedMS: ms(c.Expected) / s.currentSlowdown(now), hostSlowdown: s.currentHostSlowdown(now), lagging: b.lagging()}
 	if s.local.Runs == 0 {
 		s.lastReceived.Store(sinceEpoch(now))
 	}
@@ -118,6 +119,10 @@
 	if !r.balancer.valid(r.state, MeasurementFirst, took) {
 		return
 	}
+	if r.lagging || r.balancer.lagging() {
+		// The time was spent in this process, not at the endpoint.
+		return
+	}
 	// What the machine does at the moment is not learned as a property of the endpoint or
 	// of the service, nor is a silence.
 	tookMS := ms(took) / ((r.hostSlowdown + r.state.currentHostSlowdown(now)) / 2)
@@ -127,6 +132,13 @@
 	r.state.slowdownAt = now
 }
 
+// maxLearnedLag is the lag of this process up to which the times of responses say something of the
+// endpoints: it is short beside the waits that admission tells apart.
+const maxLearnedLag = 20 * time.Millisecond
+
+// lagging reports whether this process is too far behind to measure times of endpoints.
+func (b *Balancer) lagging() bool { return b.Lag != nil && b.Lag() > maxLearnedLag }
+
 // RecordStream records the number of events in a stream after the first one, which came at
 // from, and when they ended. Streams of fewer than minStreamEvents events are ignored.
 func (r *Run) RecordStream(events int, from, to time.Time) {
