gateway: fleets of nine and more instances reserve before every stream

With wait 0 and fewer than two requests known at the endpoint still 16 %: in fleets of over eight peers three messages of four leave out the work at endpoints of which the receiver is not the home, so that several instances take the same idle endpoint at once. Partial reports just that; Sparse stays for the ring.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -65,7 +65,7 @@
 	if c.h.Homes == nil || !c.route.Stream {
 		return true
 	}
-	if !c.h.Homes.Sparse() && c.choice.Wait == 0 && c.choice.Runs < lowLoadFraction*float64(c.choice.Endpoint.Slots) {
+	if !c.h.Homes.Partial() && c.choice.Wait == 0 && c.choice.Runs < lowLoadFraction*float64(c.choice.Endpoint.Slots) {
 		return true
 	}
 	c.grant = c.h.Homes.Reserve(ctx, fleet.Reservation{Endpoint: c.choice.Endpoint.ID, Tokens: c.choice.Tokens, MaxWait: limit})
--- a/internal/gateway/config_change_test.go
+++ b/internal/gateway/config_change_test.go
@@ -27,7 +27,7 @@
 	return fleet.GrantAccepted
 }
 
-func (slowHomes) Sparse() bool { return true }
+func (slowHomes) Partial() bool { return true }
 
 // A configuration that comes into force while a request is in progress must not end it, whatever the
 // request waits for: a later version removes its route, its service or its key, or shortens its limits.
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -176,7 +176,7 @@
 func (f homesFunc) Reserve(_ context.Context, r fleet.Reservation) fleet.ReservationResult {
 	return f(r)
 }
-func (homesFunc) Sparse() bool { return true }
+func (homesFunc) Partial() bool { return true }
 
 // An endpoint says that it leaves while a request waits for a slot there: the request moves to
 // another endpoint, although the slot is granted.
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -24,7 +24,7 @@
 	return fleet.GrantNoAnswer
 }
 
-func (silentHomes) Sparse() bool { return true }
+func (silentHomes) Partial() bool { return true }
 
 // The instance ends while requests are in progress: they were cut off without an answer. Those that
 // have not run are refused, those that may have run get an error status, and a stream whose beginning
--- a/internal/peer/home.go
+++ b/internal/peer/home.go
@@ -117,6 +117,14 @@
 	return pack(work), true
 }
 
+// Partial implements fleet.Homes: most messages of the others leave out the work at endpoints of
+// which this instance is not the home.
+func (x *Exchange) Partial() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.sparse || len(x.peers) > maxPeersFullWork
+}
+
 // Reserve implements fleet.Homes.
 func (x *Exchange) Reserve(ctx context.Context, r fleet.Reservation) fleet.ReservationResult {
 	now := time.Now()
--- a/internal/peer/ring.go
+++ b/internal/peer/ring.go
@@ -123,7 +123,7 @@
 }
 
 // Sparse reports whether this instance exchanges messages with some of the others only, so
-// that it knows little of the requests that they send. It implements fleet.Homes.
+// that it knows little of the requests that they send.
 func (x *Exchange) Sparse() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/pkg/fleet/reservation.go
+++ b/pkg/fleet/reservation.go
@@ -37,7 +37,7 @@
 	// Reserve sends a reservation to the home of its endpoint. A reservation
 	// expires after a short time, so the request must be sent immediately.
 	Reserve(ctx context.Context, r Reservation) ReservationResult
-	// Sparse reports whether this instance learns little of the requests that others
-	// send: then only the home knows whether an endpoint has free capacity.
-	Sparse() bool
+	// Partial reports whether this instance learns late, or nothing, of requests that
+	// others send: then only the home knows whether an endpoint has free capacity.
+	Partial() bool
 }
