placement: a second endpoint within the admitted wait, where it costs the others less than a refusal

Choose now also keeps the cheapest endpoint within the limit, and takes it if own >= pressure x (own + extra): milliseconds that the request occupies an endpoint, those for reading again, and the mean wait at the service's endpoints in proportion to the limit, as the probability that others need that time. Comparison begins at a random endpoint: all instances always compared the first of the list. Counter placements_total{service,weighing}; line refusals on the default level, once a second for each service.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -39,6 +39,9 @@
 	// Request is logged once for each request, with the outcome that its caller
 	// received.
 	Request = "request"
+	// Refusals is logged at most once a second for each service while requests are refused
+	// because they would wait too long.
+	Refusals = "refusals"
 	// Panic is logged with the stack when an unexpected error ended a background task
 	// of the instance.
 	Panic = "panic"
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -25,6 +25,11 @@
 // request has been ended with an error.
 func (c *call) chooseEndpoint(ctx context.Context) bool {
 	for {
+		if c.runs == 0 {
+			c.maxWait = c.h.Ledger.MaxQueueWait(c.admissionRequest(), time.Now())
+		} else {
+			c.maxWait = 0
+		}
 		choice, ok := c.h.Balancer.Choose(c.placementRequest(), time.Now())
 		if !ok && len(c.refusedBy) > 0 {
 			c.fail(outcome{kind: outcomeNotRun, reason: fleet.ReasonQueueFull})
@@ -54,12 +59,12 @@
 // learn of each other's requests with a delay and could overload the endpoint together.
 func (c *call) admit(ctx context.Context) bool {
 	c.grant = ""
-	r := admission.Request{Customer: c.customer, TargetLatency: c.config.targetLatencies[c.service], PastTarget: c.pastTarget}
-	limit := c.h.Ledger.MaxQueueWait(r, time.Now())
-	c.maxWait = limit
-	if c.choice.Wait > limit {
-		c.h.Metrics.Count(gauge.Name("waits_refused_total", "service", c.service, "bound", string(admission.BoundOf(r, limit)),
-			"shorter", strconv.FormatBool(c.choice.LeastWait <= limit)))
+	c.h.Metrics.Count(gauge.Name("placements_total", "service", c.service, "weighing", string(c.choice.Weighing)))
+	if c.choice.Weighing == placement.WeighingOver {
+		bound := admission.BoundOf(c.admissionRequest(), c.maxWait)
+		c.h.Metrics.Count(gauge.Name("waits_refused_total", "service", c.service, "bound", string(bound),
+			"shorter", strconv.FormatBool(c.choice.LeastWait <= c.maxWait)))
+		c.h.refusals.record(c, bound, time.Now())
 		return false
 	}
 	if c.h.Homes == nil || !c.route.Stream {
@@ -68,7 +73,7 @@
 	if !c.h.Homes.Partial() && c.choice.Wait == 0 && c.choice.Runs < lowLoadFraction*float64(c.choice.Endpoint.Slots) {
 		return true
 	}
-	c.grant = c.h.Homes.Reserve(ctx, fleet.Reservation{Endpoint: c.choice.Endpoint.ID, Tokens: c.choice.Tokens, MaxWait: limit})
+	c.grant = c.h.Homes.Reserve(ctx, fleet.Reservation{Endpoint: c.choice.Endpoint.ID, Tokens: c.choice.Tokens, MaxWait: c.maxWait})
 	c.h.Metrics.Count(gauge.Name("reservations_total", "answer", string(c.grant)))
 	if c.grant != fleet.GrantRefused {
 		return true
@@ -79,10 +84,14 @@
 	return false
 }
 
+func (c *call) admissionRequest() admission.Request {
+	return admission.Request{Customer: c.customer, TargetLatency: c.config.targetLatencies[c.service], PastTarget: c.pastTarget}
+}
+
 func (c *call) placementRequest() placement.Request {
 	return placement.Request{
 		Service: c.service, Shared: c.attrs.SharedParts(), AffinityKey: c.attrs.LastSharedPartID(), Tokens: c.attrs.PromptTokens(),
-		Stream: c.route.Stream, TargetLatency: c.route.TargetLatency(), Avoid: slices.Concat(c.avoid, c.refusedBy),
+		Stream: c.route.Stream, TargetLatency: c.route.TargetLatency(), Avoid: slices.Concat(c.avoid, c.refusedBy), MaxWait: c.maxWait,
 		Events: c.config.eventCount(c.service, c.attrs.OutputEstimate),
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,7 @@
 	crashProbes sync.WaitGroup // running probes of endpoints that closed a connection early
 	stopping    atomic.Pointer[ShutdownTimes]
 	bodyReads   bodyReads
+	refusals    refusalLog
 	ending      endSignal
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -30,6 +30,9 @@
 	// TargetLatency is the longest time to the first event or the response that
 	// counts as on time; zero means that none is set.
 	TargetLatency time.Duration
+	// MaxWait is the longest wait before its own work begins for which the request
+	// is admitted; zero means that there is no limit.
+	MaxWait time.Duration
 	// Avoid lists the IDs of endpoints that failed the request or refused it.
 	Avoid []string
 }
@@ -43,6 +46,11 @@
 	Wait time.Duration
 	// LeastWait is the shortest wait at the endpoints that were compared.
 	LeastWait time.Duration
+	// Weighing is how the cached tokens were weighed against the wait.
+	Weighing Weighing
+	// Pressure is the mean wait at the endpoints of the service in proportion to the
+	// longest one that the request may have, from 0 to 1.
+	Pressure float64
 	// MissingTokens is how many tokens of shared parts the endpoint has not
 	// cached and has to process.
 	MissingTokens int
@@ -100,7 +108,9 @@
 
 // Choose returns the endpoint with the least cost for a request, or false if none is
 // usable. It compares the preferred endpoints of the request, those that have cached all
-// its shared parts, and a random sample of the others.
+// its shared parts, and a random sample of the others. If the wait is too long there, it returns
+// the one with the least cost among those where it is not, provided that this is worth the prompt
+// tokens that are read again.
 func (b *Balancer) Choose(r Request, now time.Time) (Choice, bool) {
 	instances := 1
 	if b.Instances != nil {
@@ -112,25 +122,51 @@
 	defer b.mu.Unlock()
 	list := b.services[r.Service]
 	first, second := preferredEndpoints(list, r, now)
+	m := b.latencyModel(r.Service)
 	best, found := Choice{}, false
-	least := math.Inf(1)
+	near, nearFound := Choice{}, false // of those with an admitted wait
+	least, nearLeast := math.Inf(1), math.Inf(1)
 	leastWait := time.Duration(math.MaxInt64)
 	usable := 0
 	probability := sampleProbability(len(list), instances)
-	for _, s := range list {
+	offset := 0
+	if len(list) > 0 {
+		// The first one is always compared, and must not be the same for all.
+		offset = rand.IntN(len(list))
+	}
+	for i := range list {
+		s := list[(i+offset)%len(list)]
 		if !s.usable(now) || slices.Contains(r.Avoid, s.ID) {
 			continue
 		}
 		usable++
-		if found && s != first && s != second && !s.cachesAllShared(r, now) && rand.Float64() > probability {
+		sampled := !found || rand.Float64() <= probability
+		if !sampled && s != first && s != second && !s.cachesAllShared(r, now) {
 			continue
 		}
 		c := b.estimate(s, r, now)
+		if sampled {
+			m.meanWait.add(c.Wait, now)
+		}
 		leastWait = min(leastWait, c.Wait)
-		if cost := b.cost(s, c, r, affinityFactor(s, first, second), now); cost < least {
+		cost := b.cost(s, c, r, affinityFactor(s, first, second), now)
+		if cost < least {
 			best, least, found = c, cost, true
 		}
+		if r.MaxWait > 0 && c.Wait <= r.MaxWait && cost < nearLeast {
+			near, nearLeast, nearFound = c, cost, true
+		}
+	}
+	best.Weighing = WeighingKept
+	pressure := m.meanWait.pressure(r.MaxWait, now)
+	if r.MaxWait > 0 && best.Wait > r.MaxWait {
+		best.Weighing = WeighingOver
+		if nearFound && b.newDetour(best, near, r, pressure).pays() {
+			best = near
+			best.Weighing = WeighingMoved
+		}
 	}
+	best.Pressure = pressure
 	best.Listed, best.Usable = len(list), usable
 	if found {
 		best.LeastWait = leastWait
--- /dev/null
+++ b/internal/placement/weigh.go
@@ -0,0 +1,76 @@
+package placement
+
+import "time"
+
+// Weighing is how the prompt tokens that an endpoint has cached were weighed against the wait there.
+type Weighing string
+
+// The weighings. WeighingKept means that the endpoint with the least cost admits the request,
+// WeighingMoved that another one was taken because the wait there is shorter than the longest that
+// the request may have, and WeighingOver that no endpoint with such a wait is worth its extra reading,
+// or none was found.
+const (
+	WeighingKept  Weighing = "kept"
+	WeighingMoved Weighing = "moved"
+	WeighingOver  Weighing = "over"
+)
+
+// detour is a request that would have to wait too long at the endpoint with the least cost and could be
+// sent to another one.
+type detour struct {
+	// own is the time, in milliseconds, for which the request occupies the first
+	// endpoint, extra how much longer it occupies the other one, since it reads
+	// again there what the first has cached.
+	own, extra float64
+	// pressure is the probability that the time at the other endpoint is needed by requests that
+	// would find their prompts cached: from 0, while endpoints are idle, to 1, while all requests wait as
+	// long as this one may.
+	pressure float64
+}
+
+// pays reports whether the detour is better for all callers than refusing the request. A refused
+// caller loses about as much as any other that takes its time at the endpoint would. With the
+// probability pressure, own+extra milliseconds serve others of that much work; the detour serves work
+// of own milliseconds.
+func (d detour) pays() bool { return d.own >= d.pressure*(d.own+d.extra) }
+
+// pressureGain smooths the mean wait at the endpoints of a service over some fifty endpoints that were
+// compared; pressureDecayTime is how long it counts while none are.
+const (
+	pressureGain      = 0.02
+	pressureDecayTime = time.Second
+)
+
+// meanWait tracks the wait of a new request at a random endpoint of a service, in milliseconds.
+type meanWait struct {
+	value float64
+	at    time.Time
+}
+
+func (w *meanWait) add(wait time.Duration, now time.Time) {
+	w.value += pressureGain * (ms(wait) - w.value)
+	w.at = now
+}
+
+// pressure returns the mean wait in proportion to the longest one that a request may have, at most 1.
+// It is 0 if there is no longest one.
+func (w *meanWait) pressure(longest time.Duration, now time.Time) float64 {
+	if w.at.IsZero() || now.Sub(w.at) > pressureDecayTime {
+		return 0
+	}
+	if longest <= 0 {
+		return 0
+	}
+	return min(w.value/ms(longest), 1)
+}
+
+// newDetour compares the endpoint with the least cost with another one.
+func (b *Balancer) newDetour(first, other Choice, r Request, pressure float64) detour {
+	m := b.latencyModel(r.Service)
+	stream := r.Events * m.eventIntervalMS / float64(max(first.Endpoint.Slots, 1))
+	return detour{
+		own:      float64(first.Tokens)/m.tokensPerMS + stream,
+		extra:    float64(other.Tokens-first.Tokens) / m.tokensPerMS,
+		pressure: pressure,
+	}
+}
