placement: detours go by how many endpoints are busy

The pressure is now the fraction of busy endpoints, or the mean wait in proportion to the limit, whichever is larger.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -48,8 +48,8 @@
 	LeastWait time.Duration
 	// Weighing is how the cached tokens were weighed against the wait.
 	Weighing Weighing
-	// Pressure is the mean wait at the endpoints of the service in proportion to the
-	// longest one that the request may have, from 0 to 1.
+	// Pressure is the probability that the time of an endpoint of the service is needed
+	// by others.
 	Pressure float64
 	// MissingTokens is how many tokens of shared parts the endpoint has not
 	// cached and has to process.
@@ -146,7 +146,7 @@
 		}
 		c := b.estimate(s, r, now)
 		if sampled {
-			m.meanWait.add(c.Wait, now)
+			m.utilization.add(c.Wait, now)
 		}
 		leastWait = min(leastWait, c.Wait)
 		cost := b.cost(s, c, r, affinityFactor(s, first, second), now)
@@ -158,7 +158,7 @@
 		}
 	}
 	best.Weighing = WeighingKept
-	pressure := m.meanWait.pressure(r.MaxWait, now)
+	pressure := m.utilization.pressure(r.MaxWait, now)
 	if r.MaxWait > 0 && best.Wait > r.MaxWait {
 		best.Weighing = WeighingOver
 		if nearFound && b.newDetour(best, near, r, pressure).pays() {
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -213,7 +213,7 @@
 	requestMS       float64 // milliseconds that a request takes in all
 	eventIntervalMS float64 // milliseconds between two events of a stream
 	biasMS          float64 // milliseconds by which first events come later than expected
-	meanWait        meanWait
+	utilization     utilization
 	// biasAt is when biasMS was last updated: it decays, since nothing new is
 	// learned while all requests are refused.
 	biasAt time.Time
--- a/internal/placement/weigh.go
+++ b/internal/placement/weigh.go
@@ -23,8 +23,8 @@
 	// again there what the first has cached.
 	own, extra float64
 	// pressure is the probability that the time at the other endpoint is needed by requests that
-	// would find their prompts cached: from 0, while endpoints are idle, to 1, while all requests wait as
-	// long as this one may.
+	// would find their prompts cached: from 0, while endpoints are idle, to 1, while all are busy or
+	// requests wait as long as this one may.
 	pressure float64
 }
 
@@ -34,34 +34,37 @@
 // of own milliseconds.
 func (d detour) pays() bool { return d.own >= d.pressure*(d.own+d.extra) }
 
-// pressureGain smooths the mean wait at the endpoints of a service over some fifty endpoints that were
+// pressureGain smooths what is known of the endpoints of a service over some fifty that were
 // compared; pressureDecayTime is how long it counts while none are.
 const (
 	pressureGain      = 0.02
 	pressureDecayTime = time.Second
 )
 
-// meanWait tracks the wait of a new request at a random endpoint of a service, in milliseconds.
-type meanWait struct {
-	value float64
-	at    time.Time
+// utilization tracks how busy a random endpoint of a service is.
+type utilization struct {
+	wait float64 // mean wait of a new request, in milliseconds
+	busy float64 // fraction of the endpoints at which it would wait at all
+	at   time.Time
 }
 
-func (w *meanWait) add(wait time.Duration, now time.Time) {
-	w.value += pressureGain * (ms(wait) - w.value)
-	w.at = now
+func (u *utilization) add(wait time.Duration, now time.Time) {
+	busy := 0.0
+	if wait > 0 {
+		busy = 1
+	}
+	u.wait += pressureGain * (ms(wait) - u.wait)
+	u.busy += pressureGain * (busy - u.busy)
+	u.at = now
 }
 
-// pressure returns the mean wait in proportion to the longest one that a request may have, at most 1.
-// It is 0 if there is no longest one.
-func (w *meanWait) pressure(longest time.Duration, now time.Time) float64 {
-	if w.at.IsZero() || now.Sub(w.at) > pressureDecayTime {
-		return 0
-	}
-	if longest <= 0 {
+// pressure returns the fraction of the endpoints that are busy or, if it is larger, the mean wait in proportion
+// to the longest one that a request may have, at most 1. It is 0 if there is no longest one.
+func (u *utilization) pressure(longest time.Duration, now time.Time) float64 {
+	if longest <= 0 || u.at.IsZero() || now.Sub(u.at) > pressureDecayTime {
 		return 0
 	}
-	return min(w.value/ms(longest), 1)
+	return max(u.busy, min(u.wait/ms(longest), 1))
 }
 
 // newDetour compares the endpoint with the least cost with another one.
