placement: what a service takes is learned from the first answers

Cause: an instance of a large fleet sees few answers; speed, base time and duration were smoothed over fifty, beginning at assumed values. The first answers now count as in a mean, with ten for the assumed values.

--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -197,6 +197,15 @@
 	r.balancer.recordResult(r.state, result, now)
 }
 
+// sampleGain counts a sample and returns its weight: as in a mean while there are few, and least from then on.
+func sampleGain(samples *int, least float64) float64 {
+	*samples++
+	return max(1/float64(*samples+priorSamples), least)
+}
+
+// priorSamples is how many samples the values assumed before the first count for.
+const priorSamples = 10
+
 const (
 	// slowdownGain smooths an endpoint's slowdown over some twenty requests;
 	// minSlowdown and maxSlowdown bound it.
@@ -217,6 +226,8 @@
 	// biasAt is when biasMS was last updated: it decays, since nothing new is
 	// learned while all requests are refused.
 	biasAt time.Time
+
+	baseSamples, rateSamples, requestSamples int
 }
 
 const (
@@ -225,7 +236,7 @@
 	initialBaseMS      = 40
 	initialTokensPerMS = 90
 	initialRequestMS   = 500
-	// modelGain smooths the model over some fifty requests.
+	// modelGain smooths the model over some fifty requests once there were as many.
 	modelGain = 0.02
 	// biasGain smooths the bias over some thirty requests; maxBiasMS bounds what
 	// one request contributes, in milliseconds.
@@ -262,10 +273,10 @@
 	work := r.tokensAhead + float64(r.tokens)
 	switch {
 	case r.unary || work < maxTokensForBase:
-		m.baseMS += modelGain * (min(tookMS, 4*m.baseMS) - m.baseMS)
+		m.baseMS += sampleGain(&m.baseSamples, modelGain) * (min(tookMS, 4*m.baseMS) - m.baseMS)
 	case work > minTokensForRate && tookMS > m.baseMS:
 		rate := min(max(work/(tookMS-m.baseMS), minTokensPerMS), maxTokensPerMS)
-		m.tokensPerMS += modelGain * (min(rate, 2*m.tokensPerMS) - m.tokensPerMS)
+		m.tokensPerMS += sampleGain(&m.rateSamples, modelGain) * (min(rate, 2*m.tokensPerMS) - m.tokensPerMS)
 	}
 }
 
@@ -307,5 +318,5 @@
 }
 
 func (m *latencyModel) observeDuration(tookMS float64) {
-	m.requestMS += modelGain * (tookMS - m.requestMS)
+	m.requestMS += sampleGain(&m.requestSamples, modelGain) * (tookMS - m.requestMS)
 }
