--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -19,6 +19,8 @@
 	// lowLoadFraction is the fraction of an endpoint's slots in use below which a
 	// request is sent without a reservation, provided that it would not wait there.
 	lowLoadFraction = 0.5
+	// boundHome is what set the wait of a request that the homes of the endpoints refused.
+	boundHome = "home"
 )
 
 // chooseEndpoint selects an endpoint that admits the request. If it returns false, the
@@ -48,6 +50,9 @@
 			return true
 		}
 		if c.grant != fleet.GrantRefused || len(c.refusedBy) == maxReservations {
+			if c.grant == fleet.GrantRefused {
+				c.h.refusals.record(c, boundHome, time.Now())
+			}
 			c.fail(outcome{kind: outcomeNotRun, reason: fleet.ReasonQueueFull})
 			return false
 		}
@@ -64,7 +69,7 @@
 		bound := admission.BoundOf(c.admissionRequest(), c.maxWait)
 		c.h.Metrics.Count(gauge.Name("waits_refused_total", "service", c.service, "bound", string(bound),
 			"shorter", strconv.FormatBool(c.choice.LeastWait <= c.maxWait)))
-		c.h.refusals.record(c, bound, time.Now())
+		c.h.refusals.record(c, string(bound), time.Now())
 		return false
 	}
 	if c.h.Homes == nil || !c.route.Stream {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/greengagestep/greengagestep/internal/admission"
 	"github.com/greengagestep/greengagestep/internal/event"
 )
 
@@ -27,13 +26,13 @@
 }
 
 // record counts the refusal of a request and logs it if the last line on its service is old enough.
-func (l *refusalLog) record(c *call, bound admission.Bound, now time.Time) {
+func (l *refusalLog) record(c *call, bound string, now time.Time) {
 	count, due := l.add(c.service, now)
 	if !due {
 		return
 	}
 	c.h.Logger.Info(event.Refusals, zap.String("service", c.service), zap.Int("count", count), zap.String("customer", c.customer),
-		zap.String("bound", string(bound)), zap.Duration("wait", c.choice.Wait), zap.Duration("least", c.choice.LeastWait),
+		zap.String("bound", bound), zap.Duration("wait", c.choice.Wait), zap.Duration("least", c.choice.LeastWait),
 		zap.Duration("limit", c.maxWait), zap.Float64("pressure", c.choice.Pressure), zap.Int("usable", c.choice.Usable))
 }
 
