placement: detours yield to what is refused for lack of capacity

Cause: in a lasting shortage an endpoint that idles for a moment is needed by requests that were refused and find their prompts cached elsewhere; utilization alone does not show them. Ledger.Shortage gives the tokens refused for each token served, over all instances; it is the least pressure of a detour. TestShortageKeepsEndpointsForCachedPrompts names the load (a new field: does not compile before).

--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -47,6 +47,7 @@
 	served      map[string]*decayingRate
 	remote      map[string]remoteUsage // by instance
 	fairShare   float64                // in tokens per second
+	shortage    float64                // see Shortage
 	usage       map[string]Usage       // by customer, over all instances
 	refreshedAt time.Time
 }
@@ -182,6 +183,26 @@
 		}
 	}
 	l.fairShare = maxMinFairShare(l.usage)
+	demand, served := 0.0, 0.0
+	for _, u := range l.usage {
+		demand += u.Demand
+		served += u.Served
+	}
+	l.shortage = 0
+	if demand > served {
+		l.shortage = min((demand-served)/max(served, minTokensPerS), 1)
+	}
+}
+
+// Shortage returns the probability that capacity which becomes free is taken at once by a request that is refused
+// otherwise: the tokens that are refused for each token served, over all instances, at most 1.
+func (l *Ledger) Shortage(now time.Time) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.refreshedAt) > fairShareTTL {
+		l.refresh(now)
+	}
+	return l.shortage
 }
 
 // maxMinFairShare solves sum(min(demand, fairShare)) = sum(served) for fairShare.
--- a/internal/admission/ledger_test.go
+++ b/internal/admission/ledger_test.go
@@ -197,3 +197,16 @@
 	}
 	require.Equal(t, admission.BoundTarget, admission.BoundOf(admission.Request{}, l.MaxQueueWait(admission.Request{}, now)))
 }
+
+// Load: requests are refused at all instances. Whoever weighs what capacity is worth learns how much is refused
+// for what is served, wherever that is.
+func TestShortageCountsAllInstances(t *testing.T) {
+	for _, c := range []struct{ demand, served, shortage float64 }{
+		{0, 0, 0}, {1000, 1000, 0}, {1000, 1200, 0}, {1200, 1000, 0.2}, {3000, 1000, 1}, {3000, 0, 1},
+	} {
+		l := &admission.Ledger{}
+		l.SetRemoteUsage("a", map[string]admission.Usage{"x": {Demand: c.demand / 2, Served: c.served}}, start)
+		l.SetRemoteUsage("b", map[string]admission.Usage{"y": {Demand: c.demand / 2}}, start)
+		require.InDelta(t, c.shortage, l.Shortage(start), 0.01, "%v", c)
+	}
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -97,6 +97,7 @@
 	return placement.Request{
 		Service: c.service, Shared: c.attrs.SharedParts(), AffinityKey: c.attrs.LastSharedPartID(), Tokens: c.attrs.PromptTokens(),
 		Stream: c.route.Stream, TargetLatency: c.route.TargetLatency(), Avoid: slices.Concat(c.avoid, c.refusedBy), MaxWait: c.maxWait,
-		Events: c.config.eventCount(c.service, c.attrs.OutputEstimate),
+		Shortage: c.h.Ledger.Shortage(time.Now()),
+		Events:   c.config.eventCount(c.service, c.attrs.OutputEstimate),
 	}
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -33,6 +33,9 @@
 	// MaxWait is the longest wait before its own work begins for which the request
 	// is admitted; zero means that there is no limit.
 	MaxWait time.Duration
+	// Shortage is the probability that time of an endpoint which becomes free is taken at once by a
+	// request that is refused otherwise.
+	Shortage float64
 	// Avoid lists the IDs of endpoints that failed the request or refused it.
 	Avoid []string
 }
@@ -158,7 +161,7 @@
 		}
 	}
 	best.Weighing = WeighingKept
-	pressure := m.utilization.pressure(r.MaxWait, now)
+	pressure := max(m.utilization.pressure(r.MaxWait, now), r.Shortage)
 	if r.MaxWait > 0 && best.Wait > r.MaxWait {
 		best.Weighing = WeighingOver
 		if nearFound && b.newDetour(best, near, r, pressure).pays() {
--- a/internal/placement/weigh.go
+++ b/internal/placement/weigh.go
@@ -23,8 +23,8 @@
 	// again there what the first has cached.
 	own, extra float64
 	// pressure is the probability that the time at the other endpoint is needed by requests that
-	// would find their prompts cached: from 0, while endpoints are idle, to 1, while all are busy or
-	// requests wait as long as this one may.
+	// would find their prompts cached: from 0, while endpoints are idle, to 1, while all are busy,
+	// requests wait as long as this one may, or as much is refused as served.
 	pressure float64
 }
 
--- a/internal/placement/weigh_test.go
+++ b/internal/placement/weigh_test.go
@@ -89,3 +89,17 @@
 	require.Equal(t, placement.WeighingOver, c.Weighing)
 	require.Greater(t, c.LeastWait, r.MaxWait)
 }
+
+// Load: a lasting shortage in which as much is refused as served. An endpoint that idles for a moment is not
+// used for reading again what another one has cached: those who are refused need it more. One that would read
+// the same at both is moved.
+func TestShortageKeepsEndpointsForCachedPrompts(t *testing.T) {
+	r := newRequest(7)
+	r.MaxWait, r.Shortage = 150*time.Millisecond, 1
+	c, ok := cachedAt(t, 10, r).Choose(r, start)
+	require.True(t, ok)
+	require.Equal(t, placement.WeighingOver, c.Weighing)
+	r.Shortage = 0.1
+	c, _ = cachedAt(t, 10, r).Choose(r, start)
+	require.Equal(t, placement.WeighingMoved, c.Weighing)
+}
