--- a/internal/command/where.go
+++ b/internal/command/where.go
@@ -115,9 +115,9 @@
 	case t.Refused != "":
 		return fmt.Sprintf("refused, %s; admitted %s", t.Refused, limit)
 	case t.Asks:
-		return fmt.Sprintf("%s, after a grant of its home; admitted %s", t.Candidates[0].Endpoint, limit)
+		return fmt.Sprintf("%s (%s), after a grant of its home; admitted %s", t.Endpoint, t.Weighing, limit)
 	}
-	return fmt.Sprintf("%s; admitted %s", t.Candidates[0].Endpoint, limit)
+	return fmt.Sprintf("%s (%s); admitted %s", t.Endpoint, t.Weighing, limit)
 }
 
 // formatAge formats an age in milliseconds; a negative one means that there is none.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -44,6 +44,9 @@
 	// CallerGivenUp is logged when the connection of a caller is closed because it reads too little of
 	// its response.
 	CallerGivenUp = "unread"
+	// Refusals is logged at most once a second for each service while requests are refused
+	// because they would wait too long.
+	Refusals = "refusals"
 	// Panic is logged with the stack when an unexpected error ended a background task
 	// of the instance.
 	Panic = "panic"
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -24,12 +24,19 @@
 	// lowLoadFraction is the fraction of an endpoint's slots in use below which a
 	// request is sent without a reservation, provided that it would not wait there.
 	lowLoadFraction = 0.5
+	// boundHome is what set the wait of a request that the homes of the endpoints refused.
+	boundHome = "home"
 )
 
 // chooseEndpoint selects an endpoint that admits the request. If it returns false, the
 // request has been ended with an error.
 func (c *call) chooseEndpoint(ctx context.Context) bool {
 	for {
+		if c.runs == 0 {
+			c.maxWait = c.h.Ledger.MaxQueueWait(c.admissionRequest(), time.Now())
+		} else {
+			c.maxWait = 0
+		}
 		choice, ok := c.h.Balancer.Choose(c.placementRequest(), time.Now())
 		if !ok && len(c.refusedBy) > 0 {
 			c.fail(outcome{kind: outcomeNotRun, reason: fleet.ReasonQueueFull})
@@ -54,6 +61,9 @@
 			continue
 		}
 		if c.grant != fleet.GrantRefused || len(c.refusedBy) == maxReservations {
+			if c.grant == fleet.GrantRefused {
+				c.h.refusals.record(c, boundHome, time.Now())
+			}
 			c.fail(outcome{kind: outcomeNotRun, reason: fleet.ReasonQueueFull})
 			return false
 		}
@@ -65,24 +75,24 @@
 // learn of each other's requests with a delay and could overload the endpoint together.
 func (c *call) admit(ctx context.Context) bool {
 	c.grant = ""
-	r := admission.Request{Customer: c.customer, TargetLatency: c.config.targetLatencies[c.service], PastTarget: c.pastTarget}
-	limit := c.h.Ledger.MaxQueueWait(r, time.Now())
-	c.maxWait = limit
-	if c.choice.Wait > limit {
-		c.h.Metrics.Count(gauge.Name("waits_refused_total", "service", c.service, "bound", string(admission.BoundOf(r, limit)),
-			"shorter", strconv.FormatBool(c.choice.LeastWait <= limit)))
+	c.h.Metrics.Count(gauge.Name("placements_total", "service", c.service, "weighing", string(c.choice.Weighing)))
+	if c.choice.Weighing == placement.WeighingOver {
+		bound := admission.BoundOf(c.admissionRequest(), c.maxWait)
+		c.h.Metrics.Count(gauge.Name("waits_refused_total", "service", c.service, "bound", string(bound),
+			"shorter", strconv.FormatBool(c.choice.LeastWait <= c.maxWait)))
+		c.h.refusals.record(c, string(bound), time.Now())
 		return false
 	}
 	if c.choice.Cold {
-		return c.reserveStart(ctx, limit)
+		return c.reserveStart(ctx, c.maxWait)
 	}
 	if c.h.Homes == nil || !c.route.Stream {
 		return true
 	}
-	if !c.h.Homes.Sparse() && c.choice.Wait == 0 && c.choice.Runs < lowLoadFraction*float64(c.choice.Endpoint.Slots) {
+	if !c.h.Homes.Partial() && c.choice.Wait == 0 && c.choice.Runs < lowLoadFraction*float64(c.choice.Endpoint.Slots) {
 		return true
 	}
-	return c.reserve(ctx, limit)
+	return c.reserve(ctx, c.maxWait)
 }
 
 // reserveStart reports whether the request may be started at the chosen endpoint, which is cold. The
@@ -125,12 +135,18 @@
 	return false
 }
 
+func (c *call) admissionRequest() admission.Request {
+	return admission.Request{Customer: c.customer, TargetLatency: c.config.targetLatencies[c.service], PastTarget: c.pastTarget}
+}
+
 func (c *call) placementRequest() placement.Request {
 	return placement.Request{
 		Service: c.service, Shared: c.attrs.SharedParts(), AffinityKey: c.attrs.LastSharedPartID(), Tokens: c.attrs.PromptTokens(),
 		Stream: c.route.Stream, TargetLatency: c.route.TargetLatency(), Avoid: slices.Concat(c.avoid, c.refusedBy), BodyBytes: int64(len(c.body)),
-		Warm:    c.startRefusals >= maxStartRefusals,
-		Events:  c.config.eventCount(c.service, c.attrs.OutputEstimate),
-		Regions: c.config.allowedRegions(c.route, c.customer),
+		MaxWait:  c.maxWait,
+		Shortage: c.h.Ledger.Shortage(time.Now()),
+		Warm:     c.startRefusals >= maxStartRefusals,
+		Events:   c.config.eventCount(c.service, c.attrs.OutputEstimate),
+		Regions:  c.config.allowedRegions(c.route, c.customer),
 	}
 }
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/greengagestep/greengagestep/internal/admission"
 	"github.com/greengagestep/greengagestep/internal/placement"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
@@ -32,12 +31,18 @@
 	Share float64 `json:"share"`
 	// Refused is why the request would be refused; empty means that it would be sent.
 	Refused fleet.Reason `json:"refused,omitempty"`
+	// Endpoint is the one that gets the request; empty if it would be refused.
+	Endpoint string `json:"endpoint,omitempty"`
+	// Weighing is how the cached tokens were weighed against the wait, Pressure the probability
+	// that the time of another endpoint is needed by others.
+	Weighing placement.Weighing `json:"weighing,omitempty"`
+	Pressure float64            `json:"pressure"`
 	// Limit is the longest wait with which it is admitted, in milliseconds; negative means
 	// that there is none. It is that of a first attempt of the caller.
 	Limit float64 `json:"limit"`
 	// Asks is set if the home of the endpoint is asked first, and may refuse.
 	Asks bool `json:"asks"`
-	// Candidates are the endpoints of the service in the order in which they are chosen.
+	// Candidates are the endpoints of the service in the order of their costs.
 	Candidates []placement.Candidate `json:"candidates"`
 }
 
@@ -84,20 +89,23 @@
 
 // explainTarget returns what would become of the request at its service.
 func (c *call) explainTarget(now time.Time) Target {
-	limit := c.h.Ledger.MaxQueueWait(admission.Request{Customer: c.customer, TargetLatency: c.config.targetLatencies[c.service]}, now)
+	c.maxWait = c.h.Ledger.MaxQueueWait(c.admissionRequest(), now)
 	t := Target{Service: c.service, Limit: -1, Candidates: c.h.Balancer.Explain(c.placementRequest(), now)}
 	if c.config.targetLatencies[c.service] > 0 {
-		t.Limit = float64(limit) / float64(time.Millisecond)
+		t.Limit = float64(c.maxWait) / float64(time.Millisecond)
 	}
-	if len(t.Candidates) == 0 || t.Candidates[0].Excluded != "" {
+	choice, ok := c.h.Balancer.Weigh(c.placementRequest(), now)
+	if !ok {
 		t.Refused = c.h.Balancer.RefusalReason(c.placementRequest(), now)
 		return t
 	}
-	best := t.Candidates[0]
-	if t.Limit >= 0 && best.Wait > t.Limit {
+	t.Weighing, t.Pressure = choice.Weighing, choice.Pressure
+	if choice.Weighing == placement.WeighingOver {
 		t.Refused = fleet.ReasonQueueFull
 		return t
 	}
-	t.Asks = c.h.Homes != nil && c.route.Stream && (c.h.Homes.Sparse() || best.Wait > 0 || best.Runs >= lowLoadFraction*float64(best.Slots))
+	t.Endpoint = choice.Endpoint.ID
+	t.Asks = c.h.Homes != nil && c.route.Stream &&
+		(c.h.Homes.Partial() || choice.Wait > 0 || choice.Runs >= lowLoadFraction*float64(choice.Endpoint.Slots))
 	return t
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -32,6 +32,12 @@
 	TargetLatency time.Duration
 	// BodyBytes is the length of the body: large ones are spread.
 	BodyBytes int64
+	// MaxWait is the longest wait before its own work begins for which the request
+	// is admitted; zero means that there is no limit.
+	MaxWait time.Duration
+	// Shortage is the probability that time of an endpoint which becomes free is taken at once by a
+	// request that is refused otherwise.
+	Shortage float64
 	// Avoid lists the IDs of endpoints that failed the request or refused it.
 	Avoid []string
 	// Warm is set if cold endpoints are not to be chosen.
@@ -50,6 +56,11 @@
 	Wait time.Duration
 	// LeastWait is the shortest wait at the endpoints that were compared.
 	LeastWait time.Duration
+	// Weighing is how the cached tokens were weighed against the wait.
+	Weighing Weighing
+	// Pressure is the probability that the time of an endpoint of the service is needed
+	// by others.
+	Pressure float64
 	// MissingTokens is how many tokens of shared parts the endpoint has not
 	// cached and has to process.
 	MissingTokens int
@@ -113,7 +124,9 @@
 
 // Choose returns the endpoint with the least cost for a request, or false if none is
 // usable. It compares the preferred endpoints of the request, those that have cached all
-// its shared parts, and a random sample of the others.
+// its shared parts, and a random sample of the others. If the wait is too long there, it returns
+// the one with the least cost among those where it is not, provided that this is worth the prompt
+// tokens that are read again.
 func (b *Balancer) Choose(r Request, now time.Time) (Choice, bool) {
 	instances := 1
 	if b.Instances != nil {
@@ -126,13 +139,21 @@
 	b.instances = instances
 	list := b.services[r.Service]
 	first, second := preferredEndpoints(list, r, now)
+	m := b.latencyModel(r.Service)
 	best, found := Choice{}, false
-	least := math.Inf(1)
+	near, nearFound := Choice{}, false // of those with an admitted wait
+	least, nearLeast := math.Inf(1), math.Inf(1)
 	leastWait := time.Duration(math.MaxInt64)
 	usable := 0
 	probability := sampleProbability(len(list), instances)
+	offset := 0
+	if len(list) > 0 {
+		// The first one is always compared, and must not be the same for all.
+		offset = rand.IntN(len(list))
+	}
 	var justWarm []*endpointState // left out because they were cold until lately
-	for _, s := range list {
+	for i := range list {
+		s := list[(i+offset)%len(list)]
 		if !s.usable(now) || !s.inRegions(r.Regions) || slices.Contains(r.Avoid, s.ID) || r.Warm && s.isCold(now) {
 			continue
 		}
@@ -141,20 +162,29 @@
 			justWarm = append(justWarm, s)
 			continue
 		}
-		if found && s != first && s != second && !s.cachesAllShared(r, now) && rand.Float64() > probability {
+		sampled := !found || rand.Float64() <= probability
+		if !sampled && s != first && s != second && !s.cachesAllShared(r, now) {
 			continue
 		}
 		c := b.estimate(s, r, now)
+		if sampled {
+			m.utilization.add(c.Wait, now)
+		}
 		leastWait = min(leastWait, c.Wait)
-		if cost := b.cost(s, c, r, affinityFactor(s, first, second), now); cost < least {
+		cost := b.cost(s, c, r, affinityFactor(s, first, second), now)
+		if cost < least {
 			best, least, found = c, cost, true
 		}
+		if r.MaxWait > 0 && c.Wait <= r.MaxWait && cost < nearLeast {
+			near, nearLeast, nearFound = c, cost, true
+		}
 	}
 	if !found && len(justWarm) > 0 {
 		s := justWarm[rand.IntN(len(justWarm))]
 		best, found = b.estimate(s, r, now), true
 		leastWait = best.Wait
 	}
+	best = b.weigh(best, near, nearFound, r, now)
 	best.Listed, best.Usable = len(list), usable
 	if found {
 		best.Cold = best.state.isCold(now)
--- a/internal/placement/explain.go
+++ b/internal/placement/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -77,6 +78,37 @@
 	return candidates
 }
 
+// Weigh returns the endpoint that Choose would return for a request if it compared all of them, or
+// false if none can be chosen. Nothing changes by the call.
+func (b *Balancer) Weigh(r Request, now time.Time) (Choice, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := b.services[r.Service]
+	first, second := preferredEndpoints(list, r, now)
+	var best, near Choice
+	found, nearFound := false, false
+	least, nearLeast := math.Inf(1), math.Inf(1)
+	for _, s := range list {
+		if s.excluded(r, now) != "" {
+			continue
+		}
+		fault := s.fault
+		c := b.estimate(s, r, now)
+		cost := b.cost(s, c, r, affinityFactor(s, first, second), now)
+		s.fault = fault
+		if cost < least {
+			best, least, found = c, cost, true
+		}
+		if c.Wait <= r.MaxWait && cost < nearLeast {
+			near, nearLeast, nearFound = c, cost, true
+		}
+	}
+	if !found {
+		return Choice{}, false
+	}
+	return b.weigh(best, near, nearFound, r, now), true
+}
+
 // excluded returns why the endpoint cannot be chosen for a request, as in Candidate.
 func (s *endpointState) excluded(r Request, now time.Time) string {
 	switch reason := s.unavailability(now); {
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -23,6 +23,7 @@
 	expectedMS  float64 // milliseconds to the first event or the response, without the endpoint's slowdown
 	// hostSlowdown is that of the endpoint's machine when the request was sent.
 	hostSlowdown float64
+	lagging      bool // the process was behind when the request was sent
 }
 
 // Begin records that a request is sent to the endpoint of a choice. If the endpoint has become
@@ -46,7 +47,7 @@
 	_, ahead := b.totalWork(s, now)
 	run := &Run{
 		balancer: b, state: s, startUntil: c.StartUntil, tokens: c.Tokens, bodyBytes: r.largeBody(), sentAt: now, tokensAhead: ahead, unary: !r.Stream,
-		expectedMS: ms(c.Expected) / s.currentSlowdown(now), hostSlowdown: s.currentHostSlowdown(now),
+		expectedMS: ms(c.Expected) / s.currentSlowdown(now), hostSlowdown: s.currentHostSlowdown(now), lagging: b.lagging(),
 	}
 	if s.local.Runs == 0 {
 		s.lastReceived.Store(sinceEpoch(now))
@@ -151,6 +152,10 @@
 	if !r.balancer.valid(r.state, MeasurementFirst, took) {
 		return
 	}
+	if r.lagging || r.balancer.lagging() {
+		// The time was spent in this process, not at the endpoint.
+		return
+	}
 	// What the machine does at the moment is not learned as a property of the endpoint or
 	// of the service, nor is a silence.
 	tookMS := ms(took) / ((r.hostSlowdown + r.state.currentHostSlowdown(now)) / 2)
@@ -160,6 +165,13 @@
 	r.state.slowdownAt = now
 }
 
+// maxLearnedLag is the lag of this process up to which the times of responses say something of the
+// endpoints: it is short beside the waits that admission tells apart.
+const maxLearnedLag = 20 * time.Millisecond
+
+// lagging reports whether this process is too far behind to measure times of endpoints.
+func (b *Balancer) lagging() bool { return b.Lag != nil && b.Lag() > maxLearnedLag }
+
 // RecordStream records the number of events in a stream after the first one, which came at
 // from, and when they ended. Streams of fewer than minStreamEvents events are ignored.
 func (r *Run) RecordStream(events int, from, to time.Time) {
@@ -219,6 +231,15 @@
 	r.balancer.recordResult(r.state, result, now)
 }
 
+// sampleGain counts a sample and returns its weight: as in a mean while there are few, and least from then on.
+func sampleGain(samples *int, least float64) float64 {
+	*samples++
+	return max(1/float64(*samples+priorSamples), least)
+}
+
+// priorSamples is how many samples the values assumed before the first count for.
+const priorSamples = 10
+
 const (
 	// slowdownGain smooths an endpoint's slowdown over some twenty requests;
 	// minSlowdown and maxSlowdown bound it.
@@ -235,9 +256,12 @@
 	requestMS       float64 // milliseconds that a request takes in all
 	eventIntervalMS float64 // milliseconds between two events of a stream
 	biasMS          float64 // milliseconds by which first events come later than expected
+	utilization     utilization
 	// biasAt is when biasMS was last updated: it decays, since nothing new is
 	// learned while all requests are refused.
 	biasAt time.Time
+
+	baseSamples, rateSamples, requestSamples int
 }
 
 const (
@@ -246,7 +270,7 @@
 	initialBaseMS      = 40
 	initialTokensPerMS = 90
 	initialRequestMS   = 500
-	// modelGain smooths the model over some fifty requests.
+	// modelGain smooths the model over some fifty requests once there were as many.
 	modelGain = 0.02
 	// biasGain smooths the bias over some thirty requests; maxBiasMS bounds what
 	// one request contributes, in milliseconds.
@@ -283,10 +307,10 @@
 	work := r.tokensAhead + float64(r.tokens)
 	switch {
 	case r.unary || work < maxTokensForBase:
-		m.baseMS += modelGain * (min(tookMS, 4*m.baseMS) - m.baseMS)
+		m.baseMS += sampleGain(&m.baseSamples, modelGain) * (min(tookMS, 4*m.baseMS) - m.baseMS)
 	case work > minTokensForRate && tookMS > m.baseMS:
 		rate := min(max(work/(tookMS-m.baseMS), minTokensPerMS), maxTokensPerMS)
-		m.tokensPerMS += modelGain * (min(rate, 2*m.tokensPerMS) - m.tokensPerMS)
+		m.tokensPerMS += sampleGain(&m.rateSamples, modelGain) * (min(rate, 2*m.tokensPerMS) - m.tokensPerMS)
 	}
 }
 
@@ -328,5 +352,5 @@
 }
 
 func (m *latencyModel) observeDuration(tookMS float64) {
-	m.requestMS += modelGain * (tookMS - m.requestMS)
+	m.requestMS += sampleGain(&m.requestSamples, modelGain) * (tookMS - m.requestMS)
 }
