placement, command: explanations and refusals know cold endpoints

Of the join with part/cold: an endpoint that is cold was listed as excluded although a start may be requested there, and one in another region did not count as one that would take the request.

--- a/internal/command/where.go
+++ b/internal/command/where.go
@@ -97,10 +97,10 @@
 	for _, t := range e.Targets {
 		fmt.Fprintf(w, "service %s, %.0f %% of the requests: %s\n", t.Service, 100*t.Share, outcomeOf(t))
 		printTable(w, func(w io.Writer) {
-			fmt.Fprintln(w, "  endpoint\tdomain\tregion\tcost\texpected\twait\tmissing\truns\tslots\trecord age\treport age\tchance\texcluded")
+			fmt.Fprintln(w, "  endpoint\tdomain\tregion\tcost\texpected\twait\tmissing\truns\tslots\trecord age\treport age\tchance\tcold\texcluded")
 			for _, c := range t.Candidates {
-				fmt.Fprintf(w, "  %s\t%s\t%s\t%.1f ms\t%.0f ms\t%.0f ms\t%d\t%.1f\t%d\t%s\t%s\t%.2f\t%s\n", c.Endpoint, c.Domain, cmp.Or(c.Region, "-"),
-					c.Cost, c.Expected, c.Wait, c.Missing, c.Runs, c.Slots, formatAge(c.Listed), formatAge(c.Reported), c.Chance, cmp.Or(c.Excluded, "-"))
+				fmt.Fprintf(w, "  %s\t%s\t%s\t%.1f ms\t%.0f ms\t%.0f ms\t%d\t%.1f\t%d\t%s\t%s\t%.2f\t%t\t%s\n", c.Endpoint, c.Domain, cmp.Or(c.Region, "-"),
+					c.Cost, c.Expected, c.Wait, c.Missing, c.Runs, c.Slots, formatAge(c.Listed), formatAge(c.Reported), c.Chance, c.Cold, cmp.Or(c.Excluded, "-"))
 			}
 		})
 	}
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -98,6 +98,6 @@
 		t.Refused = fleet.ReasonQueueFull
 		return t
 	}
-	t.Asks = c.h.Homes != nil && c.route.Stream && (c.h.Homes.Sparse() || best.Wait > 0 || best.Runs >= lowLoadFraction*float64(best.Slots))
+	t.Asks = best.Cold || c.h.Homes != nil && c.route.Stream && (c.h.Homes.Sparse() || best.Wait > 0 || best.Runs >= lowLoadFraction*float64(best.Slots))
 	return t
 }
--- a/internal/placement/evacuation.go
+++ b/internal/placement/evacuation.go
@@ -129,7 +129,7 @@
 		reason := s.unavailability(now)
 		switch {
 		case !s.inRegions(r.Regions):
-			elsewhere = elsewhere || reason == ""
+			elsewhere = elsewhere || s.usable(now)
 		case reason == UnavailableEvacuated:
 			evacuated = evacuated || !s.down
 		case reason == "", reason == UnavailableQuiet, reason == UnavailableReturning, reason == UnavailableCold:
--- a/internal/placement/evacuation_test.go
+++ b/internal/placement/evacuation_test.go
@@ -140,6 +140,24 @@
 	})
 }
 
+// A domain that was taken back may have become cold: requests need a start of the home. An explanation
+// says so, and that no endpoint is left while the next start has to wait. Where a request may not go
+// at all, that is the reason of the refusal.
+func TestDomainTakenBackMayBeCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newWarmth()
+		b.SetEvacuated("a", true, time.Now())
+		b.SetEvacuated("a", false, time.Now())
+		explained := b.Explain(placement.Request{Service: "model"}, time.Now())[0]
+		require.True(t, explained.Cold)
+		require.Empty(t, explained.Excluded)
+		require.Equal(t, fleet.ReasonRegion, b.RefusalReason(placement.Request{Service: "model", Regions: []string{"north"}}, time.Now()))
+		require.Equal(t, "cold", b.Explain(placement.Request{Service: "model", Warm: true}, time.Now())[0].Excluded)
+		b.DelayStart("i-0", time.Second, time.Now())
+		require.Equal(t, "cold", b.Explain(placement.Request{Service: "model"}, time.Now())[0].Excluded)
+	})
+}
+
 // BenchmarkSetEvacuated empties and takes back a failure domain of 706 endpoints among 12,000.
 func BenchmarkSetEvacuated(bench *testing.B) {
 	b := &placement.Balancer{}
--- a/internal/placement/explain.go
+++ b/internal/placement/explain.go
@@ -25,7 +25,9 @@
 	Excluded string `json:"excluded,omitempty"`
 	// Chance is the probability with which the endpoint is compared: 1 for the preferred
 	// ones of the request and those that have cached its shared parts.
-	Chance   float64 `json:"chance"`
+	Chance float64 `json:"chance"`
+	// Cold is set if the endpoint is cold or may be: its home has to grant a start.
+	Cold     bool    `json:"cold"`
 	Cost     float64 `json:"cost"`
 	Expected float64 `json:"expected"`
 	Wait     float64 `json:"wait"`
@@ -58,7 +60,7 @@
 		fault := s.fault
 		choice := b.estimate(s, r, now)
 		c := Candidate{
-			Endpoint: s.ID, Domain: s.Domain, Region: s.region, Excluded: s.excluded(r, now), Chance: probability,
+			Endpoint: s.ID, Domain: s.Domain, Region: s.region, Excluded: s.excluded(r, now), Chance: probability, Cold: s.isCold(now),
 			Cost: b.cost(s, choice, r, affinityFactor(s, first, second), now), Expected: ms(choice.Expected), Wait: ms(choice.Wait),
 			Missing: choice.MissingTokens, Runs: choice.Runs, Slots: s.Slots, Listed: ageMS(s.Seen, now), Reported: ageMS(s.reportedAt, now),
 		}
@@ -80,7 +82,7 @@
 // excluded returns why the endpoint cannot be chosen for a request, as in Candidate.
 func (s *endpointState) excluded(r Request, now time.Time) string {
 	switch reason := s.unavailability(now); {
-	case reason != "":
+	case !s.usable(now), r.Warm && reason == UnavailableCold:
 		return string(reason)
 	case !s.inRegions(r.Regions):
 		return ExcludedElsewhere
