--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -105,7 +105,7 @@
 		return t
 	}
 	t.Endpoint = choice.Endpoint.ID
-	t.Asks = c.h.Homes != nil && c.route.Stream &&
+	t.Asks = choice.Cold || c.h.Homes != nil && c.route.Stream &&
 		(c.h.Homes.Partial() || choice.Wait > 0 || choice.Runs >= lowLoadFraction*float64(choice.Endpoint.Slots))
 	return t
 }
