--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,6 +126,7 @@
 	if !c.accept() {
 		return
 	}
+	c.conn.Assign(c.customer)
 	ctx, cancel := c.requestContext()
 	defer cancel()
 	c.process(ctx)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagestep/greengagestep/internal/admission"
+	"github.com/greengagestep/greengagestep/internal/backlog"
 	"github.com/greengagestep/greengagestep/internal/budget"
 	"github.com/greengagestep/greengagestep/internal/gateway"
 	"github.com/greengagestep/greengagestep/internal/gauge"
@@ -98,11 +99,12 @@
 	handler   *gateway.Handler
 	balancer  *placement.Balancer
 	client    *http.Client
+	givenUp   chan string // customer of each caller that was given up, and why
 }
 
 func newTestGateway(t testing.TB, config arrangement.Config) *testGateway {
 	n := &standin.MemoryNetwork{}
-	g := &testGateway{t: t, network: n, listeners: map[string]net.Listener{}, balancer: &placement.Balancer{LocalDomain: "a"}}
+	g := &testGateway{t: t, givenUp: make(chan string, 100), network: n, listeners: map[string]net.Listener{}, balancer: &placement.Balancer{LocalDomain: "a"}}
 	g.handler = &gateway.Handler{
 		HeaderCodec: plainHeaderCodec{}, Balancer: g.balancer, Pool: &upstream.Pool{HeaderCodec: plainHeaderCodec{}, Dial: n.Dial},
 		Ledger: &admission.Ledger{}, RetryDetector: &admission.RetryDetector{}, Budget: &budget.Budget{Slack: 80}, Metrics: &gauge.Set{}, Logger: zap.NewNop(),
@@ -147,7 +149,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return outlet.New(c, &l.gateway.handler.Backlog, nil), nil
+	return outlet.New(c, &l.gateway.handler.Backlog, func(customer string, reason backlog.Reason) {
+		l.gateway.givenUp <- fmt.Sprint(customer, " ", reason)
+	}), nil
 }
 
 // addEndpoint starts a simulated endpoint and adds it to the balancer.
--- a/internal/gateway/reader_test.go
+++ b/internal/gateway/reader_test.go
@@ -26,7 +26,7 @@
 // ask sends a request on a new connection and reads nothing.
 func (g *testGateway) ask(timeout time.Duration) net.Conn {
 	conn := g.dial()
-	_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nWait: %d\r\nContent-Length: 1\r\n\r\nq", timeout.Milliseconds())
+	_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nKey: k\r\nWait: %d\r\nContent-Length: 1\r\n\r\nq", timeout.Milliseconds())
 	require.NoError(g.t, err)
 	return conn
 }
@@ -130,6 +130,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				defer time.Sleep(time.Minute)
+				config.Customers = []arrangement.Customer{{Name: "saar", Keys: []string{"k"}}}
 				g := newTestGateway(t, config)
 				logs := g.observe()
 				requests := g.addCounted("i-1", func(r *http.Request, _ string, w io.Writer) bool {
@@ -152,6 +153,7 @@
 				require.Error(t, err)
 				how, reason := lastEnd(logs)
 				require.Equal(t, []any{"broken", "response-unread"}, []any{how, reason})
+				require.Equal(t, "saar stalled", <-g.givenUp)
 				require.EqualValues(t, 1, requests.Load())
 				_ = conn.Close()
 			})
--- a/internal/outlet/outlet.go
+++ b/internal/outlet/outlet.go
@@ -19,8 +19,11 @@
 )
 
 const (
-	// pieceBytes is the unit in which unread bytes are held.
-	pieceBytes = 4 << 10
+	// Unread bytes are held in pieces: the first smallPieces of a caller have smallBytes, since most
+	// callers fall behind by little, all others largeBytes.
+	smallPieces = 4
+	smallBytes  = 4 << 10
+	largeBytes  = 32 << 10
 	// attemptTime bounds an attempt on a connection that is no socket.
 	attemptTime = time.Millisecond
 	// closeTime bounds the writing of what is left when the server closes the connection.
@@ -33,15 +36,26 @@
 // Error implements error.
 func (g GivenUp) Error() string { return "caller was given up: " + string(g) }
 
-// pieces holds buffers of type *piece for unread bytes.
-var pieces = sync.Pool{New: func() any { return new(piece) }}
+// smallPool and largePool hold pieces of smallBytes and largeBytes, of type *piece.
+var (
+	smallPool = sync.Pool{New: func() any { return &piece{buf: make([]byte, smallBytes)} }}
+	largePool = sync.Pool{New: func() any { return &piece{buf: make([]byte, largeBytes)} }}
+)
 
 // piece is a buffer of which bytes from start to end are unread.
 type piece struct {
-	buf        [pieceBytes]byte
+	buf        []byte
 	start, end int
 }
 
+// pool returns the pool of pieces of a size.
+func pool(bytes int) *sync.Pool {
+	if bytes == smallBytes {
+		return &smallPool
+	}
+	return &largePool
+}
+
 // Conn is the connection of a caller. Writes are ordered, and what was written before Close is still
 // delivered after it, within closeTime. SetWriteDeadline has no effect. It is safe for concurrent use.
 type Conn struct {
@@ -171,13 +185,17 @@
 
 // hold copies a part of p into a piece and returns its size. The caller holds c.mu.
 func (c *Conn) hold(p []byte) (int, error) {
-	if last := len(c.pieces) - 1; last >= 0 && c.pieces[last].end < pieceBytes {
+	if last := len(c.pieces) - 1; last >= 0 && c.pieces[last].end < len(c.pieces[last].buf) {
 		n := copy(c.pieces[last].buf[c.pieces[last].end:], p)
 		c.pieces[last].end += n
 		return n, nil
 	}
+	size := smallBytes
+	if len(c.pieces) >= smallPieces {
+		size = largeBytes
+	}
 	for {
-		ok, victims := c.account.Hold(&c.reader, pieceBytes, time.Now())
+		ok, victims := c.account.Hold(&c.reader, int64(size), time.Now())
 		for _, v := range victims {
 			if v.Reader == &c.reader {
 				c.giveUpLocked(v.Reason)
@@ -197,8 +215,8 @@
 			return 0, c.err
 		}
 	}
-	next := pieces.Get().(*piece)
-	next.start, next.end = 0, copy(next.buf[:], p)
+	next := pool(size).Get().(*piece)
+	next.start, next.end = 0, copy(next.buf, p)
 	c.pieces = append(c.pieces, next)
 	if !c.writing {
 		c.writing = true
@@ -251,10 +269,10 @@
 	first.start += n
 	freed := 0
 	if first.start == first.end {
-		freed = pieceBytes
+		freed = len(first.buf)
 		c.pieces[0] = nil
 		c.pieces = c.pieces[1:]
-		pieces.Put(first)
+		pool(len(first.buf)).Put(first)
 	}
 	c.account.Read(&c.reader, int64(n), int64(freed), time.Now())
 	c.changed.Broadcast()
