--- a/internal/outlet/outlet_test.go
+++ b/internal/outlet/outlet_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -147,3 +150,43 @@
 		})
 	}
 }
+
+// Many callers share a small account, and every other one stops reading: those that read get all their
+// bytes, those that stopped are given up by the writes of the others or after a while, and nothing is held
+// in the end.
+func TestCallersShareAccount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		account := &backlog.Account{MaxBytes: 1 << 20}
+		want := bytes.Repeat([]byte("0123456789abcdef"), 16<<10)
+		var givenUp [40]atomic.Bool
+		var all sync.WaitGroup
+		for n := range givenUp {
+			near, far := net.Pipe()
+			server := outlet.New(near, account, func(string, backlog.Reason) { givenUp[n].Store(true) })
+			server.Assign(fmt.Sprint("customer ", n%4))
+			all.Go(func() {
+				for rest := want; len(rest) > 0; rest = rest[min(5000, len(rest)):] {
+					if _, err := server.Write(rest[:min(5000, len(rest))]); err != nil {
+						break
+					}
+					time.Sleep(time.Millisecond)
+				}
+				_ = server.Close()
+			})
+			if n%2 == 1 {
+				continue
+			}
+			all.Go(func() {
+				got, err := io.ReadAll(far)
+				require.NoError(t, err)
+				require.True(t, bytes.Equal(want, got))
+			})
+		}
+		all.Wait()
+		time.Sleep(time.Minute)
+		for n := range givenUp {
+			require.Equal(t, n%2 == 1, givenUp[n].Load(), "caller %d", n)
+		}
+		require.Zero(t, account.Unread())
+	})
+}
