placement: no detour while as much is refused as served

Moves to endpoints that read nothing again remained in full shortage, for customers above their share and late ones as well, and took room from others. TestFullShortageMovesNothing failed before.

--- a/internal/placement/weigh.go
+++ b/internal/placement/weigh.go
@@ -31,8 +31,8 @@
 // pays reports whether the detour is better for all callers than refusing the request. A refused
 // caller loses about as much as any other that takes its time at the endpoint would. With the
 // probability pressure, own+extra milliseconds serve others of that much work; the detour serves work
-// of own milliseconds.
-func (d detour) pays() bool { return d.own >= d.pressure*(d.own+d.extra) }
+// of own milliseconds. If others take the time for certain, it never pays.
+func (d detour) pays() bool { return d.own > d.pressure*(d.own+d.extra) }
 
 // pressureGain smooths what is known of the endpoints of a service over some fifty that were
 // compared; pressureDecayTime is how long it counts while none are.
--- a/internal/placement/weigh_test.go
+++ b/internal/placement/weigh_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/greengagestep/greengagestep/internal/placement"
+	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
 // cachedAt returns a balancer in which only the first endpoint has cached the prompt of the request, and
@@ -103,3 +104,18 @@
 	c, _ = cachedAt(t, 10, r).Choose(r, start)
 	require.Equal(t, placement.WeighingMoved, c.Weighing)
 }
+
+// Load: as much is refused as served. Whatever an endpoint has free is taken at once, so that a request which
+// waits too long at the endpoint of its choice has no claim to it, even if it reads nothing again.
+func TestFullShortageMovesNothing(t *testing.T) {
+	for shortage, weighing := range map[float64]placement.Weighing{0.9: placement.WeighingMoved, 1: placement.WeighingOver} {
+		b := &placement.Balancer{LocalDomain: "a"}
+		for id, domain := range map[string]string{"near": "a", "far": "b"} {
+			b.Put(placement.Endpoint{ID: id, EndpointInfo: fleet.EndpointInfo{Service: "model", Address: id, Domain: domain, Slots: 8}})
+		}
+		b.SetInstanceWork("peer", map[string]placement.Work{"near": {Runs: 1, Tokens: 2000}, "far": {Runs: 1, Tokens: 1700}}, true, start)
+		c, ok := b.Choose(placement.Request{Service: "model", Tokens: 1000, Stream: true, MaxWait: 20 * time.Millisecond, Shortage: shortage}, start)
+		require.True(t, ok)
+		require.Equal(t, weighing, c.Weighing)
+	}
+}
