peer, entry: list members only for full messages, collect garbage less often

Before any traffic, an instance of 0.144 cores used 12 % of its processor, allocated 3.4 MB a second and collected garbage 1.6 times a second with 2.5 MB live.

- The digest of each peer is kept; the list is built for the messages that carry it.
- The endpoints of one home are listed once with the homes, every 200 ms: a reservation and a message walked a map of all endpoints.
- Hash states with the key are reused; the lag meter reuses its buffers and its timer.
- The heap grows by 400 % instead of 100 % between collections, within the memory limit as before.

BenchmarkReserve is new; no test failed before, since nothing but the cost changes.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -168,6 +168,10 @@
 	// heapShare is the fraction of the memory to which the heap may grow before the
 	// garbage collector runs more often.
 	heapShare = 0.6
+	// heapGrowthPercent is by how much the heap may grow between two collections, in percent of
+	// what is live, as long as it stays below heapShare: the live heap is some megabytes only,
+	// so that collections would be frequent.
+	heapGrowthPercent = 400
 )
 
 func (i *Instance) initialize() {
@@ -177,6 +181,7 @@
 	i.logger = i.Log.Logger().With(zap.String("instance", i.Name))
 	if i.MaxMemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(i.MaxMemoryBytes)))
+		debug.SetGCPercent(heapGrowthPercent)
 	}
 	i.stopping = make(chan struct{})
 	i.graceNanos.Store(int64(i.Grace))
--- a/internal/overload/meter.go
+++ b/internal/overload/meter.go
@@ -47,10 +47,13 @@
 // returns the context's error.
 func (m *Meter) Serve(ctx context.Context) error {
 	s := newSchedLatency()
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
 	for {
 		started := time.Now()
+		timer.Reset(interval)
 		select {
-		case <-time.After(interval):
+		case <-timer.C:
 			// The runtime runs a timer's goroutine before those that wait
 			// for the CPU, so that the delay of the timer alone shows only
 			// that the CPU was taken away from the process.
--- a/internal/overload/sched_latency.go
+++ b/internal/overload/sched_latency.go
@@ -21,6 +21,7 @@
 type schedLatency struct {
 	samples    []metrics.Sample
 	lastCounts []uint64 // by bucket, at the last measurement
+	delta      []uint64 // by bucket, between the last two measurements
 }
 
 func newSchedLatency() *schedLatency {
@@ -37,15 +38,12 @@
 		return 0
 	}
 	h := s.samples[0].Value.Float64Histogram()
-	delta := make([]uint64, len(h.Counts))
-	for i, n := range h.Counts {
-		delta[i] = n
-		if i < len(s.lastCounts) {
-			delta[i] -= s.lastCounts[i]
-		}
+	s.delta = append(s.delta[:0], h.Counts...)
+	for i, n := range s.lastCounts {
+		s.delta[i] -= n
 	}
 	s.lastCounts = append(s.lastCounts[:0], h.Counts...)
-	return quantile(delta, h.Buckets)
+	return quantile(s.delta, h.Buckets)
 }
 
 // quantile returns the lower bound of the bucket that holds the quantile, so that the
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -72,9 +72,10 @@
 	peers    map[string]*peer // by address
 	client   *http.Client
 	sequence int64
-	homes    map[string]Member // home of each endpoint, by endpoint ID
-	ids      map[uint32]string // endpoint IDs by their hash in messages
-	homesAt  time.Time         // when homes and ids were computed
+	homes    map[string]Member   // home of each endpoint, by endpoint ID
+	homeIDs  map[string][]string // IDs of the endpoints with the same home, by its address
+	ids      map[uint32]string   // endpoint IDs by their hash in messages
+	homesAt  time.Time           // when homes, homeIDs and ids were computed
 	// sparse is set while there are more than meshPeers live peers; livePeers and
 	// neighborCount count them and the neighbors among them, as of neighborsAt.
 	sparse                   bool
@@ -105,6 +106,7 @@
 	lastErr        error            // of the last message sent to it
 	membersDigest  uint64           // of the live instances that it knows
 	ringHash       uint32           // position on the ring
+	ownDigest      uint64           // its Member.digest
 	neighbor       bool             // messages are exchanged with it at short intervals
 	neighborSince  time.Time
 	dataAt         time.Time // when its data of the endpoints' feed was current, by its last message
@@ -140,7 +142,7 @@
 	}
 	p := x.peers[m.Address]
 	if p == nil {
-		p = &peer{Member: m, lastAnnounced: now, positions: map[string]int64{}, ringHash: hashID(m.Name)}
+		p = &peer{Member: m, lastAnnounced: now, positions: map[string]int64{}, ringHash: hashID(m.Name), ownDigest: m.digest()}
 		x.peers[m.Address] = p
 	}
 	// A live peer says itself when it has restarted: others may still know its earlier start.
@@ -154,7 +156,7 @@
 // setStart sets the start of a peer. State exchanged with another start at its address is
 // obsolete.
 func (x *Exchange) setStart(p *peer, m Member) {
-	p.Member, p.sequence, p.cacheFillsSent, p.ringHash = m, 0, 0, hashID(m.Name)
+	p.Member, p.sequence, p.cacheFillsSent, p.ringHash, p.ownDigest = m, 0, 0, hashID(m.Name), m.digest()
 	p.departuresNext, p.hasDepartures = 0, false
 	clear(p.positions)
 	if x.Crashes != nil {
@@ -264,12 +266,11 @@
 			x.composeReports(to, &m, now)
 		}
 	}
-	var members []Member
-	members, m.MembersDigest = x.liveMembers(now)
+	m.MembersDigest = x.liveDigest(now)
 	if full {
 		m.Usage = x.Ledger.LocalUsage(now)
 		if to == nil || to.membersDigest != m.MembersDigest {
-			m.Members = members
+			m.Members = x.liveMembers(now)
 		}
 	}
 	return m
@@ -300,17 +301,27 @@
 	p.hasDepartures = p.hasDepartures || !m.moreDepartures
 }
 
-// liveMembers returns the live peers, and a digest of them and of this instance that does not
-// depend on their order. The caller holds the lock.
-func (x *Exchange) liveMembers(now time.Time) (members []Member, digest uint64) {
-	digest = x.Self.digest()
+// liveMembers returns the live peers. The caller holds the lock.
+func (x *Exchange) liveMembers(now time.Time) []Member {
+	members := make([]Member, 0, len(x.peers)+1)
 	for _, p := range x.peers {
 		if x.live(p, now) {
 			members = append(members, p.Member)
-			digest ^= p.digest()
 		}
 	}
-	return members, digest
+	return members
+}
+
+// liveDigest returns a digest of the live peers and of this instance that does not depend on their
+// order. The caller holds the lock.
+func (x *Exchange) liveDigest(now time.Time) uint64 {
+	digest := x.Self.digest()
+	for _, p := range x.peers {
+		if x.live(p, now) {
+			digest ^= p.ownDigest
+		}
+	}
+	return digest
 }
 
 // errUnexpected is the error of a message that ended with a panic.
--- a/internal/peer/home.go
+++ b/internal/peer/home.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -58,12 +59,15 @@
 	if x.homes != nil && now.Sub(x.homesAt) < homesTTL {
 		return x.homes
 	}
-	members, _ := x.liveMembers(now)
-	members = append(members, x.Self)
+	members := append(x.liveMembers(now), x.Self)
 	hashes := memberHashes(members)
-	x.homes, x.ids, x.homesAt = map[string]Member{}, map[uint32]string{}, now
-	for _, e := range x.Balancer.Endpoints() {
-		x.homes[e.ID] = selectHome(e, members, hashes)
+	endpoints := x.Balancer.Endpoints()
+	x.homes, x.ids = make(map[string]Member, len(endpoints)), make(map[uint32]string, len(endpoints))
+	x.homeIDs, x.homesAt = map[string][]string{}, now
+	for _, e := range endpoints {
+		m := selectHome(e, members, hashes)
+		x.homes[e.ID] = m
+		x.homeIDs[m.Address] = append(x.homeIDs[m.Address], e.ID)
 		x.ids[hashID(e.ID)] = e.ID
 	}
 	return x.homes
@@ -104,17 +108,11 @@
 // partial. In a large fleet most messages cover only the endpoints whose home is the
 // receiver. The caller holds the lock.
 func (x *Exchange) composeWork(to *peer, full bool, now time.Time) (packed []byte, partial bool) {
-	own := x.Balancer.LocalWork()
 	if to == nil || full || len(x.peers) <= maxPeersFullWork {
-		return pack(own), false
+		return pack(x.Balancer.LocalWork()), false
 	}
-	work := map[string]placement.Work{}
-	for id, m := range x.endpointHomes(now) {
-		if m.Address == to.Address {
-			work[id] = own[id]
-		}
-	}
-	return pack(work), true
+	x.endpointHomes(now)
+	return pack(x.Balancer.LocalWorkAt(x.homeIDs[to.Address])), true
 }
 
 // Reserve implements fleet.Homes.
@@ -168,14 +166,13 @@
 		return
 	}
 	now := time.Now()
-	var ids []string
 	x.mu.Lock()
-	for id, m := range x.endpointHomes(now) {
-		if m.Address == x.Self.Address || id == reservation.Endpoint {
-			ids = append(ids, id)
-		}
-	}
+	home := x.endpointHomes(now)[reservation.Endpoint]
+	ids := x.homeIDs[x.Self.Address]
 	x.mu.Unlock()
+	if home.Address != x.Self.Address {
+		ids = append(slices.Clone(ids), reservation.Endpoint)
+	}
 	others := x.Balancer.WorkExcept(reservation.From, ids, now)
 	granted := x.Balancer.Grant(reservation.From, fleet.Reservation{
 		Endpoint: reservation.Endpoint, Tokens: reservation.Tokens, MaxWait: time.Duration(reservation.Limit) * time.Microsecond,
--- a/internal/peer/key.go
+++ b/internal/peer/key.go
@@ -6,7 +6,10 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
+	"hash"
+	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,7 +40,7 @@
 	Storage fleet.WriteOnceValue
 	Logger  *zap.Logger
 
-	secret atomic.Pointer[[]byte]
+	macs atomic.Pointer[sync.Pool] // of hash.Hash with the secret; nil while it is unknown
 }
 
 // String returns the name of the service in the supervisor's events.
@@ -90,24 +93,29 @@
 }
 
 // Set sets the key.
-func (k *Key) Set(value []byte) { k.secret.Store(&value) }
+func (k *Key) Set(value []byte) {
+	k.macs.Store(&sync.Pool{New: func() any { return hmac.New(sha256.New, value) }})
+}
 
 // Known reports whether the key is known.
-func (k *Key) Known() bool { return k.secret.Load() != nil }
+func (k *Key) Known() bool { return k.macs.Load() != nil }
 
 // sign returns the signature of data, or an empty string while the key is unknown.
 // The purpose is part of the signed content, so that a signature made for one purpose
 // is not valid for another.
 func (k *Key) sign(purpose string, data []byte) string {
-	secret := k.secret.Load()
-	if secret == nil {
+	macs := k.macs.Load()
+	if macs == nil {
 		return ""
 	}
-	mac := hmac.New(sha256.New, *secret)
-	_, _ = mac.Write([]byte(purpose))
+	mac := macs.Get().(hash.Hash)
+	defer macs.Put(mac)
+	mac.Reset()
+	_, _ = io.WriteString(mac, purpose)
 	_, _ = mac.Write([]byte{0})
 	_, _ = mac.Write(data)
-	return hex.EncodeToString(mac.Sum(nil))
+	var sum [sha256.Size]byte
+	return hex.EncodeToString(mac.Sum(sum[:0]))
 }
 
 // verify reports whether a signature was made with the fleet key for this purpose.
--- /dev/null
+++ b/internal/peer/reserve_bench_test.go
@@ -0,0 +1,54 @@
+package peer_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/greengagestep/greengagestep/internal/peer"
+	"github.com/greengagestep/greengagestep/internal/placement"
+	"github.com/greengagestep/greengagestep/pkg/fleet"
+)
+
+// BenchmarkReserve measures one reservation at another instance over loopback, both ends
+// included, in a fleet of 77 instances with 90 endpoints.
+func BenchmarkReserve(b *testing.B) {
+	home := newExchange("key")
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+peer.ReservePath, home.ServeReserve)
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	home.Self = peer.Member{Name: "front-home", Domain: "a", Address: strings.TrimPrefix(server.URL, "http://"), Start: 1}
+	requester := newExchange("key")
+	requester.Self.Domain = "b"
+	for _, x := range []*peer.Exchange{requester, home} {
+		for i := range 90 {
+			x.Balancer.Put(placement.Endpoint{ID: fmt.Sprintf("i-%08x", i*7919), EndpointInfo: fleet.EndpointInfo{Service: "m", Address: "e", Domain: []string{"a", "b", "c"}[i%3], Slots: 16}})
+		}
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		if i%1000 == 0 {
+			hear(requester, home.Self, i+1)
+			hear(home, requester.Self, i+1)
+			for k := range 75 {
+				m := peer.Member{Name: fmt.Sprintf("front-%d", k), Domain: "b", Address: fmt.Sprintf("10.0.0.%d:80", 2+k), Start: 1}
+				hear(requester, m, i+1)
+				hear(home, m, i+1)
+			}
+		}
+		r := fleet.Reservation{Endpoint: fmt.Sprintf("i-%08x", i%30*3*7919), Tokens: 1, MaxWait: time.Hour}
+		if got := requester.Reserve(b.Context(), r); got != fleet.GrantAccepted {
+			b.Fatal(got)
+		}
+	}
+}
+
+// hear makes an instance receive a message from a member.
+func hear(x *peer.Exchange, from peer.Member, sequence int) {
+	body := fmt.Sprintf(`{"f":{"n":%q,"d":%q,"a":%q,"i":1},"q":%d}`, from.Name, from.Domain, from.Address, sequence)
+	postMessage(x, x.Key.Sign("ask", []byte(body)), body)
+}
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -277,6 +277,20 @@
 	return list
 }
 
+// LocalWorkAt returns the work of requests sent by this instance at the endpoints with these IDs,
+// also where there is none. Unknown IDs are left out.
+func (b *Balancer) LocalWorkAt(ids []string) map[string]Work {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make(map[string]Work, len(ids))
+	for _, id := range ids {
+		if s := b.byID[id]; s != nil {
+			list[id] = s.local
+		}
+	}
+	return list
+}
+
 // SetInstanceWork sets the work of requests sent by another instance, by endpoint ID.
 // Endpoints that are missing from an incomplete list keep what was set before; missing
 // from a complete one, they have none.
