overload, entry: an overloaded instance moves callers; upstream: requests share write buffers

Messages carry one byte for that. Gauge callers_moved, fields connections and moved of the lines overload and relieved.

Ruled out: closing before the load balancer has noticed (the callers' hash brings them back), and closing idle connections (a request may cross the close).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -94,6 +94,7 @@
 	quarantine *quarantine.List
 	handler    *gateway.Handler
 	lagMeter   *overload.Meter
+	relief     overload.Relief
 	idleConns  *idleConns
 	ledger     *admission.Ledger
 	peers      *peer.Exchange
@@ -149,6 +150,8 @@
 	// expiryInterval is the interval between checks for endpoints whose records were not
 	// written again: it adds to the time for which they get requests.
 	expiryInterval = 100 * time.Millisecond
+	// reliefInterval is the interval between two decisions on how many callers are moved.
+	reliefInterval = 200 * time.Millisecond
 	// sweepInterval is the interval between checks for expired connections.
 	sweepInterval = 500 * time.Millisecond
 	// drainDelay is how long all new requests are served after the signal to stop: the
@@ -195,7 +198,7 @@
 			i.logger.Warn(event.InvalidData, zap.String("key", key), zap.Error(fault))
 		},
 	}
-	i.idleConns = &idleConns{MaxConns: i.maxCallerConns(), IdleTimeout: func() time.Duration { return i.handler.IdleTimeout() }}
+	i.idleConns = &idleConns{MoveCaller: i.relief.MoveCaller, MaxConns: i.maxCallerConns(), IdleTimeout: func() time.Duration { return i.handler.IdleTimeout() }}
 	i.lagMeter = &overload.Meter{OnChange: i.overloadChanged}
 	if i.Lag == nil {
 		i.Lag = i.lagMeter.Lag
@@ -225,9 +228,9 @@
 	i.peers = &peer.Exchange{
 		Self:     peer.Member{Name: i.Name, Domain: i.Domain, Address: i.Peers.Addr().String(), Start: now.UnixNano()},
 		Balancer: i.balancer, Ledger: i.ledger, Logger: i.logger,
-		Crashes: i.quarantine,
-		Key:     &peer.Key{Storage: i.Secret, Logger: i.logger},
-		Feeds:   map[string]watch.Relay{"operators": i.operators, "endpoints": i.endpoints},
+		Crashes: i.quarantine, Overloaded: i.lagMeter.Overloaded,
+		Key:   &peer.Key{Storage: i.Secret, Logger: i.logger},
+		Feeds: map[string]watch.Relay{"operators": i.operators, "endpoints": i.endpoints},
 	}
 	i.handler.Homes = i.peers
 	i.balancer.Instances = func() int { return 1 + i.peers.Peers(time.Now()) }
@@ -298,6 +301,7 @@
 	tree.Add(&service.Server{Listener: i.Peers, HTTP: &http.Server{Handler: i.peerMux(), ReadTimeout: headerTimeout, IdleTimeout: peerIdleTimeout}})
 	tree.Add(&service.Loop{Name: "sweep", Interval: sweepInterval, Run: i.sweep})
 	tree.Add(&service.Loop{Name: "expiry", Interval: expiryInterval, Run: i.removeExpired})
+	tree.Add(&service.Loop{Name: "relief", Interval: reliefInterval, Run: i.updateRelief})
 	tree.Add(&service.Loop{Name: "probe", Interval: probeInterval, Run: i.probe})
 	treeCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -350,7 +354,13 @@
 	if overloaded {
 		name = event.Overload
 	}
-	i.logger.Warn(name, zap.Duration("lag", lag), zap.Int64("active", i.handler.Active()))
+	i.logger.Warn(name, zap.Duration("lag", lag), zap.Int64("active", i.handler.Active()), zap.Int("connections", i.idleConns.openCount()), zap.Int64("moved", i.relief.Moved()))
+}
+
+func (i *Instance) updateRelief(context.Context) {
+	now := time.Now()
+	others, live := i.peers.OverloadedInDomain(now)
+	i.relief.Update(i.lagMeter.Overloaded(), i.idleConns.openCount(), live, others, now)
 }
 
 func (i *Instance) sweep(context.Context) {
--- a/internal/entry/idle.go
+++ b/internal/entry/idle.go
@@ -32,6 +32,9 @@
 type idleConns struct {
 	// MaxConns bounds the connections of callers; zero means no bound.
 	MaxConns int
+	// MoveCaller reports whether the connection of a request that has just arrived is closed
+	// after its response, so that its caller connects to another instance; nil means never.
+	MoveCaller func(now time.Time) bool
 	// IdleTimeout returns how long the configuration lets connections be idle.
 	IdleTimeout func() time.Duration
 
@@ -119,6 +122,9 @@
 		}
 		limit := i.IdleTimeout()
 		allowed := i.allowedIdle(limit)
+		if allowed > 0 && i.MoveCaller != nil && i.MoveCaller(time.Now()) {
+			allowed = 0
+		}
 		switch seconds := int(allowed.Seconds()); {
 		case allowed == 0:
 			// The server closes the connection itself.
--- a/internal/entry/idle_test.go
+++ b/internal/entry/idle_test.go
@@ -124,3 +124,18 @@
 	i.sweep(time.Now().Add(9 * time.Second))
 	require.Equal(t, 78, before-i.expiredCount(), "connections with a stated idle time of less than nine seconds are closed")
 }
+
+// An overloaded instance asks a caller to connect elsewhere: the response states that its connection
+// closes, and no time for which it may be idle.
+func TestMovedCallerIsToldToReconnect(t *testing.T) {
+	i, handled := newIdleConns(100), 0
+	move := true
+	i.MoveCaller = func(time.Time) bool { return move }
+	h := openIdle(t, i, &handled)
+	require.Equal(t, "close", h.Get("Connection"))
+	require.Empty(t, h.Get("Keep-Alive"))
+	move = false
+	h = openIdle(t, i, &handled)
+	require.Empty(t, h.Get("Connection"))
+	require.Equal(t, 2, handled, "both requests are served")
+}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -14,6 +14,7 @@
 		"configuration_version": float64(i.handler.Version()),
 		"requests_active":       float64(i.handler.Active()),
 		"peers_heard":           float64(i.peers.Peers(now)),
+		"callers_moved":         float64(i.relief.Moved()),
 		"lag_milliseconds":      float64(i.lagMeter.Lag().Milliseconds()),
 		"log_lines_dropped":     float64(i.Log.DroppedLines()),
 		"body_bytes":            float64(i.handler.Bodies.Used()),
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -62,6 +62,9 @@
 	// Crashes composes and receives reports of crashed endpoints and the requests that
 	// they had; nil disables this.
 	Crashes *quarantine.List
+	// Overloaded reports whether this instance's processor does not keep up, which other
+	// instances are told; nil means that it always does.
+	Overloaded func() bool
 	// Key signs messages. Until it is known, no messages are sent and requests
 	// from peers are rejected.
 	Key    *Key
@@ -115,6 +118,7 @@
 	neighbor       bool             // messages are exchanged with it at short intervals
 	neighborSince  time.Time
 	dataAt         time.Time // when its data of the endpoints' feed was current, by its last message
+	overloaded     bool      // its processor does not keep up, by its last message
 	wantsRecords   bool      // it gets the records of feeds from this instance
 }
 
@@ -261,6 +265,7 @@
 	x.sequence++
 	m := wireMessage{From: x.Self, Sequence: x.sequence, Feeds: x.composeFeeds(to, now)}
 	m.WantRecords = to != nil && x.sparse && to == x.source
+	m.Overloaded = x.Overloaded != nil && x.Overloaded()
 	// Peers that are no neighbors get few messages, so each carries everything.
 	full = full || x.sparse && (to == nil || !to.neighbor)
 	m.Work, m.Partial = x.composeWork(to, full, now)
@@ -394,7 +399,7 @@
 	}
 	transit := p.maxTransit(m, now)
 	p.sequence, p.lastReceived, p.lost = m.Sequence, now, false
-	p.membersDigest, p.wantsRecords = m.MembersDigest, m.WantRecords
+	p.membersDigest, p.wantsRecords, p.overloaded = m.MembersDigest, m.WantRecords, m.Overloaded
 	for _, other := range m.Members {
 		x.addPeer(other, now)
 	}
@@ -445,6 +450,24 @@
 	return rank
 }
 
+// OverloadedInDomain returns how many instances of this failure domain are live, this one
+// included, and how many of the others last said that they are overloaded.
+func (x *Exchange) OverloadedInDomain(now time.Time) (overloaded, live int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	live = 1
+	for _, p := range x.peers {
+		if p.Domain != x.Self.Domain || !x.live(p, now) {
+			continue
+		}
+		live++
+		if p.overloaded {
+			overloaded++
+		}
+	}
+	return overloaded, live
+}
+
 // Peers returns the number of live peers: other instances from which a message was
 // received lately.
 func (x *Exchange) Peers(now time.Time) int {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -69,6 +69,8 @@
 	// WantRecords is set in a large fleet if the sender gets the records of feeds from
 	// the receiver.
 	WantRecords bool `json:"k,omitempty"`
+	// Overloaded is set while the sender's processor does not keep up.
+	Overloaded bool `json:"b,omitempty"`
 	// MembersDigest identifies the set of instances that the sender knows to be live,
 	// itself included.
 	MembersDigest uint64 `json:"d,omitempty"`
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -52,6 +52,8 @@
 	maxHeadBytes = 64 << 10
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
+	// writeBufferBytes is the size of the buffer for writing a request.
+	writeBufferBytes = 4 << 10
 )
 
 // Failure is the error of an attempt that got no response.
@@ -235,13 +237,27 @@
 	}
 	result := make(chan error, 1)
 	if len(r.Body) <= maxInlineBodyBytes {
-		result <- req.Write(c.netConn)
+		result <- c.write(req)
 		return result
 	}
-	go func() { result <- req.Write(c.netConn) }()
+	go func() { result <- c.write(req) }()
 	return result
 }
 
+// writers holds buffers for writing requests, of type *bufio.Writer.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
+
+func (c *conn) write(req *http.Request) error {
+	w := writers.Get().(*bufio.Writer)
+	defer writers.Put(w)
+	w.Reset(c.netConn)
+	defer w.Reset(nil)
+	if err := req.Write(w); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
 // targetURL returns a URL that net/http writes as the same bytes as the given request
 // target.
 func targetURL(raw string) *url.URL {
