--- a/internal/peer/start.go
+++ b/internal/peer/start.go
@@ -28,7 +28,7 @@
 	if !x.Balancer.HasStartups() {
 		return
 	}
-	members, digest := x.liveMembers(now)
+	members, digest := x.liveMembers(now), x.liveDigest(now)
 	mayGrant := x.hearsHalf(len(members), now)
 	if !mayGrant {
 		digest = ^digest
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -52,6 +52,8 @@
 	maxHeadBytes = 64 << 10
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
+	// writeBufferBytes is the size of the buffer for writing a request.
+	writeBufferBytes = 4 << 10
 )
 
 // Failure is the error of an attempt that got no response.
@@ -235,13 +237,28 @@
 	}
 	result := make(chan error, 1)
 	if len(r.Body) <= maxInlineBodyBytes {
-		result <- req.Write(c.netConn)
+		result <- write(req, c.netConn)
 		return result
 	}
-	go func() { result <- req.Write(steadyWriter{c}) }()
+	go func() { result <- write(req, steadyWriter{c}) }()
 	return result
 }
 
+// writers holds buffers for writing requests, of type *bufio.Writer.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
+
+// write writes a request through a buffer.
+func write(req *http.Request, to io.Writer) error {
+	w := writers.Get().(*bufio.Writer)
+	defer writers.Put(w)
+	w.Reset(to)
+	defer w.Reset(nil)
+	if err := req.Write(w); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
 // targetURL returns a URL that net/http writes as the same bytes as the given request
 // target.
 func targetURL(raw string) *url.URL {
