quarantine: peers are told of answers that were known before a crash was

An instance that adds a crash now reports which of its signatures were answered since, before the crash itself. testdata/noticed.txt failed before ("served b system subject5 own5").

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -42,14 +42,26 @@
 	answers map[uint64]time.Time
 }
 
-// add adds a suspect to the crash of its endpoint. It reports whether the suspect was added,
-// and whether it is the first one of the crash. lastAnswer returns when a request with a
-// signature was last answered, zero for never. It reports also whether the suspect showed that the
-// crash was earlier than its restored time; that alone adds nothing to tell others.
-func (e *evidence) add(s fleet.Suspect, from source, lastAnswer func(signature uint64) time.Time, now time.Time) (added, first, earlier bool) {
+// addition is what a suspect added to the evidence.
+type addition struct {
+	added bool
+	first bool // it is the first suspect of its crash
+	// earlier is set if it showed that the crash was earlier than its restored time; that alone adds
+	// nothing to tell others.
+	earlier bool
+	// cleared are its signatures, new to the crash, with which requests had been answered since the crash
+	// when it was noticed, and clearedAt is the earliest of these answers.
+	cleared   []uint64
+	clearedAt time.Time
+}
+
+// add adds a suspect to the crash of its endpoint. lastAnswer returns when a request with a
+// signature was last answered, zero for never.
+func (e *evidence) add(s fleet.Suspect, from source, lastAnswer func(signature uint64) time.Time, now time.Time) addition {
 	if now.Sub(s.Broken) > crashRetention || e.sentAfterCrash(s) {
-		return false, false, false
+		return addition{}
 	}
+	first, earlier := false, false
 	c := e.find(s, from)
 	if c == nil {
 		first = true
@@ -67,8 +79,9 @@
 	if slices.ContainsFunc(c.suspects, func(other fleet.Suspect) bool {
 		return other.Request == s.Request && slices.Equal(other.Signatures, s.Signatures)
 	}) {
-		return false, false, earlier
+		return addition{earlier: earlier}
 	}
+	before := slices.Clone(c.suspects)
 	c.suspects = append(c.suspects, s)
 	slices.SortStableFunc(c.suspects, func(a, b fleet.Suspect) int {
 		return cmp.Or(cmp.Compare(suspicion[b.Progress], suspicion[a.Progress]), a.Sent.Compare(b.Sent))
@@ -77,7 +90,7 @@
 		least := c.suspects[maxSuspects]
 		c.suspects = c.suspects[:maxSuspects]
 		if least.Request == s.Request {
-			return false, false, earlier
+			return addition{earlier: earlier}
 		}
 	}
 	if s.Broken.Before(c.at) {
@@ -91,11 +104,22 @@
 			e.answers[signature] = lastAnswer(signature)
 		}
 	}
+	a := addition{added: true, first: first, earlier: earlier}
+	for _, signature := range s.Signatures {
+		at := e.answers[signature]
+		if at.Before(c.at) || slices.ContainsFunc(before, func(other fleet.Suspect) bool { return slices.Contains(other.Signatures, signature) }) {
+			continue
+		}
+		a.cleared = append(a.cleared, signature)
+		if a.clearedAt.IsZero() || at.Before(a.clearedAt) {
+			a.clearedAt = at
+		}
+	}
 	e.sort()
 	if len(e.crashes) > maxCrashes {
 		e.evict()
 	}
-	return true, first, earlier
+	return a
 }
 
 // sort orders the crashes by their times.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -139,13 +139,18 @@
 
 // addSuspect adds a request that an endpoint had when it crashed.
 func (l *List) addSuspect(s fleet.Suspect, from source, now time.Time) {
-	added, first, earlier := l.evidence.add(s, from, l.lastAnswer, now)
-	l.changed = l.changed || earlier
-	if !added {
+	a := l.evidence.add(s, from, l.lastAnswer, now)
+	l.changed = l.changed || a.earlier
+	if !a.added {
 		return
 	}
+	if len(a.cleared) > 0 {
+		// An instance that has seen no such answer, because it has just started, would
+		// otherwise take them for the cause.
+		l.outbox.add(report{answered: a.cleared, at: a.clearedAt, own: from == sourceOwn})
+	}
 	l.outbox.add(report{suspect: s, at: s.Broken, own: from == sourceOwn, restored: from == sourceStorage})
-	if first && l.OnCrash != nil {
+	if a.first && l.OnCrash != nil {
 		l.OnCrash(s.Endpoint)
 	}
 	l.changed = true
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -31,6 +31,7 @@
 //	begin R, events R N, finish R    the response of R begins, N more events arrive, it is whole
 //	crash E                          endpoint E crashes with the requests that it has
 //	crash E A...                     the same, noticed at these instances only
+//	broken E                         the connections to endpoint E break; its crash is noticed later
 //	outage A N SIGNATURE...          N endpoints with a request of A each crash at the same time
 //	exchange                         all instances send each other what they have to say
 //	exchange A B                     only A to B; exchange A B lost: the message is lost
@@ -90,6 +91,7 @@
 	attempt  quarantine.Attempt
 	canceled bool
 	stop     func()
+	suspect  *fleet.Suspect // when its connection broke; nil if it did not
 	ended    bool
 }
 
@@ -162,6 +164,13 @@
 		r.end()
 	case "crash":
 		p.crash(args[0], args[1:])
+	case "broken":
+		for _, r := range p.requests {
+			if !r.ended && r.attempt.Endpoint == args[0] {
+				suspect := r.attempt.Suspect(time.Now())
+				r.suspect = &suspect
+			}
+		}
 	case "outage":
 		n, err := strconv.Atoi(args[1])
 		require.NoError(t, err, line)
@@ -262,7 +271,11 @@
 		if r.ended || r.attempt.Endpoint != endpoint || len(noticedAt) > 0 && !slices.Contains(noticedAt, r.instance) {
 			continue
 		}
-		p.instances[r.instance].Crashed(r.attempt.Suspect(time.Now()))
+		suspect := r.attempt.Suspect(time.Now())
+		if r.suspect != nil {
+			suspect = *r.suspect
+		}
+		p.instances[r.instance].Crashed(suspect)
 		r.end()
 	}
 }
