--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -132,7 +132,7 @@
 			continue
 		}
 		usable++
-		if rand.Float64() >= s.warmShare(now) {
+		if share := s.warmShare(now); share < 1 && rand.Float64() >= share {
 			justWarm = append(justWarm, s)
 			continue
 		}
--- a/internal/placement/warmth.go
+++ b/internal/placement/warmth.go
@@ -55,8 +55,11 @@
 // warmShare returns with which probability an endpoint is considered for a request: less than 1 right
 // after it was cold, when it has little work and would be the best choice of all instances at once.
 func (s *endpointState) warmShare(now time.Time) float64 {
+	if !s.startup.Limit.Limited() {
+		return 1
+	}
 	end := s.coldEnd()
-	if !s.startup.Limit.Limited() || end.IsZero() || now.Before(end) {
+	if end.IsZero() || now.Before(end) {
 		return 1
 	}
 	return 0.1 + now.Sub(end).Seconds()/warmShareTime.Seconds()
