--- a/internal/placement/warmth_test.go
+++ b/internal/placement/warmth_test.go
@@ -64,10 +64,14 @@
 		"failed connections": {func(_ *testing.T, b *placement.Balancer) { fail(b, record(1, 0)) }, 3*time.Second + heartbeat},
 		"failed, record after": {func(_ *testing.T, b *placement.Balancer) {
 			fail(b, record(1, 0))
-			time.Sleep(1)
+			time.Sleep(time.Nanosecond)
 			b.Put(record(2, time.Second))
 		}, time.Second + 1},
-		"failed, outdated":     {func(_ *testing.T, b *placement.Balancer) { fail(b, record(1, 0)); time.Sleep(1); b.Put(record(1, 0)) }, 3*time.Second + heartbeat},
+		"failed, outdated": {func(_ *testing.T, b *placement.Balancer) {
+			fail(b, record(1, 0))
+			time.Sleep(time.Nanosecond)
+			b.Put(record(1, 0))
+		}, 3*time.Second + heartbeat},
 		"no requests for long": {func(_ *testing.T, b *placement.Balancer) { b.MarkUncertain("a", time.Now()) }, 3*time.Second + heartbeat},
 		"another domain's end": {func(_ *testing.T, b *placement.Balancer) { b.MarkUncertain("b", time.Now()) }, 0},
 		"service without limit": {func(_ *testing.T, b *placement.Balancer) {
@@ -86,7 +90,7 @@
 				}
 				time.Sleep(c.until - 2)
 				require.True(t, isCold(b))
-				time.Sleep(2)
+				time.Sleep(2 * time.Nanosecond)
 				require.False(t, isCold(b))
 			})
 		})
