gateway: do not reserve again at a cold endpoint whose home refused the request

A cold endpoint is never available without a start, so that one whose home refused the request for its work was not excluded: the request asked the home again without a pause until its deadline. The test failed before: it asked until the deadline.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -119,7 +119,7 @@
 		return false
 	case fleet.GrantRefused:
 	}
-	if c.h.Balancer.Unavailability(c.choice, time.Now()) == "" {
+	if reason := c.h.Balancer.Unavailability(c.choice, time.Now()); reason == "" || reason == placement.UnavailableCold {
 		c.refusedBy = append(c.refusedBy, c.choice.Endpoint.ID)
 	}
 	return false
--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -103,3 +103,23 @@
 		require.LessOrEqual(t, asked.Load(), int64(4))
 	})
 }
+
+// The home refuses a request to a cold endpoint for another reason than its rate, as when it knows of
+// more work there: it is not asked again for the same request.
+func TestRefusedRequestIsNotReservedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGateway(t, unaryConfig())
+		arrived := g.addCounted("i-1", serveWell)
+		g.setCold(3 * time.Second)
+		var asked atomic.Int64
+		g.handler.Homes = homesFunc(func(fleet.Reservation) fleet.ReservationResult {
+			asked.Add(1)
+			time.Sleep(time.Millisecond)
+			return fleet.GrantRefused
+		})
+		resp, _ := g.post("/", "1")
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		require.EqualValues(t, 1, asked.Load())
+		require.Zero(t, arrived.Load())
+	})
+}
