--- a/internal/placement/warmth_test.go
+++ b/internal/placement/warmth_test.go
@@ -70,10 +70,14 @@
 		"failed connections": {func(_ *testing.T, b *placement.Balancer) { fail(b, record(1, 0)) }, 3*time.Second + heartbeat},
 		"failed, record after": {func(_ *testing.T, b *placement.Balancer) {
 			fail(b, record(1, 0))
-			time.Sleep(1)
+			time.Sleep(time.Nanosecond)
 			b.Put(record(2, time.Second))
 		}, time.Second + 1},
-		"failed, outdated":          {func(_ *testing.T, b *placement.Balancer) { fail(b, record(1, 0)); time.Sleep(1); b.Put(record(1, 0)) }, 3*time.Second + heartbeat},
+		"failed, outdated": {func(_ *testing.T, b *placement.Balancer) {
+			fail(b, record(1, 0))
+			time.Sleep(time.Nanosecond)
+			b.Put(record(1, 0))
+		}, 3*time.Second + heartbeat},
 		"domain taken back":         {func(_ *testing.T, b *placement.Balancer) { empty(b, "a") }, 3*time.Second + heartbeat},
 		"another domain taken back": {func(_ *testing.T, b *placement.Balancer) { empty(b, "b") }, 0},
 		"service without limit": {func(_ *testing.T, b *placement.Balancer) {
@@ -92,7 +96,7 @@
 				}
 				time.Sleep(c.until - 2)
 				require.True(t, isCold(b))
-				time.Sleep(2)
+				time.Sleep(2 * time.Nanosecond)
 				require.False(t, isCold(b))
 			})
 		})
