--- a/internal/backlog/backlog_test.go
+++ b/internal/backlog/backlog_test.go
@@ -186,3 +186,25 @@
 		require.Zero(t, a.Bodies())
 	})
 }
+
+// BenchmarkHold measures the decision on one piece of a caller that has just fallen behind, at an account
+// that is full of others.
+func BenchmarkHold(b *testing.B) {
+	for _, readers := range []int{30, 300, 3000} {
+		b.Run(fmt.Sprint(readers, " readers"), func(b *testing.B) {
+			a := &backlog.Account{MaxBytes: int64(readers) * 64 << 10}
+			for range readers {
+				fill(a, &backlog.Reader{}, 64<<10)
+			}
+			for b.Loop() {
+				next := &backlog.Reader{}
+				_, victims := a.Hold(next, piece, start)
+				a.Drop(next)
+				for _, v := range victims {
+					fill(a, v.Reader, 64<<10)
+				}
+			}
+			require.LessOrEqual(b, a.Unread(), a.MaxBytes)
+		})
+	}
+}
