peer: instances are homes in proportion to their processors

Cause: the home of an endpoint answers a reservation for nearly each stream in a large fleet. Rendezvous hashing made each of 25 instances of mitt-c the home of as many endpoints, although they have 0.144 to 0.8 cores; the 17 small ones, of 0.144, answered for 68 % of the endpoints with 35 % of the processors.

Ruled out: skipping reservations at an overloaded home, whose endpoints would then be filled by estimates.

TestHomesFollowProcessors names the domain; it failed before, since the hash gave every instance the same share. ./internal/peer, ./internal/entry pass.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -73,6 +73,9 @@
 	RetryWindow time.Duration
 	// MaxMemoryBytes is how much memory the process may use; zero means no bound.
 	MaxMemoryBytes int64
+	// Cores is how much of a processor the process may use; zero means not known. Larger
+	// instances do more of the work that instances do for each other.
+	Cores float64
 	// MaxFiles is how many files the process may open; zero means no bound.
 	MaxFiles int
 	// Lag returns the scheduling lag of the process, with which a signal to stop arrives; nil
@@ -226,7 +229,7 @@
 	}
 	now := time.Now()
 	i.peers = &peer.Exchange{
-		Self:     peer.Member{Name: i.Name, Domain: i.Domain, Address: i.Peers.Addr().String(), Start: now.UnixNano()},
+		Self:     peer.Member{Name: i.Name, Domain: i.Domain, Address: i.Peers.Addr().String(), Start: now.UnixNano(), Cores: i.Cores},
 		Balancer: i.balancer, Ledger: i.ledger, Logger: i.logger,
 		Crashes: i.quarantine, Overloaded: i.lagMeter.Overloaded,
 		Key:   &peer.Key{Storage: i.Secret, Logger: i.logger},
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -399,6 +399,7 @@
 	}
 	transit := p.maxTransit(m, now)
 	p.sequence, p.lastReceived, p.lost = m.Sequence, now, false
+	p.Cores = m.From.Cores
 	p.membersDigest, p.wantsRecords, p.overloaded = m.MembersDigest, m.WantRecords, m.Overloaded
 	for _, other := range m.Members {
 		x.addPeer(other, now)
--- a/internal/peer/home.go
+++ b/internal/peer/home.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"math"
 	"net/http"
 	"slices"
 	"time"
@@ -52,7 +53,7 @@
 
 // endpointHomes returns the home of each endpoint by ID: the live instance in its
 // failure domain, or of all live ones if that has none, which rendezvous hashing
-// selects. Instances that differ on which peers are live may select different homes
+// selects, each for a share of the endpoints in proportion to its processor. Instances that differ on which peers are live may select different homes
 // for a moment; each of these then counts only a part of the reservations. The caller
 // holds the lock.
 func (x *Exchange) endpointHomes(now time.Time) map[string]Member {
@@ -86,7 +87,7 @@
 // hashes.
 func selectHome(e placement.Endpoint, members []Member, hashes []uint64) Member {
 	var best Member
-	var bestHash uint64
+	bestScore := math.Inf(-1)
 	bestInDomain := false
 	var pair [16]byte
 	binary.BigEndian.PutUint64(pair[:8], xxhash.Sum64String(e.ID))
@@ -96,14 +97,26 @@
 			continue
 		}
 		binary.BigEndian.PutUint64(pair[8:], hashes[i])
-		hash := xxhash.Sum64(pair[:])
-		if inDomain && !bestInDomain || hash > bestHash || hash == bestHash && m.Name > best.Name {
-			best, bestHash, bestInDomain = m, hash, inDomain
+		score := weightedScore(xxhash.Sum64(pair[:]), m.Cores)
+		if inDomain && !bestInDomain || score > bestScore || score == bestScore && m.Name > best.Name {
+			best, bestScore, bestInDomain = m, score, inDomain
 		}
 	}
 	return best
 }
 
+// weightedScore returns the score of a member in weighted rendezvous hashing: of the members with the
+// highest scores, each occurs in proportion to its weight, and others keep theirs when one joins or
+// leaves. Of equal weights, the higher hash has the higher score.
+func weightedScore(hash uint64, weight float64) float64 {
+	if !(weight > 0) || math.IsInf(weight, 1) {
+		weight = 1
+	}
+	// The upper 53 bits make a number between 0 and 1, exclusive.
+	fraction := (float64(hash>>11) + 0.5) / (1 << 53)
+	return -weight / math.Log(fraction)
+}
+
 // composeWork returns the packed work at endpoints for a message, and whether it is
 // partial. In a large fleet most messages cover only the endpoints whose home is the
 // receiver. The caller holds the lock.
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -23,6 +23,9 @@
 	// Start identifies one start of the instance. Later starts have larger values, unless
 	// the clock was set back in between.
 	Start int64 `json:"i"`
+	// Cores is how much of a processor the instance may use; zero means not known, which
+	// counts as 1.
+	Cores float64 `json:"c,omitempty"`
 }
 
 // digest returns a hash that identifies one start of the instance.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -270,6 +271,45 @@
 	}
 }
 
+// A failure domain has 17 instances of 0.144 cores, 6 of 0.48 and 2 of 0.8: each is the home of endpoints
+// in proportion to its processor, and the endpoints of one that leaves go to others, while the rest keep
+// theirs. Instances whose processor is not known count like each other.
+func TestHomesFollowProcessors(t *testing.T) {
+	var members []peer.Member
+	total := 0.0
+	for n := range 25 {
+		cores := 0.144
+		switch {
+		case n < 2:
+			cores = 0.8
+		case n < 8:
+			cores = 0.48
+		}
+		total += cores
+		members = append(members, peer.Member{Name: fmt.Sprintf("front-%d", n), Domain: "a", Cores: cores})
+	}
+	const endpoints = 9000
+	home := func(n int, members []peer.Member) peer.Member {
+		return peer.Home(placement.Endpoint{ID: fmt.Sprintf("i-%08x", n*7919), EndpointInfo: fleet.EndpointInfo{Domain: "a"}}, members)
+	}
+	homes := map[string]int{}
+	for n := range endpoints {
+		m := home(n, members)
+		homes[m.Name]++
+		if m.Name != "front-0" {
+			require.Equal(t, m, home(n, members[1:]))
+		}
+	}
+	for _, m := range members {
+		expected := endpoints * m.Cores / total
+		require.InDelta(t, expected, homes[m.Name], 0.25*expected, m.Name)
+	}
+	for _, unknown := range []float64{0, -1, math.Inf(1), math.NaN()} {
+		require.Equal(t, peer.Home(placement.Endpoint{ID: "i-1"}, []peer.Member{{Name: "x"}, {Name: "y"}}).Name,
+			peer.Home(placement.Endpoint{ID: "i-1"}, []peer.Member{{Name: "x", Cores: unknown}, {Name: "y", Cores: 1}}).Name)
+	}
+}
+
 // Work below zero, as a caller that understated its prompt made it, was packed as that of a million
 // tokens: all other instances took the endpoint for full.
 func TestNegativeWorkIsPackedAsNone(t *testing.T) {
