--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/greengagestep/greengagestep/internal/event"
 	"github.com/greengagestep/greengagestep/internal/gateway"
 	"github.com/greengagestep/greengagestep/internal/gauge"
+	"github.com/greengagestep/greengagestep/internal/link"
 	"github.com/greengagestep/greengagestep/internal/outlet"
 	"github.com/greengagestep/greengagestep/internal/overload"
 	"github.com/greengagestep/greengagestep/internal/peer"
@@ -75,8 +76,16 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// StartupOver and StartupSlack bound the requests of all instances to a cold endpoint: in
+	// any second the start-up rate of its service, times StartupOver, plus StartupSlack. A
+	// StartupOver under 1 counts as 1.
+	StartupOver  float64
+	StartupSlack float64
 	// MaxMemoryBytes is how much memory the process may use; zero means no bound.
 	MaxMemoryBytes int64
+	// Cores is how much of a processor the process may use; zero means not known. Larger
+	// instances do more of the work that instances do for each other.
+	Cores float64
 	// MaxFiles is how many files the process may open; zero means no bound.
 	MaxFiles int
 	// Lag returns the scheduling lag of the process, with which a signal to stop arrives; nil
@@ -99,9 +108,11 @@
 	quarantine  *quarantine.List
 	handler     *gateway.Handler
 	lagMeter    *overload.Meter
+	relief      overload.Relief
 	idleConns   *idleConns
 	ledger      *admission.Ledger
 	peers       *peer.Exchange
+	links       *link.Handler
 	stopping    chan struct{}
 	graceNanos  atomic.Int64
 }
@@ -157,6 +168,8 @@
 	// expiryInterval is the interval between checks for endpoints whose records were not
 	// written again: it adds to the time for which they get requests.
 	expiryInterval = 100 * time.Millisecond
+	// reliefInterval is the interval between two decisions on how many callers are moved.
+	reliefInterval = 200 * time.Millisecond
 	// sweepInterval is the interval between checks for expired connections.
 	sweepInterval = 500 * time.Millisecond
 	// drainDelay is how long all new requests are served after the signal to stop: the
@@ -178,6 +191,10 @@
 	// heapShare is the fraction of the memory to which the heap may grow before the
 	// garbage collector runs more often.
 	heapShare = 0.6
+	// heapGrowthPercent is by how much the heap may grow between two collections, in percent of
+	// what is live, as long as it stays below heapShare: the live heap is some megabytes only,
+	// so that collections would be frequent.
+	heapGrowthPercent = 400
 )
 
 func (i *Instance) initialize() {
@@ -187,10 +204,14 @@
 	i.logger = i.Log.Logger().With(zap.String("instance", i.Name))
 	if i.MaxMemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(i.MaxMemoryBytes)))
+		debug.SetGCPercent(heapGrowthPercent)
 	}
 	i.stopping = make(chan struct{})
 	i.graceNanos.Store(int64(i.Grace))
-	i.balancer = &placement.Balancer{LocalDomain: i.Domain, Regions: i.Regions, OnChange: i.endpointChanged, OnInvalidTime: i.countInvalidTime}
+	i.balancer = &placement.Balancer{
+		LocalDomain: i.Domain, Regions: i.Regions, HeartbeatInterval: i.heartbeatInterval(),
+		OnChange: i.endpointChanged, OnInvalidTime: i.countInvalidTime,
+	}
 	i.pool = &upstream.Pool{HeaderCodec: i.HeaderCodec, Dial: i.Dial}
 	i.tracker = &watch.EndpointTracker{
 		Balancer: i.balancer, OnMissing: i.logMissing, OnIgnored: i.logIgnored, DisputeTime: 2 * i.heartbeatInterval(),
@@ -198,11 +219,12 @@
 			i.logger.Warn(event.InvalidData, zap.String("key", key), zap.Error(fault))
 		},
 	}
-	i.idleConns = &idleConns{MaxConns: i.maxCallerConns(), IdleTimeout: func() time.Duration { return i.handler.IdleTimeout() }}
+	i.idleConns = &idleConns{MoveCaller: i.relief.MoveCaller, MaxConns: i.maxCallerConns(), IdleTimeout: func() time.Duration { return i.handler.IdleTimeout() }}
 	i.lagMeter = &overload.Meter{OnChange: i.overloadChanged}
 	if i.Lag == nil {
 		i.Lag = i.lagMeter.Lag
 	}
+	i.balancer.Lag = i.Lag
 	i.ledger = &admission.Ledger{}
 	i.quarantine = quarantine.New(&audit.Trail{Instance: i.Name, Logger: i.logger})
 	i.handler = &gateway.Handler{
@@ -227,11 +249,11 @@
 	}
 	now := time.Now()
 	i.peers = &peer.Exchange{
-		Self:     peer.Member{Name: i.Name, Domain: i.Domain, Address: i.Peers.Addr().String(), Start: now.UnixNano()},
+		Self:     peer.Member{Name: i.Name, Domain: i.Domain, Address: i.Peers.Addr().String(), Start: now.UnixNano(), Cores: i.Cores},
 		Balancer: i.balancer, Ledger: i.ledger, Logger: i.logger,
-		Crashes: i.quarantine,
-		Key:     &peer.Key{Storage: i.Secret, Logger: i.logger},
-		Feeds:   map[string]watch.Relay{"operators": i.operators, "endpoints": i.endpoints},
+		Crashes: i.quarantine, Overloaded: i.lagMeter.Overloaded,
+		Key:   &peer.Key{Storage: i.Secret, Logger: i.logger},
+		Feeds: map[string]watch.Relay{"operators": i.operators, "endpoints": i.endpoints},
 	}
 	i.handler.Homes = i.peers
 	i.balancer.Instances = func() int { return 1 + i.peers.Peers(time.Now()) }
@@ -304,6 +326,7 @@
 	if i.Metrics != nil {
 		mux := http.NewServeMux()
 		mux.Handle("GET /metrics", i.handler.Metrics)
+		mux.HandleFunc("GET /explain", i.serveExplain)
 		tree.Add(&service.Server{Listener: i.Metrics, HTTP: &http.Server{Handler: mux, ReadTimeout: headerTimeout}})
 	}
 	tree.Add(i.Log)
@@ -318,6 +341,7 @@
 	tree.Add(&service.Server{Listener: i.Peers, HTTP: &http.Server{Handler: i.peerMux(), ReadTimeout: headerTimeout, IdleTimeout: peerIdleTimeout}})
 	tree.Add(&service.Loop{Name: "sweep", Interval: sweepInterval, Run: i.sweep})
 	tree.Add(&service.Loop{Name: "expiry", Interval: expiryInterval, Run: i.removeExpired})
+	tree.Add(&service.Loop{Name: "relief", Interval: reliefInterval, Run: i.updateRelief})
 	tree.Add(&service.Loop{Name: "probe", Interval: probeInterval, Run: i.probe})
 	treeCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -333,6 +357,7 @@
 		return fmt.Errorf("entry: supervisor ended: %w", err)
 	}
 	cancel()
+	i.links.Close()
 	<-done
 	i.pool.Close()
 	i.logger.Info(event.Stopped, zap.Int64("active", i.handler.Active()))
@@ -344,6 +369,8 @@
 	mux.Handle("POST "+peer.Path, i.peers)
 	mux.HandleFunc("POST "+peer.ReservePath, i.peers.ServeReserve)
 	mux.HandleFunc("GET "+peer.SnapshotPath, i.peers.ServeSnapshot)
+	i.links = &link.Handler{Next: mux, SignatureHeader: peer.HeaderSignature, Logger: i.logger}
+	mux.Handle("POST "+link.Path, i.links)
 	return mux
 }
 
@@ -367,7 +394,13 @@
 	if overloaded {
 		name = event.Overload
 	}
-	i.logger.Warn(name, zap.Duration("lag", lag), zap.Int64("active", i.handler.Active()))
+	i.logger.Warn(name, zap.Duration("lag", lag), zap.Int64("active", i.handler.Active()), zap.Int("connections", i.idleConns.openCount()), zap.Int64("moved", i.relief.Moved()))
+}
+
+func (i *Instance) updateRelief(context.Context) {
+	now := time.Now()
+	others, live := i.peers.OverloadedInDomain(now)
+	i.relief.Update(i.lagMeter.Overloaded(), i.idleConns.openCount(), live, others, now)
 }
 
 func (i *Instance) sweep(context.Context) {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -14,6 +14,7 @@
 		"configuration_version": float64(i.handler.Version()),
 		"requests_active":       float64(i.handler.Active()),
 		"peers_heard":           float64(i.peers.Peers(now)),
+		"callers_moved":         float64(i.relief.Moved()),
 		"lag_milliseconds":      float64(i.lagMeter.Lag().Milliseconds()),
 		"log_lines_dropped":     float64(i.Log.DroppedLines()),
 		"body_bytes":            float64(i.handler.Backlog.Bodies()),
@@ -28,11 +29,16 @@
 			values["platform_calls_away"]++
 		}
 	}
+	granted, refused := i.peers.Starts()
+	values[gauge.Name("starts_total", "answer", "granted")] = float64(granted)
+	values[gauge.Name("starts_total", "answer", "refused")] = float64(refused)
 	for service, left := range i.handler.Budget.Remaining(now) {
 		values[gauge.Name("retry_budget_left", "service", service)] = left
 	}
 	for service, c := range i.balancer.Services(now) {
-		for state, n := range map[string]int{"listed": c.Listed, "leaving": c.Leaving, "evacuated": c.Evacuated, "quiet": c.Quiet, "down": c.Down, "silent": c.Stalled} {
+		for state, n := range map[string]int{
+			"listed": c.Listed, "leaving": c.Leaving, "evacuated": c.Evacuated, "quiet": c.Quiet, "down": c.Down, "cold": c.Cold, "silent": c.Stalled,
+		} {
 			values[gauge.Name("endpoints", "service", service, "state", state)] = float64(n)
 		}
 		values[gauge.Name("runs", "service", service)] = c.Runs
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -14,9 +14,11 @@
 	"github.com/greengagestep/greengagestep/internal/admission"
 	"github.com/greengagestep/greengagestep/internal/connection"
 	"github.com/greengagestep/greengagestep/internal/event"
+	"github.com/greengagestep/greengagestep/internal/link"
 	"github.com/greengagestep/greengagestep/internal/placement"
 	"github.com/greengagestep/greengagestep/internal/quarantine"
 	"github.com/greengagestep/greengagestep/internal/service"
+	"github.com/greengagestep/greengagestep/internal/warmup"
 	"github.com/greengagestep/greengagestep/internal/watch"
 )
 
@@ -61,26 +63,39 @@
 	// Crashes composes and receives reports of crashed endpoints and the requests that
 	// they had; nil disables this.
 	Crashes *quarantine.List
+	// Overloaded reports whether this instance's processor does not keep up, which other
+	// instances are told; nil means that it always does.
+	Overloaded func() bool
 	// Key signs messages. Until it is known, no messages are sent and requests
 	// from peers are rejected.
 	Key    *Key
 	Logger *zap.Logger
-	// Transport sends messages; nil means HTTP over TCP.
+	// Transport sends messages; nil means links, or HTTP where the receiver knows none.
 	Transport http.RoundTripper
 
-	mu       sync.Mutex
-	peers    map[string]*peer // by address
-	client   *http.Client
-	sequence int64
-	homes    map[string]Member // home of each endpoint, by endpoint ID
-	ids      map[uint32]string // endpoint IDs by their hash in messages
-	homesAt  time.Time         // when homes and ids were computed
+	mu    sync.Mutex
+	peers map[string]*peer // by address
+	// transport sends messages and reservations, client fetches snapshots; links is the
+	// transport unless Transport is set.
+	transport http.RoundTripper
+	client    *http.Client
+	links     *link.Transport
+	sequence  int64
+	homes     map[string]Member   // home of each endpoint, by endpoint ID
+	homeIDs   map[string][]string // IDs of the endpoints with the same home, by its address
+	ids       map[uint32]string   // endpoint IDs by their hash in messages
+	homesAt   time.Time           // when homes, homeIDs and ids were computed
 	// sparse is set while there are more than meshPeers live peers; livePeers and
 	// neighborCount count them and the neighbors among them, as of neighborsAt.
 	sparse                   bool
 	livePeers, neighborCount int
 	neighborsAt              time.Time
 	source                   *peer // neighbor that sends the records of feeds; nil if none does
+	// starts grants the starts at cold endpoints of which this instance was the home by all of
+	// views. heardPeers is set once it has heard a peer.
+	starts     warmup.Home
+	views      warmup.Views[membersView]
+	heardPeers bool
 	// unauthenticated counts requests whose signature was not made with the
 	// fleet key.
 	unauthenticated atomic.Int64
@@ -90,6 +105,7 @@
 type peer struct {
 	Member
 	lastReceived   time.Time
+	knownSince     time.Time
 	sequence       int64 // of the newest message received
 	lastSent       time.Time
 	sentMessages   []sentMessage // the newest ones, oldest first
@@ -105,23 +121,26 @@
 	lastErr        error            // of the last message sent to it
 	membersDigest  uint64           // of the live instances that it knows
 	ringHash       uint32           // position on the ring
+	ownDigest      uint64           // its Member.digest
 	neighbor       bool             // messages are exchanged with it at short intervals
 	neighborSince  time.Time
 	dataAt         time.Time // when its data of the endpoints' feed was current, by its last message
+	overloaded     bool      // its processor does not keep up, by its last message
 	wantsRecords   bool      // it gets the records of feeds from this instance
 }
 
 func (x *Exchange) init() {
 	if x.peers == nil {
 		x.peers = map[string]*peer{}
-		transport := x.Transport
-		if transport == nil {
-			transport = &http.Transport{
-				DialContext:         connection.ResetOnClose((&net.Dialer{Timeout: messageTimeout / 2, KeepAlive: time.Second}).DialContext),
-				MaxIdleConnsPerHost: maxIdleConnsPerPeer, IdleConnTimeout: lostPeerTTL, DisableCompression: true,
-			}
+		x.transport = x.Transport
+		if x.transport == nil {
+			dial := connection.ResetOnClose((&net.Dialer{Timeout: messageTimeout / 2, KeepAlive: time.Second}).DialContext)
+			x.links = &link.Transport{Dial: dial, SignatureHeader: HeaderSignature, HTTP: &http.Transport{
+				DialContext: dial, MaxIdleConnsPerHost: maxIdleConnsPerPeer, IdleConnTimeout: lostPeerTTL, DisableCompression: true,
+			}}
+			x.transport = x.links
 		}
-		x.client = &http.Client{Timeout: messageTimeout, Transport: transport}
+		x.client = &http.Client{Timeout: messageTimeout, Transport: x.transport}
 	}
 }
 
@@ -140,7 +159,7 @@
 	}
 	p := x.peers[m.Address]
 	if p == nil {
-		p = &peer{Member: m, lastAnnounced: now, positions: map[string]int64{}, ringHash: hashID(m.Name)}
+		p = &peer{Member: m, knownSince: now, lastAnnounced: now, positions: map[string]int64{}, ringHash: hashID(m.Name), ownDigest: m.digest()}
 		x.peers[m.Address] = p
 	}
 	// A live peer says itself when it has restarted: others may still know its earlier start.
@@ -154,7 +173,7 @@
 // setStart sets the start of a peer. State exchanged with another start at its address is
 // obsolete.
 func (x *Exchange) setStart(p *peer, m Member) {
-	p.Member, p.sequence, p.cacheFillsSent, p.ringHash = m, 0, 0, hashID(m.Name)
+	p.Member, p.sequence, p.cacheFillsSent, p.ringHash, p.ownDigest = m, 0, 0, hashID(m.Name), m.digest()
 	p.departuresNext, p.hasDepartures = 0, false
 	clear(p.positions)
 	if x.Crashes != nil {
@@ -174,6 +193,9 @@
 	x.mu.Lock()
 	x.init()
 	x.mu.Unlock()
+	if x.links != nil {
+		defer x.links.Close()
+	}
 	send := time.NewTicker(sendInterval / 2)
 	defer send.Stop()
 	feedRecovery := time.NewTicker(feedRecoveryInterval)
@@ -198,6 +220,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.refreshNeighbors(now)
+	x.recordView(now)
 	if x.sparse {
 		x.selectSource(now)
 	}
@@ -213,6 +236,9 @@
 		}
 		if silence > lostPeerTTL && now.Sub(p.lastAnnounced) > lostPeerTTL {
 			delete(x.peers, address)
+			if x.links != nil {
+				x.links.Forget(address)
+			}
 			continue
 		}
 		if x.due(p, now) {
@@ -247,6 +273,7 @@
 	x.sequence++
 	m := wireMessage{From: x.Self, Sequence: x.sequence, Feeds: x.composeFeeds(to, now)}
 	m.WantRecords = to != nil && x.sparse && to == x.source
+	m.Overloaded = x.Overloaded != nil && x.Overloaded()
 	// Peers that are no neighbors get few messages, so each carries everything.
 	full = full || x.sparse && (to == nil || !to.neighbor)
 	m.Work, m.Partial = x.composeWork(to, full, now)
@@ -264,12 +291,11 @@
 			x.composeReports(to, &m, now)
 		}
 	}
-	var members []Member
-	members, m.MembersDigest = x.liveMembers(now)
+	m.MembersDigest = x.liveDigest(now)
 	if full {
 		m.Usage = x.Ledger.LocalUsage(now)
 		if to == nil || to.membersDigest != m.MembersDigest {
-			m.Members = members
+			m.Members = x.liveMembers(now)
 		}
 	}
 	return m
@@ -300,17 +326,27 @@
 	p.hasDepartures = p.hasDepartures || !m.moreDepartures
 }
 
-// liveMembers returns the live peers, and a digest of them and of this instance that does not
-// depend on their order. The caller holds the lock.
-func (x *Exchange) liveMembers(now time.Time) (members []Member, digest uint64) {
-	digest = x.Self.digest()
+// liveMembers returns the live peers. The caller holds the lock.
+func (x *Exchange) liveMembers(now time.Time) []Member {
+	members := make([]Member, 0, len(x.peers)+1)
 	for _, p := range x.peers {
 		if x.live(p, now) {
 			members = append(members, p.Member)
-			digest ^= p.digest()
 		}
 	}
-	return members, digest
+	return members
+}
+
+// liveDigest returns a digest of the live peers and of this instance that does not depend on their
+// order. The caller holds the lock.
+func (x *Exchange) liveDigest(now time.Time) uint64 {
+	digest := x.Self.digest()
+	for _, p := range x.peers {
+		if x.live(p, now) {
+			digest ^= p.ownDigest
+		}
+	}
+	return digest
 }
 
 // errUnexpected is the error of a message that ended with a panic.
@@ -325,6 +361,8 @@
 		p.inFlight, p.lastErr = false, err
 		x.mu.Unlock()
 	}()
+	ctx, cancel := context.WithTimeout(ctx, messageTimeout)
+	defer cancel()
 	err = x.postSigned(ctx, p.Address, Path, purposeMessage, m, &reply)
 	if err != nil {
 		return
@@ -369,7 +407,8 @@
 	}
 	transit := p.maxTransit(m, now)
 	p.sequence, p.lastReceived, p.lost = m.Sequence, now, false
-	p.membersDigest, p.wantsRecords = m.MembersDigest, m.WantRecords
+	p.Cores = m.From.Cores
+	p.membersDigest, p.wantsRecords, p.overloaded = m.MembersDigest, m.WantRecords, m.Overloaded
 	for _, other := range m.Members {
 		x.addPeer(other, now)
 	}
@@ -420,6 +459,24 @@
 	return rank
 }
 
+// OverloadedInDomain returns how many instances of this failure domain are live, this one
+// included, and how many of the others last said that they are overloaded.
+func (x *Exchange) OverloadedInDomain(now time.Time) (overloaded, live int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	live = 1
+	for _, p := range x.peers {
+		if p.Domain != x.Self.Domain || !x.live(p, now) {
+			continue
+		}
+		live++
+		if p.overloaded {
+			overloaded++
+		}
+	}
+	return overloaded, live
+}
+
 // Peers returns the number of live peers: other instances from which a message was
 // received lately.
 func (x *Exchange) Peers(now time.Time) int {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -23,6 +23,9 @@
 	// Start identifies one start of the instance. Later starts have larger values, unless
 	// the clock was set back in between.
 	Start int64 `json:"i"`
+	// Cores is how much of a processor the instance may use; zero means not known, which
+	// counts as 1.
+	Cores float64 `json:"c,omitempty"`
 }
 
 // digest returns a hash that identifies one start of the instance.
@@ -69,6 +72,8 @@
 	// WantRecords is set in a large fleet if the sender gets the records of feeds from
 	// the receiver.
 	WantRecords bool `json:"k,omitempty"`
+	// Overloaded is set while the sender's processor does not keep up.
+	Overloaded bool `json:"b,omitempty"`
 	// MembersDigest identifies the set of instances that the sender knows to be live,
 	// itself included.
 	MembersDigest uint64 `json:"d,omitempty"`
--- a/internal/placement/evacuation.go
+++ b/internal/placement/evacuation.go
@@ -25,20 +25,51 @@
 	}
 	for _, s := range b.byID {
 		if s.Domain == domain {
-			s.setEvacuated(evacuated, now)
+			b.setEvacuated(s, evacuated, now)
 		}
 	}
 }
 
-func (s *endpointState) setEvacuated(evacuated bool, now time.Time) {
-	if s.evacuated && !evacuated {
-		s.forgetWarmth(now)
+// setEvacuated sets whether the failure domain of an endpoint is emptied. One that is taken back may
+// have become cold meanwhile.
+func (b *Balancer) setEvacuated(s *endpointState, evacuated bool, now time.Time) {
+	ended := s.evacuated && !evacuated
+	if s.evacuated != evacuated {
+		s.evacuatedUntil = time.Time{}
 	}
 	s.evacuated = evacuated
+	if ended {
+		b.markUncertain(s, "its failure domain was emptied", now)
+	}
 }
 
-// forgetWarmth records that nothing is known any more of how warm the endpoint is.
-func (a *availability) forgetWarmth(now time.Time) { a.unknownSince = now }
+// evacuationLead is how long this instance relies on a home that says that a domain is emptied: it
+// learns the same from the operator's record within this time.
+const evacuationLead = time.Second
+
+// IsEvacuated reports whether the failure domain of an endpoint is emptied. An unknown ID is in
+// none.
+func (b *Balancer) IsEvacuated(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.byID[id]
+	return s != nil && s.evacuated
+}
+
+// RecordEvacuated records that the home of an endpoint has said that its failure domain is emptied.
+func (b *Balancer) RecordEvacuated(id string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.byID[id]
+	if e == nil {
+		return
+	}
+	for _, s := range b.byID {
+		if s.Domain == e.Domain {
+			s.evacuatedUntil = now.Add(evacuationLead)
+		}
+	}
+}
 
 // LastSend returns when this instance last sent a request to an endpoint of a failure domain; zero
 // means never.
@@ -98,10 +129,10 @@
 		reason := s.unavailability(now)
 		switch {
 		case !s.inRegions(r.Regions):
-			elsewhere = elsewhere || reason == ""
+			elsewhere = elsewhere || s.usable(now)
 		case reason == UnavailableEvacuated:
 			evacuated = evacuated || !s.down
-		case reason == "", reason == UnavailableQuiet, reason == UnavailableReturning:
+		case reason == "", reason == UnavailableQuiet, reason == UnavailableReturning, reason == UnavailableCold:
 			return fleet.ReasonNoEndpoint
 		}
 	}
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -14,14 +14,16 @@
 	tokens      int
 	bodyBytes   int64 // of a large body
 	sentAt      time.Time
-	tokensAhead float64 // prompt tokens of earlier requests still to be processed at sentAt
-	unary       bool    // the response is not a stream of events
-	started     bool    // the first event or the response has arrived, or the request has ended
-	streaming   bool    // the first event of a stream has arrived, and the request has not ended
+	startUntil  time.Time // end of the time in which the request may be sent to a cold endpoint
+	tokensAhead float64   // prompt tokens of earlier requests still to be processed at sentAt
+	unary       bool      // the response is not a stream of events
+	started     bool      // the first event or the response has arrived, or the request has ended
+	streaming   bool      // the first event of a stream has arrived, and the request has not ended
 	ended       bool
 	expectedMS  float64 // milliseconds to the first event or the response, without the endpoint's slowdown
 	// hostSlowdown is that of the endpoint's machine when the request was sent.
 	hostSlowdown float64
+	lagging      bool // the process was behind when the request was sent
 }
 
 // Begin records that a request is sent to the endpoint of a choice. If the endpoint has become
@@ -31,15 +33,22 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := c.state
-	if reason := s.unavailability(now); reason != "" {
+	if reason := s.unavailability(now); reason != "" && (reason != UnavailableCold || !now.Before(c.StartUntil)) {
 		return nil, reason
 	}
+	if s.coldReported && !s.isCold(now) {
+		s.coldReported = false
+		b.notifyChange(s, Change{To: ConditionUp, Cause: "first request after it was cold"})
+	}
 	if s.quietReported {
 		s.quietReported = false
 		b.notifyChange(s, Change{To: ConditionUp, Cause: "first request after it was quiet"})
 	}
 	_, ahead := b.totalWork(s, now)
-	run := &Run{balancer: b, state: s, tokens: c.Tokens, bodyBytes: r.largeBody(), sentAt: now, tokensAhead: ahead, unary: !r.Stream, expectedMS: ms(c.Expected) / s.currentSlowdown(now), hostSlowdown: s.currentHostSlowdown(now)}
+	run := &Run{
+		balancer: b, state: s, startUntil: c.StartUntil, tokens: c.Tokens, bodyBytes: r.largeBody(), sentAt: now, tokensAhead: ahead, unary: !r.Stream,
+		expectedMS: ms(c.Expected) / s.currentSlowdown(now), hostSlowdown: s.currentHostSlowdown(now), lagging: b.lagging(),
+	}
 	if s.local.Runs == 0 {
 		s.lastReceived.Store(sinceEpoch(now))
 	}
@@ -64,6 +73,26 @@
 	return r.balancer.current(r.state).unavailability(now)
 }
 
+// Permit returns why the request of the run may not be sent to the endpoint now, over a connection
+// that is ready. A connection shows that the endpoint is not down, but not that it is warm. It is safe
+// for concurrent use.
+func (r *Run) Permit(now time.Time) Unavailability {
+	r.balancer.mu.Lock()
+	defer r.balancer.mu.Unlock()
+	s := r.balancer.current(r.state)
+	switch reason := s.unavailability(now); reason {
+	case "", UnavailableReturning:
+		return ""
+	case UnavailableCold, UnavailableDown, UnavailableSilent:
+		if !s.startup.Limit.Limited() && reason != UnavailableCold || now.Before(r.startUntil) {
+			return ""
+		}
+		return UnavailableCold
+	default:
+		return reason
+	}
+}
+
 // MayProbe reports whether a connection to the endpoint of the run may be tried now without a
 // request. It is safe for concurrent use.
 func (r *Run) MayProbe(now time.Time) bool {
@@ -75,7 +104,7 @@
 // RecordHead records what the endpoint says of itself in the head of any answer on the connection
 // of the run. It has to be called as soon as the head has arrived. It is safe for concurrent use.
 func (r *Run) RecordHead(a fleet.ResponseAttrs, now time.Time) {
-	if !a.Leaving && a.QuietFor <= 0 {
+	if !a.Leaving && a.QuietFor <= 0 && a.Cold <= 0 {
 		return
 	}
 	r.balancer.mu.Lock()
@@ -86,6 +115,9 @@
 	if a.QuietFor > 0 {
 		r.balancer.recordQuiet(r.state, now.Add(a.QuietFor), now)
 	}
+	if a.Cold > 0 {
+		r.balancer.recordColdAnswer(r.state, a.Cold, now)
+	}
 }
 
 // RecordData records that the endpoint has sent data. It is safe for concurrent use.
@@ -120,6 +152,10 @@
 	if !r.balancer.valid(r.state, MeasurementFirst, took) {
 		return
 	}
+	if r.lagging || r.balancer.lagging() {
+		// The time was spent in this process, not at the endpoint.
+		return
+	}
 	// What the machine does at the moment is not learned as a property of the endpoint or
 	// of the service, nor is a silence.
 	tookMS := ms(took) / ((r.hostSlowdown + r.state.currentHostSlowdown(now)) / 2)
@@ -129,6 +165,13 @@
 	r.state.slowdownAt = now
 }
 
+// maxLearnedLag is the lag of this process up to which the times of responses say something of the
+// endpoints: it is short beside the waits that admission tells apart.
+const maxLearnedLag = 20 * time.Millisecond
+
+// lagging reports whether this process is too far behind to measure times of endpoints.
+func (b *Balancer) lagging() bool { return b.Lag != nil && b.Lag() > maxLearnedLag }
+
 // RecordStream records the number of events in a stream after the first one, which came at
 // from, and when they ended. Streams of fewer than minStreamEvents events are ignored.
 func (r *Run) RecordStream(events int, from, to time.Time) {
@@ -188,6 +231,15 @@
 	r.balancer.recordResult(r.state, result, now)
 }
 
+// sampleGain counts a sample and returns its weight: as in a mean while there are few, and least from then on.
+func sampleGain(samples *int, least float64) float64 {
+	*samples++
+	return max(1/float64(*samples+priorSamples), least)
+}
+
+// priorSamples is how many samples the values assumed before the first count for.
+const priorSamples = 10
+
 const (
 	// slowdownGain smooths an endpoint's slowdown over some twenty requests;
 	// minSlowdown and maxSlowdown bound it.
@@ -204,9 +256,12 @@
 	requestMS       float64 // milliseconds that a request takes in all
 	eventIntervalMS float64 // milliseconds between two events of a stream
 	biasMS          float64 // milliseconds by which first events come later than expected
+	utilization     utilization
 	// biasAt is when biasMS was last updated: it decays, since nothing new is
 	// learned while all requests are refused.
 	biasAt time.Time
+
+	baseSamples, rateSamples, requestSamples int
 }
 
 const (
@@ -215,7 +270,7 @@
 	initialBaseMS      = 40
 	initialTokensPerMS = 90
 	initialRequestMS   = 500
-	// modelGain smooths the model over some fifty requests.
+	// modelGain smooths the model over some fifty requests once there were as many.
 	modelGain = 0.02
 	// biasGain smooths the bias over some thirty requests; maxBiasMS bounds what
 	// one request contributes, in milliseconds.
@@ -252,10 +307,10 @@
 	work := r.tokensAhead + float64(r.tokens)
 	switch {
 	case r.unary || work < maxTokensForBase:
-		m.baseMS += modelGain * (min(tookMS, 4*m.baseMS) - m.baseMS)
+		m.baseMS += sampleGain(&m.baseSamples, modelGain) * (min(tookMS, 4*m.baseMS) - m.baseMS)
 	case work > minTokensForRate && tookMS > m.baseMS:
 		rate := min(max(work/(tookMS-m.baseMS), minTokensPerMS), maxTokensPerMS)
-		m.tokensPerMS += modelGain * (min(rate, 2*m.tokensPerMS) - m.tokensPerMS)
+		m.tokensPerMS += sampleGain(&m.rateSamples, modelGain) * (min(rate, 2*m.tokensPerMS) - m.tokensPerMS)
 	}
 }
 
@@ -297,5 +352,5 @@
 }
 
 func (m *latencyModel) observeDuration(tookMS float64) {
-	m.requestMS += modelGain * (tookMS - m.requestMS)
+	m.requestMS += sampleGain(&m.requestSamples, modelGain) * (tookMS - m.requestMS)
 }
--- a/pkg/arrangement/check.go
+++ b/pkg/arrangement/check.go
@@ -27,6 +27,7 @@
 	c.models()
 	c.routes()
 	c.limits()
+	c.evacuated()
 	slices.SortStableFunc(c.faults, func(a, b Fault) int {
 		if a.Line != b.Line {
 			return a.Line - b.Line
@@ -90,6 +91,15 @@
 	if s.Rate < 0 {
 		c.report(at+".rate", "rate of service %q must not be negative", s.Name)
 	}
+	if s.StartupRate < 0 {
+		c.report(at+".starts", "starts of service %q must not be negative", s.Name)
+	}
+	if s.StartupSeconds < 0 || s.StartupSeconds > maxStartupSeconds {
+		c.report(at+".startup", "startup of service %q must be 0 to %d seconds", s.Name, maxStartupSeconds)
+	}
+	if s.StartupRate > 0 && s.StartupSeconds == 0 {
+		c.report(at+".starts", "service %q limits starts, but states no startup time", s.Name)
+	}
 	if s.MaxBodyBytes < 0 {
 		c.report(at+".body", "body of service %q must not be negative", s.Name)
 	}
@@ -174,6 +184,18 @@
 	}
 }
 
+func (c *checker) evacuated() {
+	for i, domain := range c.config.Evacuated {
+		at := fmt.Sprintf("$.evacuated[%d]", i)
+		if domain == "" {
+			c.report(at, "an evacuated failure domain has no name")
+		}
+		if slices.Contains(c.config.Evacuated[:i], domain) {
+			c.report(at, "failure domain %q is listed as evacuated twice", domain)
+		}
+	}
+}
+
 func (c *checker) kinds() {
 	names := map[string]bool{}
 	for i, k := range c.config.Kinds {
