peer: instances learn of each other before the first traffic

The response to a full message was full only if the message carried usage, and an empty list of usage is left out, so that responses listed no members until some customer had traffic. A message now says that it is full. An instance that does not know the others may take itself for a home. TestMembersAreToldWithoutTraffic failed before (the field is new; the same message without usage got no members).

--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -292,6 +292,7 @@
 		}
 	}
 	m.MembersDigest = x.liveDigest(now)
+	m.Full = full
 	if full {
 		m.Usage = x.Ledger.LocalUsage(now)
 		if to == nil || to.membersDigest != m.MembersDigest {
@@ -383,7 +384,7 @@
 	x.receive(m, now)
 	x.mu.Lock()
 	p := x.peers[m.From.Address]
-	reply := x.compose(p, m.Usage != nil, now)
+	reply := x.compose(p, m.Full, now)
 	x.mu.Unlock()
 	if x.writeSigned(w, signature, reply) && p != nil {
 		x.recordDelivery(p, reply)
@@ -416,7 +417,7 @@
 	x.Balancer.SetInstanceWork(m.From.Address, x.unpackWork(m.Work, now), !m.Partial, now)
 	x.Balancer.MergeCacheFills(m.CacheFills, now)
 	x.Balancer.MergeDepartures(m.Departures, now)
-	if m.Usage != nil {
+	if m.Full {
 		x.Ledger.SetRemoteUsage(m.From.Address, m.Usage, now)
 	}
 	x.receiveFeeds(p, m.Feeds, now, transit)
--- a/internal/peer/members_test.go
+++ b/internal/peer/members_test.go
@@ -17,6 +17,7 @@
 func reply(t *testing.T, x *peer.Exchange, m map[string]any) (decoded struct {
 	Members []peer.Member `json:"m"`
 	Digest  uint64        `json:"d"`
+	Full    bool          `json:"h"`
 }, size int,
 ) {
 	data, err := json.Marshal(m)
@@ -39,7 +40,7 @@
 		for i := range n {
 			deliver(t, x, peer.Member{Name: fmt.Sprintf("front-%d", 2+i), Address: fmt.Sprintf("10.0.%d.%d:80", i/200, 2+i%200), Start: 1})
 		}
-		first := map[string]any{"f": map[string]any{"n": "front-2", "a": "10.0.0.2:80", "i": 1}, "q": 2, "u": map[string]any{}}
+		first := map[string]any{"f": map[string]any{"n": "front-2", "a": "10.0.0.2:80", "i": 1}, "q": 2, "h": true, "u": map[string]any{}}
 		got, _ := reply(t, x, first)
 		require.Len(t, got.Members, n, "the sender has not shown that it knows the same instances")
 		first["q"], first["d"] = 3, got.Digest
@@ -51,3 +52,18 @@
 	}
 	require.LessOrEqual(t, size[300], size[10]+16)
 }
+
+// Before the first traffic no customer has any usage. Instances learn of each other nevertheless: the
+// response to a full message is full, too.
+func TestMembersAreToldWithoutTraffic(t *testing.T) {
+	x := newExchange("key")
+	for n := range 5 {
+		deliver(t, x, peer.Member{Name: fmt.Sprintf("front-%d", 2+n), Address: fmt.Sprintf("10.0.0.%d:80", 2+n), Start: 1})
+	}
+	got, _ := reply(t, x, map[string]any{"f": map[string]any{"n": "front-2", "a": "10.0.0.2:80", "i": 1}, "q": 2, "h": true})
+	require.True(t, got.Full)
+	require.Len(t, got.Members, 5)
+	got, _ = reply(t, x, map[string]any{"f": map[string]any{"n": "front-2", "a": "10.0.0.2:80", "i": 1}, "q": 3})
+	require.False(t, got.Full)
+	require.Empty(t, got.Members)
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -64,6 +64,8 @@
 	// message; moreDepartures is set if that is not the end of the list.
 	departuresNext int
 	moreDepartures bool
+	// Full is set in a full message, whose response is one, too.
+	Full bool `json:"h,omitempty"`
 	// Usage is the usage by customer at the sender; only full messages carry it.
 	Usage map[string]admission.Usage `json:"u,omitempty"`
 	// Members lists the live peers of the sender; only full messages to a receiver that
