--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -273,7 +273,7 @@
 	for _, p := range paths {
 		c.Config.Routes = append(c.Config.Routes, arrangement.Route{Name: p, Path: p, TimeoutMillis: int(f.routeTimeout.Milliseconds()), Targets: []arrangement.Target{{Service: "m", Weight: 1}}})
 	}
-	f.operators.write("config", &watch.OperatorRecord{Configuration: c})
+	f.operators.write("config", &watch.OperatorRecord{VersionedConfiguration: c})
 }
 
 func (f *fixture) startServing() {
@@ -449,7 +449,7 @@
 				defer time.Sleep(time.Minute)
 				f := newFixture(t)
 				f.startServing()
-				f.operators.write("config", &watch.OperatorRecord{Configuration: &watch.VersionedConfiguration{Version: 6, Config: arrangement.Config{
+				f.operators.write("config", &watch.OperatorRecord{VersionedConfiguration: &watch.VersionedConfiguration{Version: 6, Config: arrangement.Config{
 					Customers: []arrangement.Customer{{Name: "saar", Keys: []string{"k"}}},
 					Routes:    []arrangement.Route{{Name: "r", Path: "/a/", TimeoutMillis: int(limit.Milliseconds()), Targets: []arrangement.Target{{Service: "m", Weight: 1}}}},
 				}}})
--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -40,12 +40,15 @@
 			i.logger.Warn(event.InvalidData, zap.String("key", r.Key), zap.Error(r.Err))
 			continue
 		}
-		if r.Value == nil || r.Value.Configuration == nil {
+		if r.Value == nil || r.Value.VersionedConfiguration == nil {
 			continue
 		}
-		c := r.Value.Configuration
-		if i.handler.Use(c.Config, c.Version) {
+		c := r.Value.VersionedConfiguration
+		if c.Version > i.handler.Version() {
+			// Requests are served by the configuration as soon as it is in use.
 			i.balancer.SetStartup(i.startups(c.Config), time.Now())
+		}
+		if i.handler.Use(c.Config, c.Version) {
 			i.logger.Info(event.Configuration, zap.Int64("version", c.Version), zap.Int("routes", len(c.Config.Routes)))
 		}
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -51,6 +51,9 @@
 			if !choice.Cold || c.reserveStart(ctx, math.MaxInt64) {
 				return true
 			}
+			if c.grant == fleet.GrantRefused {
+				c.startRefusals++
+			}
 			continue
 		}
 		if c.admit(ctx) {
--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -123,3 +123,33 @@
 		require.Zero(t, arrived.Load())
 	})
 }
+
+// Thirty endpoints are cold, and their homes refuse a request that another endpoint has failed: it asks
+// few of them.
+func TestRetryAsksFewHomes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGateway(t, unaryConfig())
+		g.addEndpoint("w", func(*http.Request, string, io.Writer) bool { return false })
+		for n := range 30 {
+			g.addCounted("i-1"+strconv.Itoa(n), serveWell)
+		}
+		g.balancer.SetStartup(map[string]placement.Startup{"portal": {Limit: warmup.Limit{Rate: 12, Over: 1.5, Slack: 5}, Time: 3 * time.Second}}, time.Now())
+		for _, e := range g.balancer.Endpoints() {
+			if e.ID != "w" {
+				e.Sequence, e.Cold, e.Seen = e.Sequence+1, 10*time.Second, time.Now()
+				g.balancer.Put(e)
+			}
+		}
+		asked := 0
+		g.handler.Homes = homesFunc(func(fleet.Reservation) fleet.ReservationResult {
+			asked++
+			return fleet.GrantRefused
+		})
+		for range 40 {
+			before := asked
+			g.post("/", "1")
+			require.LessOrEqual(t, asked-before, 6, "three for the first attempt, three for the retry")
+		}
+		require.Positive(t, asked)
+	})
+}
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -81,7 +81,10 @@
 	for _, t := range c.route.Targets {
 		c.service = t.Service
 		target := c.explainTarget(now)
-		target.Share = t.Weight / total
+		target.Share = 1 / float64(len(c.route.Targets))
+		if total > 0 {
+			target.Share = t.Weight / total
+		}
 		e.Targets = append(e.Targets, target)
 	}
 	return e, nil
--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -89,3 +89,12 @@
 	_, err = (&gateway.Handler{HeaderCodec: plainHeaderCodec{}}).Explain(asked("h", "/x", "k"))
 	require.ErrorIs(t, err, gateway.ErrNoConfiguration)
 }
+
+// Targets without weights have equal shares.
+func TestExplanationOfRouteWithoutWeights(t *testing.T) {
+	g := newTestGateway(t, arrangement.Config{Routes: []arrangement.Route{{Name: "r", Path: "/", Public: true, Targets: []arrangement.Target{{Service: "portal"}, {Service: "model"}}}}})
+	e, err := g.handler.Explain(asked("h", "/x", "k"))
+	require.NoError(t, err)
+	require.Equal(t, 0.5, e.Targets[0].Share)
+	require.Equal(t, 0.5, e.Targets[1].Share)
+}
--- a/internal/link/frame.go
+++ b/internal/link/frame.go
@@ -63,8 +63,8 @@
 	if n < headBytes || n > maxFrameBytes {
 		return frame{}, errMalformed
 	}
-	data := make([]byte, n)
-	if _, err := io.ReadFull(r, data); err != nil {
+	data, err := readBytes(r, int(n))
+	if err != nil {
 		return frame{}, err
 	}
 	f := frame{id: binary.BigEndian.Uint32(data), status: binary.BigEndian.Uint16(data[4:])}
@@ -147,3 +147,16 @@
 
 // maxSpareBytes is the largest buffer that is kept for the next write.
 const maxSpareBytes = 16 << 10
+
+// readBytes reads n bytes and takes memory as they arrive.
+func readBytes(r io.Reader, n int) ([]byte, error) {
+	data := make([]byte, min(n, maxSpareBytes))
+	for read := 0; ; {
+		m, err := io.ReadFull(r, data[read:])
+		read += m
+		if err != nil || read == n {
+			return data, err
+		}
+		data = append(data, make([]byte, min(n-read, read))...)
+	}
+}
--- a/internal/link/handler.go
+++ b/internal/link/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -95,6 +96,9 @@
 	reply := frame{id: f.id, status: uint16(w.status), signature: w.header.Get(h.SignatureHeader), body: w.body}
 	if err := out.add(reply); err != nil {
 		h.Logger.Warn(event.InvalidData, zap.String("path", f.path), zap.Error(err))
+		if errors.Is(err, errTooLong) {
+			_ = out.add(frame{id: f.id, status: http.StatusInternalServerError})
+		}
 	}
 }
 
--- a/internal/link/transport.go
+++ b/internal/link/transport.go
@@ -49,6 +49,7 @@
 
 var (
 	errClosed = errors.New("link: closed")
+	errSilent = errors.New("link: the peer is silent")
 	errNoLink = errors.New("link: the peer accepts no links")
 )
 
@@ -244,10 +245,10 @@
 	}
 	l.mu.Lock()
 	delete(l.calls, f.id)
-	silent := !l.waitingSince.IsZero() && time.Since(l.waitingSince) >= silenceLimit
+	silent := !l.waitingSince.IsZero() && time.Since(l.waitingSince) >= silenceLimit && !errors.Is(err, context.Canceled)
 	l.mu.Unlock()
 	if silent {
-		l.end(err)
+		l.end(errSilent)
 	}
 	return frame{}, err
 }
--- a/internal/outlet/outlet.go
+++ b/internal/outlet/outlet.go
@@ -210,6 +210,9 @@
 		if ok {
 			break
 		}
+		if !c.closing.IsZero() {
+			return 0, net.ErrClosed
+		}
 		c.changed.Wait()
 		if c.err != nil {
 			return 0, c.err
@@ -229,6 +232,7 @@
 func (c *Conn) writePieces() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	queued := c.unacknowledged()
 	for c.err == nil && len(c.pieces) > 0 {
 		first := c.pieces[0]
 		unread := first.buf[first.start:first.end]
@@ -245,8 +249,11 @@
 			break
 		}
 		c.advance(first, n)
+		left := c.unacknowledged()
+		moved := n > 0 || left < queued
+		queued = left
 		switch {
-		case errors.Is(err, os.ErrDeadlineExceeded) && n > 0 && (c.closing.IsZero() || time.Now().Before(c.closing)):
+		case errors.Is(err, os.ErrDeadlineExceeded) && moved && (c.closing.IsZero() || time.Now().Before(c.closing)):
 			// The caller reads, if slowly.
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			c.giveUpLocked(backlog.ReasonStalled)
@@ -264,6 +271,16 @@
 	c.changed.Broadcast()
 }
 
+// unacknowledged returns how many bytes the socket still holds for the caller; zero if it does not tell.
+func (c *Conn) unacknowledged() int {
+	n := 0
+	if c.raw != nil {
+		// An error means that the connection is closed.
+		_ = c.raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	}
+	return n
+}
+
 // advance records that n bytes of the first piece were read. The caller holds c.mu.
 func (c *Conn) advance(first *piece, n int) {
 	first.start += n
@@ -301,6 +318,9 @@
 		return
 	}
 	c.fail(GivenUp(reason))
+	if t, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		_ = t.SetLinger(0)
+	}
 	_ = c.Conn.Close()
 	if c.onGiveUp != nil {
 		c.onGiveUp(c.customer, reason)
@@ -375,6 +395,7 @@
 		defer c.mu.Unlock()
 		if c.closing.IsZero() {
 			c.closing = time.Now().Add(closeTime)
+			c.changed.Broadcast()
 		}
 		return nil
 	}
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -384,7 +384,7 @@
 	x.receive(m, now)
 	x.mu.Lock()
 	p := x.peers[m.From.Address]
-	reply := x.compose(p, m.Full, now)
+	reply := x.compose(p, m.Full || m.Usage != nil, now)
 	x.mu.Unlock()
 	if x.writeSigned(w, signature, reply) && p != nil {
 		x.recordDelivery(p, reply)
@@ -417,7 +417,7 @@
 	x.Balancer.SetInstanceWork(m.From.Address, x.unpackWork(m.Work, now), !m.Partial, now)
 	x.Balancer.MergeCacheFills(m.CacheFills, now)
 	x.Balancer.MergeDepartures(m.Departures, now)
-	if m.Full {
+	if m.Full || m.Usage != nil {
 		x.Ledger.SetRemoteUsage(m.From.Address, m.Usage, now)
 	}
 	x.receiveFeeds(p, m.Feeds, now, transit)
--- a/internal/peer/members_test.go
+++ b/internal/peer/members_test.go
@@ -63,7 +63,9 @@
 	got, _ := reply(t, x, map[string]any{"f": map[string]any{"n": "front-2", "a": "10.0.0.2:80", "i": 1}, "q": 2, "h": true})
 	require.True(t, got.Full)
 	require.Len(t, got.Members, 5)
-	got, _ = reply(t, x, map[string]any{"f": map[string]any{"n": "front-2", "a": "10.0.0.2:80", "i": 1}, "q": 3})
+	got, _ = reply(t, x, map[string]any{"f": map[string]any{"n": "front-2", "a": "10.0.0.2:80", "i": 1}, "q": 3, "u": map[string]any{"x": map[string]any{}}})
+	require.Len(t, got.Members, 5, "a full message of an earlier version")
+	got, _ = reply(t, x, map[string]any{"f": map[string]any{"n": "front-2", "a": "10.0.0.2:80", "i": 1}, "q": 4})
 	require.False(t, got.Full)
 	require.Empty(t, got.Members)
 }
--- a/internal/peer/start_test.go
+++ b/internal/peer/start_test.go
@@ -39,6 +39,8 @@
 
 // busiest returns the most requests to one endpoint in any second between two times.
 func (a *arrivals) busiest(from, to time.Time) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	most := 0
 	for _, list := range a.byID {
 		first := 0
@@ -55,6 +57,8 @@
 }
 
 func (a *arrivals) count(from, to time.Time) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	n := 0
 	for _, list := range a.byID {
 		for _, at := range list {
@@ -188,9 +192,11 @@
 		time.Sleep(coldTime + 4*time.Second)
 		stop()
 		time.Sleep(time.Second)
+		a.mu.Lock()
 		for i := range coldEndpoints {
 			delete(a.byID, fmt.Sprintf("w-%d", i))
 		}
+		a.mu.Unlock()
 		usual := a.count(warm.Add(3*time.Second), warm.Add(4*time.Second))
 		require.Less(t, a.count(warm, warm.Add(500*time.Millisecond)), usual/2)
 		require.LessOrEqual(t, a.count(warm.Add(500*time.Millisecond), warm.Add(1500*time.Millisecond)), usual*11/10)
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -147,6 +147,7 @@
 	quietReported bool // OnChange was told that it is quiet, and not yet that this ended
 	startup       Startup
 	coldReported  bool      // OnChange was told that it is cold, and not yet that this ended
+	coldReportEnd time.Time // until when it was cold by what was last reported
 	startAfter    time.Time // earliest time of the next request for a start
 	region        string    // of its failure domain; empty means that it is in none
 	hash          uint64
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -179,10 +179,15 @@
 			near, nearLeast, nearFound = c, cost, true
 		}
 	}
-	if !found && len(justWarm) > 0 {
+	if len(justWarm) > 0 && (!found || r.MaxWait > 0 && best.Wait > r.MaxWait && !nearFound) {
 		s := justWarm[rand.IntN(len(justWarm))]
-		best, found = b.estimate(s, r, now), true
-		leastWait = best.Wait
+		c := b.estimate(s, r, now)
+		leastWait = min(leastWait, c.Wait)
+		if !found {
+			best, found = c, true
+		} else if c.Wait <= r.MaxWait {
+			best = c
+		}
 	}
 	best = b.weigh(best, near, nearFound, r, now)
 	best.Listed, best.Usable = len(list), usable
--- a/internal/placement/warmth.go
+++ b/internal/placement/warmth.go
@@ -118,7 +118,8 @@
 	if e.Sequence > 0 && e.Sequence <= s.coldSequence {
 		// The record lapsed and came back without news.
 		end = latest(end, s.coldByRecord)
-	} else if readAt.After(s.uncertainFrom) {
+	} else if e.Cold > 0 || readAt.Sub(s.uncertainFrom) > recordWriteTime*b.HeartbeatInterval {
+		// A record that says that the endpoint is warm may be older than what made it uncertain.
 		s.uncertainUntil = time.Time{}
 	}
 	s.coldByRecord, s.coldSequence = end, max(e.Sequence, s.coldSequence)
@@ -214,10 +215,14 @@
 // reportCold tells OnChange once that an endpoint is cold. The instances spread their first requests for
 // starts there.
 func (b *Balancer) reportCold(s *endpointState, cause string, now time.Time) {
-	if s.coldReported || !s.isCold(now) {
+	if !s.isCold(now) {
+		return
+	}
+	reported := s.coldReported && !now.After(s.coldReportEnd)
+	s.coldReported, s.coldReportEnd = true, s.coldEnd()
+	if reported {
 		return
 	}
-	s.coldReported = true
 	// All instances learn it at about the same time.
 	s.startAfter = latest(s.startAfter, now.Add(time.Duration(rand.Float64()*float64(s.startup.Limit.Spread(b.instances)))))
 	b.notifyChange(s, Change{To: ConditionCold, Reason: UnavailableCold, Cause: cause, For: s.coldEnd().Sub(now)})
--- a/internal/placement/warmth_test.go
+++ b/internal/placement/warmth_test.go
@@ -78,6 +78,11 @@
 			time.Sleep(time.Nanosecond)
 			b.Put(record(1, 0))
 		}, 3*time.Second + heartbeat},
+		"failed, record of before": {func(_ *testing.T, b *placement.Balancer) {
+			fail(b, record(1, 0))
+			time.Sleep(time.Nanosecond)
+			b.Put(record(2, 0))
+		}, 3*time.Second + heartbeat},
 		"domain taken back":         {func(_ *testing.T, b *placement.Balancer) { empty(b, "a") }, 3*time.Second + heartbeat},
 		"another domain taken back": {func(_ *testing.T, b *placement.Balancer) { empty(b, "b") }, 0},
 		"service without limit": {func(_ *testing.T, b *placement.Balancer) {
@@ -177,3 +182,39 @@
 		require.Equal(t, 3*time.Second, b.OwnCold("i-0", time.Now()))
 	})
 }
+
+// An endpoint that becomes cold again without a request in between is reported again.
+func TestColdIsReportedEachTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newWarmth()
+		reported := 0
+		b.OnChange = func(c placement.Change) {
+			if c.To == placement.ConditionCold {
+				reported++
+			}
+		}
+		b.Put(record(2, time.Second))
+		b.Put(record(3, time.Second))
+		require.Equal(t, 1, reported)
+		time.Sleep(2 * time.Second)
+		b.Put(record(4, time.Second))
+		require.Equal(t, 2, reported)
+	})
+}
+
+// The only endpoint that would not keep a request waiting has just become warm: it gets the request.
+func TestJustWarmEndpointTakesWhatWouldBeRefused(t *testing.T) {
+	now := time.Now()
+	b := newBalancer(2)
+	b.SetStartup(map[string]placement.Startup{"model": {Limit: warmup.Limit{Rate: 12, Over: 1.5, Slack: 5}, Time: 3 * time.Second}}, now)
+	b.LearnCold("i-1", 100*time.Millisecond, now)
+	now = now.Add(150 * time.Millisecond)
+	b.SetInstanceWork("peer", map[string]placement.Work{"i-0": {Runs: 40, Tokens: 200_000}}, true, now)
+	r := newRequest(7)
+	r.MaxWait = 150 * time.Millisecond
+	for range 100 {
+		c, ok := b.Choose(r, now)
+		require.True(t, ok)
+		require.NotEqual(t, placement.WeighingOver, c.Weighing)
+	}
+}
--- a/internal/upstream/steady.go
+++ b/internal/upstream/steady.go
@@ -3,7 +3,10 @@
 import (
 	"errors"
 	"os"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // bodyStallTime is how long an endpoint may take no byte of a long body: longer than a sound one pauses.
@@ -18,6 +21,7 @@
 	c := w.conn.netConn
 	// An error means that the connection is closed, which the next write on it reports.
 	defer func() { _ = c.SetWriteDeadline(time.Time{}) }()
+	queued := w.conn.queued()
 	for {
 		if err := c.SetWriteDeadline(time.Now().Add(bodyStallTime)); err != nil {
 			return written, err
@@ -25,7 +29,10 @@
 		n, err := c.Write(p[written:])
 		written += n
 		stalled := errors.Is(err, os.ErrDeadlineExceeded)
-		if stalled && n > 0 {
+		left := w.conn.queued()
+		moved := n > 0 || left < queued
+		queued = left
+		if stalled && (moved || w.conn.answered.Load()) {
 			continue
 		}
 		if stalled {
@@ -34,3 +41,19 @@
 		return written, err
 	}
 }
+
+// queued returns how many bytes the socket still holds for the endpoint; zero if it does not tell.
+func (c *conn) queued() int {
+	sc, ok := c.netConn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	// An error means that the connection is closed.
+	_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return n
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -133,6 +133,8 @@
 	// end.
 	limited   bool
 	remaining int
+	// answered is set once the head of the response has arrived, after which the body may wait.
+	answered atomic.Bool
 }
 
 var errTooManyBytes = errors.New("endpoint sent too many bytes before the response")
@@ -235,6 +237,7 @@
 		// Keeps net/http from adding its own User-Agent.
 		r.Header["User-Agent"] = []string{""}
 	}
+	c.answered.Store(false)
 	result := make(chan error, 1)
 	if len(r.Body) <= maxInlineBodyBytes {
 		result <- write(req, c.netConn)
@@ -295,6 +298,7 @@
 		a.Response, a.Attrs = resp, attrs
 		a.Framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.StatusCode == http.StatusNoContent
 		if a.Attrs.ID == id {
+			a.conn.answered.Store(true)
 			return nil
 		}
 		if !a.Framed || resp.Close {
--- a/internal/watch/follow.go
+++ b/internal/watch/follow.go
@@ -25,9 +25,10 @@
 }
 
 // OperatorRecord is a record that an operator writes. Exactly one of its fields is set.
+// A configuration is encoded as it was before there were other records.
 type OperatorRecord struct {
-	Configuration *VersionedConfiguration `json:"config,omitempty"`
-	Evacuation    *evacuation.Record      `json:"evacuation,omitempty"`
+	*VersionedConfiguration
+	Evacuation *evacuation.Record `json:"evacuation,omitempty"`
 }
 
 // Batch is the result of one read of a feed.
--- a/internal/watch/follow_test.go
+++ b/internal/watch/follow_test.go
@@ -443,7 +443,7 @@
 	isolated := &watch.Follower[watch.OperatorRecord]{Name: "operators", Feed: operatorFeed{}, OnBatch: func(b watch.Batch[watch.OperatorRecord]) { batches = append(batches, b) }}
 	now := time.Now()
 	for _, update := range []string{
-		`{"n":3,"a":40,"i":1,"c":1,"w":true,"r":[{"k":"config","v":{"config":{"version":7,"text":{"services":null,"customers":null,"kinds":null}}}},{"k":"x","v":{"evacuation":{"domain":"a"}}}]}`,
+		`{"n":3,"a":40,"i":1,"c":1,"w":true,"r":[{"k":"config","v":{"version":7,"text":{"services":null,"customers":null,"kinds":null}}},{"k":"x","v":{"evacuation":{"domain":"a"}}}]}`,
 		`{"n":4,"a":0,"i":1,"c":2,"f":3,"r":[{"k":"x"}]}`,
 		`{"n":9,"a":0,"i":1,"c":3,"w":true,"r":[]}`,
 	} {
@@ -452,7 +452,7 @@
 		now = now.Add(100 * time.Millisecond)
 	}
 	require.Len(t, batches, 3)
-	require.EqualValues(t, 7, batches[0].Records[0].Value.Configuration.Version)
+	require.EqualValues(t, 7, batches[0].Records[0].Value.VersionedConfiguration.Version)
 	require.Equal(t, "a", batches[0].Records[1].Value.Evacuation.Domain)
 	require.True(t, batches[0].Since.IsZero())
 	require.Nil(t, batches[1].Records[0].Value)
