--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -20,6 +20,7 @@
 	// the free bytes shrinks as callers fall behind, so that many of them leave room for the next.
 	windowShare = 1.0 / 8
 	// customerShare is the fraction of all bytes that one customer may take while others hold any.
+	// Requests without a customer count as those of one.
 	customerShare = 1.0 / 2
 	// largeBodyBytes is the size from which a body is large: large ones leave a part of the room
 	// for bodies to the others.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -78,7 +78,7 @@
 	RetryWindow time.Duration
 	// StartupOver and StartupSlack bound the requests of all instances to a cold endpoint: in
 	// any second the start-up rate of its service, times StartupOver, plus StartupSlack. A
-	// StartupOver under 1 counts as 1.
+	// StartupOver under 1 counts as 1; a StartupSlack of zero allows nothing beyond.
 	StartupOver  float64
 	StartupSlack float64
 	// MaxMemoryBytes is how much memory the process may use; zero means no bound.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -35,6 +35,7 @@
 		if c.runs == 0 {
 			c.maxWait = c.h.Ledger.MaxQueueWait(c.admissionRequest(), time.Now())
 		} else {
+			// A request that has run already is not refused for a wait: no limit.
 			c.maxWait = 0
 		}
 		choice, ok := c.h.Balancer.Choose(c.placementRequest(), time.Now())
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -63,8 +63,8 @@
 	// Crashes composes and receives reports of crashed endpoints and the requests that
 	// they had; nil disables this.
 	Crashes *quarantine.List
-	// Overloaded reports whether this instance's processor does not keep up, which other
-	// instances are told; nil means that it always does.
+	// Overloaded reports whether this instance's processor is behind, which other instances
+	// are told; nil means that it never is.
 	Overloaded func() bool
 	// Key signs messages. Until it is known, no messages are sent and requests
 	// from peers are rejected.
--- a/internal/peer/home.go
+++ b/internal/peer/home.go
@@ -65,9 +65,9 @@
 
 // endpointHomes returns the home of each endpoint by ID: the live instance in its
 // failure domain, or of all live ones if that has none, which rendezvous hashing
-// selects, each for a share of the endpoints in proportion to its processor. Instances that differ on which peers are live may select different homes
-// for a moment; each of these then counts only a part of the reservations. The caller
-// holds the lock.
+// selects, each for a share of the endpoints in proportion to its processor. Instances
+// that differ on which peers are live may select different homes for a moment; each of
+// these then counts only a part of the reservations. The caller holds the lock.
 func (x *Exchange) endpointHomes(now time.Time) map[string]Member {
 	if x.homes != nil && now.Sub(x.homesAt) < homesTTL {
 		return x.homes
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -42,7 +42,8 @@
 	// OnInvalidTime is called, with the balancer locked, when a measured time is negative.
 	// Nothing is learned from it. nil is allowed.
 	OnInvalidTime func(service string, m Measurement)
-	// HeartbeatInterval is how often endpoints write their records.
+	// HeartbeatInterval is how often endpoints write their records: an endpoint that may have
+	// become cold counts as cold for so much longer than its start takes.
 	HeartbeatInterval time.Duration
 
 	mu            sync.Mutex
--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -28,7 +28,8 @@
 	// means that there is no limit.
 	Rate float64
 	// Over and Slack give the bound that must not be exceeded: Rate x Over + Slack requests
-	// of the whole fleet in any second. An Over under 1 counts as 1.
+	// of the whole fleet in any second. An Over under 1 counts as 1, a Slack under 0 as 0. If
+	// the bound is under MaxHomes, cold endpoints get no requests.
 	Over, Slack float64
 }
 
--- a/pkg/arrangement/config.go
+++ b/pkg/arrangement/config.go
@@ -86,7 +86,8 @@
 	// together while it is cold after its start. The default (zero) value means that its
 	// start makes no difference. Only the instances of `greengagestep serve` limit it.
 	StartupRate float64 `yaml:"starts,omitempty" json:"starts,omitempty"`
-	// StartupSeconds is how long an endpoint is cold after its start, in seconds.
+	// StartupSeconds is how long an endpoint is cold after its start, in seconds. It must be
+	// set if StartupRate is.
 	StartupSeconds float64 `yaml:"startup,omitempty" json:"startup,omitempty"`
 	// TokensPerEvent is how many tokens one event of a stream contains. The
 	// default (zero) value is 1.
