--- a/internal/outlet/outlet.go
+++ b/internal/outlet/outlet.go
@@ -232,13 +232,15 @@
 func (c *Conn) writePieces() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	queued := c.unacknowledged()
+	queued, movedAt := c.unacknowledged(), time.Now()
 	for c.err == nil && len(c.pieces) > 0 {
 		first := c.pieces[0]
 		unread := first.buf[first.start:first.end]
-		deadline := time.Now().Add(backlog.ReadTimeout)
-		if !c.closing.IsZero() && c.closing.Before(deadline) {
-			deadline = c.closing
+		deadline := time.Now().Add(readCheckInterval)
+		for _, end := range []time.Time{movedAt.Add(backlog.ReadTimeout), c.closing} {
+			if !end.IsZero() && end.Before(deadline) {
+				deadline = end
+			}
 		}
 		c.mu.Unlock()
 		// An error means that the connection is closed, which the write reports.
@@ -249,12 +251,14 @@
 			break
 		}
 		c.advance(first, n)
-		left := c.unacknowledged()
-		moved := n > 0 || left < queued
+		left, now := c.unacknowledged(), time.Now()
+		if n > 0 || left < queued {
+			movedAt = now
+		}
 		queued = left
 		switch {
-		case errors.Is(err, os.ErrDeadlineExceeded) && moved && (c.closing.IsZero() || time.Now().Before(c.closing)):
-			// The caller reads, if slowly.
+		case errors.Is(err, os.ErrDeadlineExceeded) && now.Sub(movedAt) < backlog.ReadTimeout && (c.closing.IsZero() || now.Before(c.closing)):
+			// The caller reads, if slowly, or may still do so.
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			c.giveUpLocked(backlog.ReasonStalled)
 		case err != nil:
@@ -271,6 +275,10 @@
 	c.changed.Broadcast()
 }
 
+// readCheckInterval is how often it is checked whether a caller that has fallen behind reads: the kernel
+// tells room for more only in large steps.
+const readCheckInterval = time.Second
+
 // unacknowledged returns how many bytes the socket still holds for the caller; zero if it does not tell.
 func (c *Conn) unacknowledged() int {
 	n := 0
--- a/internal/upstream/steady.go
+++ b/internal/upstream/steady.go
@@ -12,6 +12,10 @@
 // bodyStallTime is how long an endpoint may take no byte of a long body: longer than a sound one pauses.
 const bodyStallTime = 5 * time.Second
 
+// bodyCheckInterval is how often it is checked whether the endpoint takes bytes of the body: the kernel tells
+// room for more only in large steps.
+const bodyCheckInterval = 500 * time.Millisecond
+
 // steadyWriter writes to an endpoint as long as it keeps reading, and closes its connection otherwise:
 // a request without a deadline would wait, and hold its body, for as long as the endpoint likes.
 type steadyWriter struct{ conn *conn }
@@ -21,18 +25,24 @@
 	c := w.conn.netConn
 	// An error means that the connection is closed, which the next write on it reports.
 	defer func() { _ = c.SetWriteDeadline(time.Time{}) }()
-	queued := w.conn.queued()
+	queued, movedAt := w.conn.queued(), time.Now()
 	for {
-		if err := c.SetWriteDeadline(time.Now().Add(bodyStallTime)); err != nil {
+		deadline := time.Now().Add(bodyCheckInterval)
+		if end := movedAt.Add(bodyStallTime); end.Before(deadline) && !w.conn.answered.Load() {
+			deadline = end
+		}
+		if err := c.SetWriteDeadline(deadline); err != nil {
 			return written, err
 		}
 		n, err := c.Write(p[written:])
 		written += n
 		stalled := errors.Is(err, os.ErrDeadlineExceeded)
-		left := w.conn.queued()
-		moved := n > 0 || left < queued
+		left, now := w.conn.queued(), time.Now()
+		if n > 0 || left < queued {
+			movedAt = now
+		}
 		queued = left
-		if stalled && (moved || w.conn.answered.Load()) {
+		if stalled && (now.Sub(movedAt) < bodyStallTime || w.conn.answered.Load()) {
 			continue
 		}
 		if stalled {
