--- a/internal/placement/warmth.go
+++ b/internal/placement/warmth.go
@@ -50,19 +50,18 @@
 
 // warmShareTime is how long it takes an endpoint to get as many requests as others again after it was
 // cold.
-const warmShareTime = 1500 * time.Millisecond
+const warmShareTime = 2 * time.Second
 
 // warmShare returns with which probability an endpoint is considered for a request: less than 1 right
-// after it was cold, when it has little work and would be the best choice of all instances at once.
+// after it was cold, when it has little work and would be the best choice of all instances at once. It
+// grows slowly at first, since an endpoint with little work is chosen nearly whenever it is considered.
 func (s *endpointState) warmShare(now time.Time) float64 {
-	if !s.startup.Limit.Limited() {
-		return 1
-	}
 	end := s.coldEnd()
-	if end.IsZero() || now.Before(end) {
+	if !s.startup.Limit.Limited() || end.IsZero() || now.Before(end) {
 		return 1
 	}
-	return 0.1 + now.Sub(end).Seconds()/warmShareTime.Seconds()
+	elapsed := now.Sub(end).Seconds() / warmShareTime.Seconds()
+	return 0.1 + elapsed*elapsed
 }
 
 // mayHaveReturned reports whether an endpoint that this instance cannot connect to may be reached by
