--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -152,6 +152,7 @@
 	startAfter    time.Time // earliest time of the next request for a start
 	region        string    // of its failure domain; empty means that it is in none
 	hash          uint64
+	model         *latencyModel         // of its service
 	local         Work                  // of requests sent by this instance
 	remote        map[string]remoteWork // of requests sent by other instances, by their address
 	remoteSum     workSum               // of all in remote
@@ -212,7 +213,7 @@
 	}
 	isNew := s == nil
 	if isNew {
-		s = &endpointState{Endpoint: e, startup: b.startups[e.Service], availability: b.former.recall(e.incarnation(), time.Now()), hash: xxhash.Sum64String(e.ID), remote: map[string]remoteWork{}, cache: newPromptCache(), slowdown: 1}
+		s = &endpointState{Endpoint: e, startup: b.startups[e.Service], availability: b.former.recall(e.incarnation(), time.Now()), hash: xxhash.Sum64String(e.ID), model: b.latencyModel(e.Service), remote: map[string]remoteWork{}, cache: newPromptCache(), slowdown: 1}
 		b.byID[e.ID] = s
 		b.services[e.Service] = append(b.services[e.Service], s)
 		b.notifyChange(s, Change{To: ConditionListed, Cause: "its directory record"})
@@ -320,21 +321,36 @@
 func (b *Balancer) SetInstanceWork(instance string, list map[string]Work, complete bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for id, s := range b.byID {
-		w, ok := list[id]
-		if !ok && !complete {
-			continue
+	if !complete {
+		for id, w := range list {
+			if s := b.byID[id]; s != nil {
+				s.setRemote(instance, w, now)
+			}
 		}
+		return
+	}
+	for id, s := range b.byID {
+		s.setRemote(instance, list[id], now)
+	}
+}
+
+// setRemote sets the work of requests sent by another instance.
+func (s *endpointState) setRemote(instance string, w Work, now time.Time) {
+	if len(s.grants) > 0 {
 		s.dropGrants(instance, now)
-		if old, known := s.remote[instance]; known {
-			s.remoteSum.add(old, -1)
+	}
+	old, known := s.remote[instance]
+	if known {
+		s.remoteSum.add(old, -1)
+	}
+	if w.Runs <= 0 && w.Tokens <= 0 {
+		if known {
 			delete(s.remote, instance)
 		}
-		if w.Runs > 0 || w.Tokens > 0 {
-			s.remote[instance] = remoteWork{w, now}
-			s.remoteSum.add(s.remote[instance], 1)
-		}
+		return
 	}
+	s.remote[instance] = remoteWork{w, now}
+	s.remoteSum.add(s.remote[instance], 1)
 }
 
 // ForgetInstance drops the work of another instance.
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -252,22 +252,21 @@
 }
 
 func (b *Balancer) estimate(s *endpointState, r Request, now time.Time) Choice {
-	runs, _ := b.totalWork(s, now)
+	runs, tokens := b.totalWork(s, now)
+	slowdown := s.currentSlowdown(now)
 	shared := tokenCount(r.Shared)
 	cached := s.cache.cachedTokens(r.Shared, now)
 	c := Choice{Endpoint: s.Endpoint, state: s, Runs: runs, MissingTokens: shared - cached, Tokens: max(r.Tokens, shared) - cached}
-	m := b.latencyModel(s.Service)
-	own := m.baseMS + float64(c.Tokens)/m.tokensPerMS
-	c.Wait = b.wait(s, now)
-	c.Expected = c.Wait + time.Duration(own*s.currentSlowdown(now)*float64(time.Millisecond))
+	own := s.model.baseMS + float64(c.Tokens)/s.model.tokensPerMS
+	c.Wait = s.wait(runs, tokens, slowdown, now)
+	c.Expected = c.Wait + time.Duration(own*slowdown*float64(time.Millisecond))
 	return c
 }
 
-// wait returns how long a new request would wait at an endpoint before its own work
-// begins there.
-func (b *Balancer) wait(s *endpointState, now time.Time) time.Duration {
-	runs, tokens := b.totalWork(s, now)
-	m := b.latencyModel(s.Service)
+// wait returns how long a new request would wait at an endpoint with this work and this
+// slowdown before its own work begins there.
+func (s *endpointState) wait(runs, tokens, slowdown float64, now time.Time) time.Duration {
+	m := s.model
 	wait := tokens / m.tokensPerMS
 	if tokens > 0 || runs >= float64(s.Slots)/2 {
 		// At an endpoint without queued work, the delays seen at other endpoints
@@ -277,7 +276,7 @@
 	if over := runs + 1 - float64(max(s.Slots, 1)); over > 0 {
 		wait += over * m.requestMS / float64(max(s.Slots, 1))
 	}
-	return time.Duration(wait * s.currentSlowdown(now) * float64(time.Millisecond))
+	return time.Duration(wait * slowdown * float64(time.Millisecond))
 }
 
 func tokenCount(parts []fleet.PromptPart) int {
@@ -291,7 +290,7 @@
 // cost returns the cost of a choice, in milliseconds. The missing tokens are multiplied by
 // factor.
 func (b *Balancer) cost(s *endpointState, c Choice, r Request, factor float64, now time.Time) float64 {
-	m := b.latencyModel(s.Service)
+	m := s.model
 	cost := ms(c.Expected)
 	cost += cacheMissWeight * factor * float64(c.MissingTokens) / m.tokensPerMS
 	if s.Domain != b.LocalDomain {
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -42,7 +42,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.byID[r.Endpoint]
-	if s == nil || !s.usableByOthers(now) && !(r.Start && s.mayHaveReturned(now)) || b.wait(s, now) > r.MaxWait || !start() {
+	if s == nil || !s.usableByOthers(now) && !(r.Start && s.mayHaveReturned(now)) {
+		return false
+	}
+	runs, tokens := b.totalWork(s, now)
+	if s.wait(runs, tokens, s.currentSlowdown(now), now) > r.MaxWait || !start() {
 		return false
 	}
 	s.dropGrants("", now)
@@ -72,7 +76,7 @@
 			continue
 		}
 		others := s.othersWork(instance, now)
-		list[id] = Work{Runs: s.local.Runs + int(math.Round(b.remainingRuns(s, others, now))), Tokens: s.local.Tokens + int(remainingTokens(others, now))}
+		list[id] = Work{Runs: s.local.Runs + int(math.Round(s.remainingRuns(others, now))), Tokens: s.local.Tokens + int(remainingTokens(others, now))}
 	}
 	return list
 }
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -32,11 +32,13 @@
 }
 
 // othersWork sums what was reported by all other instances except one, and the pending
-// grants to them.
+// grants to them. An empty name excepts none.
 func (s *endpointState) othersWork(except string, now time.Time) workSum {
 	sum := s.remoteSum
-	if w, ok := s.remote[except]; ok {
-		sum.add(w, -1)
+	if except != "" {
+		if w, ok := s.remote[except]; ok {
+			sum.add(w, -1)
+		}
 	}
 	for _, p := range s.grants {
 		if p.to != except && now.Sub(p.at) <= grantLifetime {
@@ -67,12 +69,12 @@
 
 // remainingRuns estimates how many of the requests reported some time ago still run: they
 // decay exponentially with the mean duration of a request.
-func (b *Balancer) remainingRuns(s *endpointState, reported workSum, now time.Time) float64 {
+func (s *endpointState) remainingRuns(reported workSum, now time.Time) float64 {
 	if reported.runs <= 0 {
 		return 0
 	}
 	age := max(now.Sub(epoch).Seconds()-reported.runsTime/reported.runs, 0)
-	return reported.runs * math.Exp(-age*1000/b.latencyModel(s.Service).requestMS)
+	return reported.runs * math.Exp(-age*1000/s.model.requestMS)
 }
 
 // totalWork returns the requests and the unprocessed prompt tokens of all instances at an
@@ -81,10 +83,10 @@
 	if now.Sub(s.homeWork.at) < homeWorkLifetime {
 		var homeSum workSum
 		homeSum.add(s.homeWork, 1)
-		return float64(s.local.Runs) + b.remainingRuns(s, homeSum, now), float64(s.local.Tokens) + remainingTokens(homeSum, now)
+		return float64(s.local.Runs) + s.remainingRuns(homeSum, now), float64(s.local.Tokens) + remainingTokens(homeSum, now)
 	}
 	others := s.othersWork("", now)
-	runs = b.remainingRuns(s, others, now)
+	runs = s.remainingRuns(others, now)
 	if age := now.Sub(s.reportedAt); age < reportDecayTime {
 		runs = max(runs, s.reportedRuns*(1-age.Seconds()/reportDecayTime.Seconds()))
 	}
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -159,7 +159,7 @@
 	// What the machine does at the moment is not learned as a property of the endpoint or
 	// of the service, nor is a silence.
 	tookMS := ms(took) / ((r.hostSlowdown + r.state.currentHostSlowdown(now)) / 2)
-	r.balancer.latencyModel(r.state.Service).observeFirst(r, tookMS, now)
+	r.state.model.observeFirst(r, tookMS, now)
 	slowdown := r.state.learnedSlowdown(now)
 	r.state.slowdown = slowdown + slowdownGain*(min(max(tookMS/max(r.expectedMS, 1), minSlowdown), maxSlowdown)-slowdown)
 	r.state.slowdownAt = now
@@ -185,7 +185,7 @@
 		return
 	}
 	interval := ms(took) / float64(events)
-	m := r.balancer.latencyModel(r.state.Service)
+	m := r.state.model
 	m.eventIntervalMS += eventIntervalGain * (interval - m.eventIntervalMS)
 	if r.state.eventIntervalMS == 0 {
 		r.state.eventIntervalMS = m.eventIntervalMS
@@ -222,7 +222,7 @@
 	}
 	took := now.Sub(r.sentAt) - r.state.silentBetween(r.sentAt, now)
 	if result == ResultAnswered && r.balancer.valid(r.state, MeasurementRun, took) {
-		r.balancer.latencyModel(r.state.Service).observeDuration(ms(took))
+		r.state.model.observeDuration(ms(took))
 	}
 	if result == ResultSilent && r.state.lastReceived.Load() > sinceEpoch(r.sentAt) {
 		// It sends on its other connections, but accepts no new ones.
