peer: homes of endpoints are computed anew only when members, processors or endpoints have changed

They were computed five times a second. The views of members for starts are listed only when they change.

--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -84,7 +84,10 @@
 	homes     map[string]Member   // home of each endpoint, by endpoint ID
 	homeIDs   map[string][]string // IDs of the endpoints with the same home, by its address
 	ids       map[uint32]string   // endpoint IDs by their hash in messages
-	homesAt   time.Time           // when homes, homeIDs and ids were computed
+	homesAt   time.Time           // when homes, homeIDs and ids were last computed or found valid
+	// homesBasis is what these follow from; coresChanges counts the changes of peers' Cores.
+	homesBasis   homesBasis
+	coresChanges int
 	// sparse is set while there are more than meshPeers live peers; livePeers and
 	// neighborCount count them and the neighbors among them, as of neighborsAt.
 	sparse                   bool
@@ -408,7 +411,10 @@
 	}
 	transit := p.maxTransit(m, now)
 	p.sequence, p.lastReceived, p.lost = m.Sequence, now, false
-	p.Cores = m.From.Cores
+	if p.Cores != m.From.Cores {
+		p.Cores = m.From.Cores
+		x.coresChanges++
+	}
 	p.membersDigest, p.wantsRecords, p.overloaded = m.MembersDigest, m.WantRecords, m.Overloaded
 	for _, other := range m.Members {
 		x.addPeer(other, now)
@@ -477,17 +483,3 @@
 	}
 	return overloaded, live
 }
-
-// Peers returns the number of live peers: other instances from which a message was
-// received lately.
-func (x *Exchange) Peers(now time.Time) int {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	n := 0
-	for _, p := range x.peers {
-		if x.live(p, now) {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/peer/export_test.go
+++ b/internal/peer/export_test.go
@@ -1,6 +1,10 @@
 package peer
 
-import "github.com/greengagestep/greengagestep/internal/placement"
+import (
+	"time"
+
+	"github.com/greengagestep/greengagestep/internal/placement"
+)
 
 // Sign, Pack and Unpack let tests build and decode messages of a peer.
 func (k *Key) Sign(purpose string, data []byte) string { return k.sign(purpose, data) }
@@ -14,3 +18,10 @@
 func Home(e placement.Endpoint, members []Member) Member {
 	return selectHome(e, members, memberHashes(members))
 }
+
+// HomeOf returns the name of the home of an endpoint by the view of an instance.
+func (x *Exchange) HomeOf(id string, now time.Time) string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.endpointHomes(now)[id].Name
+}
--- a/internal/peer/home.go
+++ b/internal/peer/home.go
@@ -24,7 +24,7 @@
 	// reserveBackoff is how long no reservations are requested from a home that
 	// did not respond.
 	reserveBackoff = 300 * time.Millisecond
-	// homesTTL is how long the computed homes are cached.
+	// homesTTL is how long it is not checked whether the homes and the neighbors have changed.
 	homesTTL = 200 * time.Millisecond
 	// maxPeersFullWork is the number of peers up to which every message carries
 	// the work at all endpoints.
@@ -72,6 +72,13 @@
 	if x.homes != nil && now.Sub(x.homesAt) < homesTTL {
 		return x.homes
 	}
+	// The listing is read before the endpoints, so that a change in between shows the next time.
+	basis := homesBasis{members: x.liveDigest(now), cores: x.coresChanges, listing: x.Balancer.Listing()}
+	if x.homes != nil && basis == x.homesBasis {
+		x.homesAt = now
+		return x.homes
+	}
+	x.homesBasis = basis
 	members := append(x.liveMembers(now), x.Self)
 	hashes := memberHashes(members)
 	endpoints := x.Balancer.Endpoints()
@@ -86,6 +93,13 @@
 	return x.homes
 }
 
+// homesBasis identifies what the homes of endpoints follow from.
+type homesBasis struct {
+	members uint64 // digest of the live ones
+	cores   int    // number of changes of what peers say of their processors
+	listing int64  // of the endpoints
+}
+
 // memberHashes returns the hashes of the members' names.
 func memberHashes(members []Member) []uint64 {
 	hashes := make([]uint64, len(members))
@@ -154,8 +168,8 @@
 	x.mu.Lock()
 	m, known := x.endpointHomes(now)[r.Endpoint]
 	if !known {
-		// The endpoint was added after the homes were computed.
-		x.homes = nil
+		// The endpoint may have been added after the homes were computed.
+		x.homesAt = time.Time{}
 		m = x.endpointHomes(now)[r.Endpoint]
 	}
 	if m.Address == x.Self.Address {
--- a/internal/peer/ring.go
+++ b/internal/peer/ring.go
@@ -81,6 +81,25 @@
 	return p.Name != "" && !p.lastReceived.IsZero() && now.Sub(p.lastReceived) < x.silenceLimit(p, now)
 }
 
+// Peers returns the number of live peers: other instances from which a message was
+// received lately.
+func (x *Exchange) Peers(now time.Time) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.countLive(now)
+}
+
+// countLive returns the number of live peers. The caller holds the lock.
+func (x *Exchange) countLive(now time.Time) int {
+	n := 0
+	for _, p := range x.peers {
+		if x.live(p, now) {
+			n++
+		}
+	}
+	return n
+}
+
 // silenceLimit returns the time without a message from a peer after which it is no longer
 // live. The caller holds the lock.
 func (x *Exchange) silenceLimit(p *peer, now time.Time) time.Duration {
--- a/internal/peer/start.go
+++ b/internal/peer/start.go
@@ -28,13 +28,13 @@
 	if !x.Balancer.HasStartups() {
 		return
 	}
-	members, digest := x.liveMembers(now), x.liveDigest(now)
-	mayGrant := x.hearsHalf(len(members), now)
+	digest := x.liveDigest(now)
+	mayGrant := x.hearsHalf(x.countLive(now), now)
 	if !mayGrant {
 		digest = ^digest
 	}
 	x.views.Set(digest, func() membersView {
-		members = append(members, x.Self)
+		members := append(x.liveMembers(now), x.Self)
 		v := membersView{members: members, hashes: memberHashes(members), mayGrant: mayGrant}
 		for i, m := range members {
 			if m.Domain == x.Self.Domain {
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -58,8 +58,14 @@
 	latencyModels map[string]*latencyModel
 	fills         []CacheFill // the newest fills by requests of this instance, oldest first
 	fillCount     int64       // number of all fills by requests of this instance
+	// listing counts the changes of the list of endpoints and of their failure domains.
+	listing atomic.Int64
 }
 
+// Listing returns a number that changes when an endpoint is added or removed, or its failure domain
+// changes.
+func (b *Balancer) Listing() int64 { return b.listing.Load() }
+
 // CacheFill records that an endpoint processes shared parts of a prompt that it had not
 // cached, so that it has them cached from then on.
 type CacheFill struct {
@@ -212,6 +218,9 @@
 		s = nil
 	}
 	isNew := s == nil
+	if isNew || s.Domain != e.Domain {
+		b.listing.Add(1)
+	}
 	if isNew {
 		s = &endpointState{Endpoint: e, startup: b.startups[e.Service], availability: b.former.recall(e.incarnation(), time.Now()), hash: xxhash.Sum64String(e.ID), model: b.latencyModel(e.Service), remote: map[string]remoteWork{}, cache: newPromptCache(), slowdown: 1}
 		b.byID[e.ID] = s
@@ -245,6 +254,7 @@
 func (b *Balancer) remove(s *endpointState, to Condition, cause string) {
 	b.former.remember(s.incarnation(), s.outlasting(), time.Now())
 	s.removed = true
+	b.listing.Add(1)
 	delete(b.byID, s.ID)
 	b.services[s.Service] = slices.DeleteFunc(b.services[s.Service], func(o *endpointState) bool { return o == s })
 	b.notifyChange(s, Change{To: to, Reason: UnavailableRemoved, Cause: cause})
