peer: one ticker instead of two; the race detector no longer crashes

A test of 12 lines without any code of ours (50 goroutines, a ticker of 1 ms and a sleep of 3 ms in a synctest bubble) crashes 4 of 4 times in the same check, and 0 of 4 with GOMAXPROCS=1.

Ruled out: a data race or failed check of ours (none in any log), memory.

--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -196,16 +196,20 @@
 	if x.links != nil {
 		defer x.links.Close()
 	}
-	send := time.NewTicker(sendInterval / 2)
-	defer send.Stop()
-	feedRecovery := time.NewTicker(feedRecoveryInterval)
-	defer feedRecovery.Stop()
+	// One ticker serves both: in tests with fake time and the race detector, Go 1.26 crashes if two
+	// tickers of one select are due at the same moment in several goroutines.
+	ticker := time.NewTicker(sendInterval / 2)
+	defer ticker.Stop()
+	var lastRecovery time.Time
 	for {
 		select {
-		case <-send.C:
-			x.sendDue(ctx, time.Now())
-		case <-feedRecovery.C:
-			x.recoverFeeds(ctx, time.Now())
+		case <-ticker.C:
+			now := time.Now()
+			x.sendDue(ctx, now)
+			if now.Sub(lastRecovery) >= feedRecoveryInterval {
+				lastRecovery = now
+				x.recoverFeeds(ctx, now)
+			}
 		case <-ctx.Done():
 			return ctx.Err()
 		}
