link: a link without requests is closed

It stayed open for as long as both processes ran: by reading. The instance that opened it closes it after 20 s without a request, the other side after 60 s, so that no request is sent on one that is being closed. The deadline is set anew every few seconds, not with each frame.

--- a/internal/link/handler.go
+++ b/internal/link/handler.go
@@ -62,10 +62,11 @@
 		return
 	}
 	out := &frameWriter{out: conn, onError: func(error) { _ = conn.Close() }}
+	frames := &idleReader{Reader: buffered.Reader, conn: conn, limit: acceptedIdleTime}
 	for {
-		f, err := readFrame(buffered.Reader)
+		f, err := frames.next()
 		if err != nil {
-			// The peer has closed the link, or opens a new one.
+			// The peer has closed the link, opens a new one or sends nothing.
 			return
 		}
 		if len(f.body) > maxInlineBytes {
--- a/internal/link/transport.go
+++ b/internal/link/transport.go
@@ -98,10 +98,10 @@
 		h = &host{}
 		t.hosts[address] = h
 	}
-	if h.link != nil && !h.link.hasEnded() {
+	now := time.Now()
+	if h.link != nil && h.link.use(now) {
 		return h.link
 	}
-	now := time.Now()
 	if h.link != nil && errors.Is(h.link.endError(), errNoLink) {
 		h.httpOnlyUntil = now.Add(httpOnlyTime)
 	}
@@ -109,7 +109,7 @@
 	if now.Before(h.httpOnlyUntil) {
 		return nil
 	}
-	h.link = &clientLink{ready: make(chan struct{}), calls: map[uint32]chan frame{}}
+	h.link = &clientLink{usedAt: now, ready: make(chan struct{}), calls: map[uint32]chan frame{}}
 	go h.link.run(t.Dial, address)
 	return h.link
 }
@@ -151,6 +151,7 @@
 	calls        map[uint32]chan frame // by number; nil once the link has ended
 	lastID       uint32
 	waitingSince time.Time // when the oldest request was sent since the last response; zero if there is none
+	usedAt       time.Time // when the link was last taken for a request
 	ended        error
 }
 
@@ -167,8 +168,9 @@
 		return
 	}
 	close(l.ready)
+	frames := &idleReader{Reader: reader, conn: l.conn, limit: idleTime, keep: func() bool { return !l.endIdle() }}
 	for {
-		f, err := readFrame(reader)
+		f, err := frames.next()
 		if err != nil {
 			l.end(err)
 			return
@@ -253,10 +255,27 @@
 	return frame{}, err
 }
 
+// endIdle closes the link unless a request was sent on it lately or is about to be. It reports whether it
+// did.
+func (l *clientLink) endIdle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Since(l.usedAt) < idleTime/2 {
+		return false
+	}
+	l.endLocked(errIdle)
+	return true
+}
+
 // end closes the link; requests without a response fail. Further calls do nothing.
 func (l *clientLink) end(err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.endLocked(err)
+}
+
+// endLocked is end with the lock held by the caller.
+func (l *clientLink) endLocked(err error) {
 	if l.ended != nil {
 		return
 	}
@@ -276,4 +295,10 @@
 	return l.ended
 }
 
-func (l *clientLink) hasEnded() bool { return l.endError() != nil }
+// use takes the link for a request, which keeps it open, and reports whether it has not ended.
+func (l *clientLink) use(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.usedAt = now
+	return l.ended == nil
+}
