gateway: an event takes no lock of the balancer and the quarantine, and moves no timer

Cause: each event asked the balancer again whether it was the first, removed the watch of the quarantine again and moved the timer of the stall watch; names of metrics were formatted by fmt for each request.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -317,6 +317,7 @@
 	c.lastAttempt.AddEvents(1)
 	if c.stopWatch != nil && c.lastAttempt.Running() {
 		c.stopWatch()
+		c.stopWatch = nil
 	}
 	now := time.Now()
 	run.RecordFirst(now)
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -25,9 +25,10 @@
 // before its endpoint has responded to it.
 func (c *call) watchQuarantine(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	c.stopWatch = c.h.Quarantine.Watch(c.signatures, func() { cancel(errQuarantined) })
+	stop := c.h.Quarantine.Watch(c.signatures, func() { cancel(errQuarantined) })
+	c.stopWatch = stop
 	return ctx, func() {
-		c.stopWatch()
+		stop()
 		cancel(nil)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,7 +104,7 @@
 	longestGap    time.Duration  // longest time between two relayed parts of a stream
 	lastAttempt   quarantine.Attempt
 	mediaType     string        // of the response of the last attempt, as a log field; empty without a response
-	stopWatch     func()        // ends the watch of the quarantine in the last attempt; nil without a quarantine
+	stopWatch     func()        // ends the watch of the quarantine in the last attempt; nil once it has ended, or without one
 	crashProbe    chan struct{} // closed when the endpoint of the last attempt was probed for a crash; nil if it is not
 	// retryWithdrawn is set if the retry after the last attempt has been taken out of the
 	// budget already.
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -28,6 +28,9 @@
 	timer *time.Timer // nil once the watch has ended
 	begun bool        // blocks have come, or the caller has a part of the stream
 	moved bool        // the attempt was abandoned, and its retry has been withdrawn
+	// progressAt is when the last event with data came; the timer is set for it only when it
+	// has expired, so that an event does not move a timer.
+	progressAt time.Time
 }
 
 // watchStall starts a watch. It returns nil if no other endpoint may resume the stream: then it is
@@ -49,6 +52,10 @@
 	if w.timer == nil {
 		return
 	}
+	if left := silenceLimit - time.Since(w.progressAt); left > 0 {
+		w.timer.Reset(left)
+		return
+	}
 	if w.begun && !w.call.withdrawMove() {
 		w.timer.Reset(stallRecheckInterval)
 		return
@@ -66,7 +73,7 @@
 	defer w.mu.Unlock()
 	w.begun = true
 	if progress {
-		w.timer.Reset(silenceLimit)
+		w.progressAt = time.Now()
 	}
 }
 
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -46,14 +47,14 @@
 	if len(labels) == 0 {
 		return name
 	}
-	var b strings.Builder
-	b.WriteString(name)
+	var buf [128]byte
+	full := append(buf[:0], name...)
 	for i := 0; i+1 < len(labels); i += 2 {
-		b.WriteByte("{,"[min(i, 1)])
-		fmt.Fprintf(&b, "%s=%q", labels[i], labels[i+1])
+		full = append(full, "{,"[min(i, 1)])
+		full = append(append(full, labels[i]...), '=')
+		full = strconv.AppendQuote(full, labels[i+1])
 	}
-	b.WriteByte('}')
-	return b.String()
+	return string(append(full, '}'))
 }
 
 // Count adds one to the counter of the given full name, which it creates if necessary.
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -134,11 +134,11 @@
 // RecordFirst records the first event of a stream, or the response of a service that does
 // not stream. Further calls do nothing.
 func (r *Run) RecordFirst(now time.Time) {
-	r.balancer.mu.Lock()
-	defer r.balancer.mu.Unlock()
 	if r.started {
 		return
 	}
+	r.balancer.mu.Lock()
+	defer r.balancer.mu.Unlock()
 	if last, silent := r.state.recordData(now); silent {
 		r.balancer.endSilence(r.state, last, now)
 	}
