--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -445,12 +445,11 @@
 // unpackWork decodes packed work and returns it by endpoint ID. Work at endpoints
 // that this instance does not know is left out.
 func (x *Exchange) unpackWork(data []byte, now time.Time) map[string]placement.Work {
-	packed := unpack(data)
-	work := make(map[string]placement.Work, len(packed))
+	work := make(map[string]placement.Work, len(data)/packedEntryBytes)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.endpointHomes(now)
-	for hash, w := range packed {
+	for hash, w := range unpack(data) {
 		if id, ok := x.ids[hash]; ok {
 			work[id] = w
 		}
--- a/internal/peer/export_test.go
+++ b/internal/peer/export_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"maps"
 	"time"
 
 	"github.com/greengagestep/greengagestep/internal/placement"
@@ -9,10 +10,9 @@
 // Sign, Pack and Unpack let tests build and decode messages of a peer.
 func (k *Key) Sign(purpose string, data []byte) string { return k.sign(purpose, data) }
 
-var (
-	Pack   = pack
-	Unpack = unpack
-)
+var Pack = pack
+
+func Unpack(data []byte) map[uint32]placement.Work { return maps.Collect(unpack(data)) }
 
 // Home returns the home of an endpoint.
 func Home(e placement.Endpoint, members []Member) Member {
--- a/internal/peer/pack.go
+++ b/internal/peer/pack.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"iter"
 
 	"github.com/greengagestep/greengagestep/internal/placement"
 )
@@ -34,15 +35,15 @@
 	return data
 }
 
-// unpack decodes work and returns it by the hash of the endpoint ID. An incomplete
+// unpack decodes work and yields it with the hash of the endpoint ID. An incomplete
 // entry at the end is ignored.
-func unpack(data []byte) map[uint32]placement.Work {
-	work := make(map[uint32]placement.Work, len(data)/packedEntryBytes)
-	for ; len(data) >= packedEntryBytes; data = data[packedEntryBytes:] {
-		work[binary.BigEndian.Uint32(data)] = placement.Work{
-			Runs:   int(data[4]),
-			Tokens: int(binary.BigEndian.Uint16(data[5:])) * tokenUnit,
+func unpack(data []byte) iter.Seq2[uint32, placement.Work] {
+	return func(yield func(uint32, placement.Work) bool) {
+		for rest := data; len(rest) >= packedEntryBytes; rest = rest[packedEntryBytes:] {
+			w := placement.Work{Runs: int(rest[4]), Tokens: int(binary.BigEndian.Uint16(rest[5:])) * tokenUnit}
+			if !yield(binary.BigEndian.Uint32(rest), w) {
+				return
+			}
 		}
 	}
-	return work
 }
--- a/internal/peer/rpc.go
+++ b/internal/peer/rpc.go
@@ -34,7 +34,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("peer: %s responded with status %d", address, resp.StatusCode)
 	}
-	data, err = io.ReadAll(io.LimitReader(resp.Body, maxMessageBytes))
+	data, err = readMessage(resp.Body, resp.ContentLength)
 	if err != nil {
 		return err
 	}
@@ -44,11 +44,25 @@
 	return json.Unmarshal(data, reply)
 }
 
+// maxKnownBytes is up to which stated length memory is taken before the bytes have come: whoever reaches
+// the port may state any.
+const maxKnownBytes = 16 << 10
+
+// readMessage reads a body of at most maxMessageBytes, whose length is negative if it is not known.
+func readMessage(body io.Reader, length int64) ([]byte, error) {
+	if length < 0 || length > maxKnownBytes {
+		return io.ReadAll(io.LimitReader(body, maxMessageBytes))
+	}
+	data := make([]byte, length)
+	_, err := io.ReadFull(body, data)
+	return data, err
+}
+
 // readSigned reads the body of a request, verifies that it is signed with the fleet
 // key and decodes it into payload. If the body is unreadable or the sender is not
 // authenticated, it writes the error response and returns false.
 func (x *Exchange) readSigned(w http.ResponseWriter, r *http.Request, purpose string, payload any) (signature string, ok bool) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxMessageBytes))
+	body, err := readMessage(r.Body, r.ContentLength)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return "", false
