link: short frames do not wait for long ones

Now it waits for the one that is being written. The wire format is unchanged: responses name the request that they answer.

--- a/internal/link/frame.go
+++ b/internal/link/frame.go
@@ -78,7 +78,8 @@
 }
 
 // frameWriter writes frames. Those that are added while one write is under way are written together
-// by the next one; add never waits for the peer. It is safe for concurrent use.
+// by the next one, except that long frames wait for all others and are written one at a time: a
+// reservation waits for one of them at most. Add never waits for the peer. It is safe for concurrent use.
 type frameWriter struct {
 	out io.Writer
 	// onError is called when a write has failed or too much waits; nothing is written after it.
@@ -86,6 +87,8 @@
 
 	mu      sync.Mutex
 	pending []byte
+	long    [][]byte // frames of more than maxSpareBytes, oldest first
+	waiting int      // bytes of pending and long
 	spare   []byte // buffer of the last write
 	writing bool
 	failed  bool
@@ -102,16 +105,25 @@
 	if w.failed {
 		return errPending
 	}
-	if len(w.pending) > maxPendingBytes {
+	if w.waiting > maxPendingBytes {
 		w.failed = true
 		go w.onError(errPending)
 		return errPending
 	}
-	pending, err := f.append(w.pending)
-	if err != nil {
-		return err
+	if f.length() > maxSpareBytes {
+		data, err := f.append(nil)
+		if err != nil {
+			return err
+		}
+		w.long = append(w.long, data)
+	} else {
+		pending, err := f.append(w.pending)
+		if err != nil {
+			return err
+		}
+		w.pending = pending
 	}
-	w.pending = pending
+	w.waiting += lengthBytes + f.length()
 	if !w.writing {
 		w.writing = true
 		go w.flush()
@@ -123,13 +135,12 @@
 func (w *frameWriter) flush() {
 	for {
 		w.mu.Lock()
-		if len(w.pending) == 0 {
+		data := w.take()
+		if len(data) == 0 {
 			w.writing = false
 			w.mu.Unlock()
 			return
 		}
-		data := w.pending
-		w.pending, w.spare = w.spare[:0], nil
 		w.mu.Unlock()
 		_, err := w.out.Write(data)
 		w.mu.Lock()
@@ -145,7 +156,20 @@
 	}
 }
 
-// maxSpareBytes is the largest buffer that is kept for the next write.
+// take returns what is written next, nothing if nothing waits. The caller holds the lock.
+func (w *frameWriter) take() []byte {
+	data := w.pending
+	if len(data) > 0 {
+		w.pending, w.spare = w.spare[:0], nil
+	} else if len(w.long) > 0 {
+		data, w.long = w.long[0], w.long[1:]
+	}
+	w.waiting -= len(data)
+	return data
+}
+
+// maxSpareBytes is the largest buffer that is kept for the next write, and the largest frame that is
+// written together with others.
 const maxSpareBytes = 16 << 10
 
 // readBytes reads n bytes and takes memory as they arrive.
--- a/internal/link/idle_test.go
+++ b/internal/link/idle_test.go
@@ -70,3 +70,11 @@
 		require.Equal(t, time.Minute, time.Since(from))
 	})
 }
+
+// Long replies, as of many records, wait for short ones.
+func TestShortFramesDoNotWaitForLongOnes(t *testing.T) {
+	const long, short = 100_000, 300
+	synctest.Test(t, func(t *testing.T) {
+		require.Equal(t, []uint32{0, 2, 4, 1, 3}, link.WriteAll(long, long, short, long, short))
+	})
+}
