--- a/internal/link/frame.go
+++ b/internal/link/frame.go
@@ -89,7 +89,7 @@
 	pending []byte
 	long    [][]byte // frames of more than maxSpareBytes, oldest first
 	waiting int      // bytes of pending and long
-	spare   []byte // buffer of the last write
+	spare   []byte   // buffer of the last write
 	writing bool
 	failed  bool
 }
