--- a/internal/peer/export_test.go
+++ b/internal/peer/export_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"maps"
 	"time"
 
@@ -25,3 +26,14 @@
 	defer x.mu.Unlock()
 	return x.endpointHomes(now)[id].Name
 }
+
+// SendTo sends one message to a peer and applies its reply.
+func (x *Exchange) SendTo(ctx context.Context, address string) error {
+	x.mu.Lock()
+	x.init()
+	p := x.peers[address]
+	m := x.compose(p, false, time.Now())
+	x.mu.Unlock()
+	x.send(ctx, p, m)
+	return p.lastErr
+}
