peer, placement: an instance that starts asks a survivor for what that has learned

Cause: a new start knew only the fills that live peers had caused themselves; what killed instances had cached was read again, and the times of services began at their initial values.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -369,6 +369,7 @@
 	mux.Handle("POST "+peer.Path, i.peers)
 	mux.HandleFunc("POST "+peer.ReservePath, i.peers.ServeReserve)
 	mux.HandleFunc("GET "+peer.SnapshotPath, i.peers.ServeSnapshot)
+	mux.HandleFunc("POST "+peer.LearnedPath, i.peers.ServeLearned)
 	i.links = &link.Handler{Next: mux, SignatureHeader: peer.HeaderSignature, Logger: i.logger}
 	mux.Handle("POST "+link.Path, i.links)
 	return mux
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -27,6 +27,9 @@
 	// ReadFromPeer is logged when records were read from another instance because
 	// the platform did not deliver them.
 	ReadFromPeer = "rescued"
+	// Learned is logged when an instance that has started asks another one for what it has learned
+	// of endpoints.
+	Learned = "learned"
 	// UnauthenticatedMessage is logged for the first message that is not signed with
 	// the fleet's key.
 	UnauthenticatedMessage = "stranger"
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -96,6 +96,7 @@
 	starts     warmup.Home
 	views      warmup.Views[membersView]
 	heardPeers bool
+	learned    learnedState
 	// unauthenticated counts requests whose signature was not made with the
 	// fleet key.
 	unauthenticated atomic.Int64
@@ -206,6 +207,7 @@
 		case <-ticker.C:
 			now := time.Now()
 			x.sendDue(ctx, now)
+			x.requestLearned(ctx, now)
 			if now.Sub(lastRecovery) >= feedRecoveryInterval {
 				lastRecovery = now
 				x.recoverFeeds(ctx, now)
--- a/internal/peer/key.go
+++ b/internal/peer/key.go
@@ -131,6 +131,7 @@
 	purposeReserve  = "reserve"
 	purposeResponse = "answer"
 	purposeSnapshot = "snapshot"
+	purposeLearned  = "learned"
 )
 
 // rejectUnauthenticated rejects a request that is not signed with the fleet key. Only
--- a/internal/peer/ring_test.go
+++ b/internal/peer/ring_test.go
@@ -162,36 +162,50 @@
 // newFleetInMemory starts n members of which the first reads the feed. All know the first three.
 func newFleetInMemory(t *testing.T, n int) *fleetInMemory {
 	f := &fleetInMemory{handlers: map[string]http.Handler{}, messages: map[string]int{}, bytes: map[string]int{}}
-	start := time.Now()
+	f.members, f.feeds, f.stops = make([]*peer.Exchange, n), make([]*watch.Follower[string], n), make([]context.CancelFunc, n)
 	for i := range n {
-		x := newExchange("key")
-		x.Self = peer.Member{Name: fmt.Sprintf("front-%d", i), Domain: fmt.Sprint(i % 5), Address: fmt.Sprintf("10.0.%d.%d:80", i/200, 1+i%200), Start: 1}
-		x.Transport = memberTransport{f, x.Self.Address}
-		x.Crashes = quarantine.New(&audit.Trail{})
-		feed := &watch.Follower[string]{Name: "endpoints", Feed: silentFeed{}, OnBatch: func(watch.Batch[string]) {}, MaxAge: func() time.Duration { return time.Hour }}
-		if i == 0 {
-			feed.Feed, feed.MaxAge = countingFeed{start}, func() time.Duration { return 200 * time.Millisecond }
-		}
-		x.Feeds = map[string]watch.Relay{"endpoints": feed}
-		for seed := range min(3, i) {
-			x.AddPeer(peer.Member{Address: f.members[seed].Self.Address}, time.Now())
-		}
-		mux := http.NewServeMux()
-		mux.Handle("POST "+peer.Path, x)
-		mux.HandleFunc("POST "+peer.ReservePath, x.ServeReserve)
-		mux.HandleFunc("GET "+peer.SnapshotPath, x.ServeSnapshot)
-		f.handlers[x.Self.Address] = mux
-		f.members, f.feeds = append(f.members, x), append(f.feeds, feed)
+		f.set(i, 1)
 	}
-	for i, x := range f.members {
-		ctx, stop := context.WithCancel(t.Context())
-		f.stops = append(f.stops, stop)
-		go func() { _ = x.Serve(ctx) }()
-		go func() { _ = f.feeds[i].Serve(ctx) }()
+	for i := range n {
+		f.serve(t, i)
 	}
 	return f
 }
 
+// set sets member i to one that has learned nothing yet, with a start.
+func (f *fleetInMemory) set(i int, start int64) {
+	x := newExchange("key")
+	x.Self = peer.Member{Name: fmt.Sprintf("front-%d", i), Domain: fmt.Sprint(i % 5), Address: fmt.Sprintf("10.0.%d.%d:80", i/200, 1+i%200), Start: start}
+	x.Transport = memberTransport{f, x.Self.Address}
+	x.Crashes = quarantine.New(&audit.Trail{})
+	feed := &watch.Follower[string]{Name: "endpoints", Feed: silentFeed{}, OnBatch: func(watch.Batch[string]) {}, MaxAge: func() time.Duration { return time.Hour }}
+	if i == 0 {
+		feed.Feed, feed.MaxAge = countingFeed{time.Now()}, func() time.Duration { return 200 * time.Millisecond }
+	}
+	x.Feeds = map[string]watch.Relay{"endpoints": feed}
+	for seed := range min(3, i) {
+		x.AddPeer(peer.Member{Address: f.members[seed].Self.Address}, time.Now())
+	}
+	mux := http.NewServeMux()
+	mux.Handle("POST "+peer.Path, x)
+	mux.HandleFunc("POST "+peer.ReservePath, x.ServeReserve)
+	mux.HandleFunc("GET "+peer.SnapshotPath, x.ServeSnapshot)
+	mux.HandleFunc("POST "+peer.LearnedPath, x.ServeLearned)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.handlers[x.Self.Address] = mux
+	f.members[i], f.feeds[i] = x, feed
+}
+
+// serve starts member i.
+func (f *fleetInMemory) serve(t *testing.T, i int) {
+	x, feed := f.members[i], f.feeds[i]
+	ctx, stop := context.WithCancel(t.Context())
+	f.stops[i] = stop
+	go func() { _ = x.Serve(ctx) }()
+	go func() { _ = feed.Serve(ctx) }()
+}
+
 // kill stops a member without a trace.
 func (f *fleetInMemory) kill(i int) {
 	f.stops[i]()
@@ -212,13 +226,10 @@
 	synctest.Wait()
 	x.Self.Start++
 	change(x)
-	ctx, stop := context.WithCancel(t.Context())
-	f.stops[i] = stop
 	f.mu.Lock()
 	f.handlers[x.Self.Address] = handler
 	f.mu.Unlock()
-	go func() { _ = x.Serve(ctx) }()
-	go func() { _ = f.feeds[i].Serve(ctx) }()
+	f.serve(t, i)
 }
 
 // rate returns the mean number of messages and bytes that a member sends a second.
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -66,14 +66,16 @@
 	Endpoint string `json:"e"`
 	// PrefixHashes identifies the parts, each together with all parts before it.
 	PrefixHashes []uint64 `json:"c"`
+	// born is the start of the endpoint that has cached the parts.
+	born int64
 }
 
 // maxFills bounds the cache fills that are kept for sending to other instances.
 const maxFills = 1024
 
 // CacheFillsSince returns the cache fills caused by this instance, without the
-// first after ones, and the number of all so far. Fills that are no longer kept are left
-// out; the list is nil if there is nothing new.
+// first after ones, and the number of all so far. Fills that are no longer kept, and those at
+// endpoints that have gone or restarted since, are left out; the list is nil if there is nothing new.
 func (b *Balancer) CacheFillsSince(after int64) ([]CacheFill, int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -81,7 +83,13 @@
 	if n <= 0 {
 		return nil, b.fillCount
 	}
-	return slices.Clone(b.fills[len(b.fills)-n:]), b.fillCount
+	var fills []CacheFill
+	for _, fill := range b.fills[len(b.fills)-n:] {
+		if s := b.byID[fill.Endpoint]; s != nil && s.Born == fill.born {
+			fills = append(fills, fill)
+		}
+	}
+	return fills, b.fillCount
 }
 
 // MergeCacheFills adds cache fills caused by requests of another instance. Fills of
--- /dev/null
+++ b/internal/placement/learned.go
@@ -0,0 +1,127 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Learned is what an instance has learned of endpoints, for another one that has just started.
+type Learned struct {
+	// Services holds the times that the endpoints of a service need, by its name.
+	Services map[string]LearnedTimes `json:"s,omitempty"`
+	Caches   []LearnedCache          `json:"c,omitempty"`
+}
+
+// LearnedTimes are times that the endpoints of a service need.
+type LearnedTimes struct {
+	BaseMS          float64 `json:"b"`
+	TokensPerMS     float64 `json:"t"`
+	RequestMS       float64 `json:"r"`
+	EventIntervalMS float64 `json:"e,omitempty"`
+	// BaseSamples, RateSamples and RequestSamples count what was learned from.
+	BaseSamples    int `json:"bn"`
+	RateSamples    int `json:"tn"`
+	RequestSamples int `json:"rn"`
+}
+
+// valid reports whether the times may be used: a peer may be of another version.
+func (t LearnedTimes) valid() bool {
+	return t.BaseMS > 0 && t.TokensPerMS >= minTokensPerMS && t.TokensPerMS <= maxTokensPerMS && t.RequestMS > 0 && t.EventIntervalMS >= 0 &&
+		min(t.BaseSamples, t.RateSamples, t.RequestSamples) >= 0
+}
+
+// LearnedCache lists parts of prompts that one start of an endpoint has cached.
+type LearnedCache struct {
+	Endpoint string `json:"e"`
+	Born     int64  `json:"b"`
+	// PrefixHashes identifies the parts, each together with all parts before it; Ages holds the
+	// time since the last use of each, in milliseconds.
+	PrefixHashes []uint64 `json:"c"`
+	Ages         []int64  `json:"a"`
+}
+
+// maxLearnedParts bounds the parts in Learned.
+const maxLearnedParts = 8192
+
+type learnedPart struct {
+	state *endpointState
+	hash  uint64
+	at    int64 // see sinceEpoch
+}
+
+// Learned returns what this instance has learned: of the parts that endpoints have cached those that were
+// used last. Services without any response so far are left out.
+func (b *Balancer) Learned(now time.Time) Learned {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := Learned{Services: map[string]LearnedTimes{}}
+	for name, m := range b.latencyModels {
+		if m.samples() > 0 {
+			l.Services[name] = LearnedTimes{m.baseMS, m.tokensPerMS, m.requestMS, m.eventIntervalMS, m.baseSamples, m.rateSamples, m.requestSamples}
+		}
+	}
+	var parts []learnedPart
+	for _, s := range b.byID {
+		for hash, at := range s.cache.lastUsed {
+			if sinceEpoch(now)-at <= int64(cacheLifetime) {
+				parts = append(parts, learnedPart{s, hash, at})
+			}
+		}
+	}
+	slices.SortFunc(parts, func(x, y learnedPart) int { return cmp.Compare(y.at, x.at) })
+	caches := map[*endpointState]*LearnedCache{}
+	for _, p := range parts[:min(len(parts), maxLearnedParts)] {
+		c := caches[p.state]
+		if c == nil {
+			c = &LearnedCache{Endpoint: p.state.ID, Born: p.state.Born}
+			caches[p.state] = c
+		}
+		c.PrefixHashes = append(c.PrefixHashes, p.hash)
+		c.Ages = append(c.Ages, (sinceEpoch(now)-p.at)/int64(time.Millisecond))
+	}
+	for _, c := range caches {
+		l.Caches = append(l.Caches, *c)
+	}
+	return l
+}
+
+// Learn adds what another instance had learned up to age ago and returns how many cached parts were not
+// known. Times of services of which this instance has learned itself, and caches of endpoints that are not
+// listed or have restarted since, are ignored.
+func (b *Balancer) Learn(l Learned, age time.Duration, now time.Time) (parts int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, t := range l.Services {
+		if m := b.latencyModel(name); t.valid() && m.samples() == 0 {
+			m.baseMS, m.tokensPerMS, m.requestMS, m.eventIntervalMS = t.BaseMS, t.TokensPerMS, t.RequestMS, t.EventIntervalMS
+			m.baseSamples, m.rateSamples, m.requestSamples = t.BaseSamples, t.RateSamples, t.RequestSamples
+		}
+	}
+	for _, c := range l.Caches {
+		s := b.byID[c.Endpoint]
+		if s == nil || s.Born != c.Born {
+			continue
+		}
+		for i, hash := range c.PrefixHashes[:min(len(c.PrefixHashes), len(c.Ages), maxCachedParts)] {
+			at := sinceEpoch(now.Add(-age)) - max(c.Ages[i], 0)*int64(time.Millisecond)
+			known, ok := s.cache.lastUsed[hash]
+			if !ok {
+				parts++
+			}
+			if !ok || at > known {
+				s.cache.lastUsed[hash] = at
+			}
+		}
+	}
+	return parts
+}
+
+// HasEndpoints reports whether any endpoint is listed.
+func (b *Balancer) HasEndpoints() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.byID) > 0
+}
+
+func (m *latencyModel) samples() int { return m.baseSamples + m.rateSamples + m.requestSamples }
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -58,7 +58,7 @@
 	if len(r.Shared) > 0 {
 		ids := prefixHashes(r.Shared)
 		if s.cache.cachedTokens(r.Shared, now) < tokenCount(r.Shared) {
-			b.recordCacheFill(CacheFill{Endpoint: s.ID, PrefixHashes: ids})
+			b.recordCacheFill(CacheFill{Endpoint: s.ID, PrefixHashes: ids, born: s.Born})
 		}
 		s.cache.markUsed(ids, now)
 	}
