--- a/internal/placement/learned.go
+++ b/internal/placement/learned.go
@@ -27,8 +27,8 @@
 
 // valid reports whether the times may be used: a peer may be of another version.
 func (t LearnedTimes) valid() bool {
-	return t.BaseMS > 0 && t.TokensPerMS >= minTokensPerMS && t.TokensPerMS <= maxTokensPerMS && t.RequestMS > 0 && t.EventIntervalMS >= 0 &&
-		min(t.BaseSamples, t.RateSamples, t.RequestSamples) >= 0
+	return min(t.BaseMS, t.RequestMS) > 0 && t.EventIntervalMS >= 0 && max(t.BaseMS, t.RequestMS, t.EventIntervalMS) <= maxLearnedMS &&
+		t.TokensPerMS >= minTokensPerMS && t.TokensPerMS <= maxTokensPerMS && min(t.BaseSamples, t.RateSamples, t.RequestSamples) >= 0
 }
 
 // LearnedCache lists parts of prompts that one start of an endpoint has cached.
@@ -44,6 +44,9 @@
 // maxLearnedParts bounds the parts in Learned.
 const maxLearnedParts = 8192
 
+// maxLearnedMS bounds times learned from a peer, in milliseconds: no request takes longer.
+const maxLearnedMS = 600_000
+
 type learnedPart struct {
 	state *endpointState
 	hash  uint64
@@ -104,7 +107,7 @@
 			continue
 		}
 		for i, hash := range c.PrefixHashes[:min(len(c.PrefixHashes), len(c.Ages), maxCachedParts)] {
-			at := sinceEpoch(now.Add(-age)) - max(c.Ages[i], 0)*int64(time.Millisecond)
+			at := sinceEpoch(now.Add(-age)) - min(max(c.Ages[i], 0), cacheLifetime.Milliseconds())*int64(time.Millisecond)
 			known, ok := s.cache.lastUsed[hash]
 			if !ok {
 				parts++
