upstream, gateway: a run ends at its deadline less the lag, by a deadline on the connection

Who ends a run: the timer of the context (a goroutine), context.AfterFunc (a second), and the reader, which has to release the connection before it is closed (a third), each of which waits for the processor. The time left that the endpoint is told was computed before the connection was made. Now the connection has the deadline, at the caller's deadline less the lag, looked at again when it has come; the time is stated right before the request is sent.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -119,6 +119,7 @@
 	}
 	c.deadline = c.arrived.Add(limit)
 	ctx, cancelDeadline := context.WithDeadline(ctx, c.deadline)
+	c.expire = cancelDeadline
 	return ctx, func() {
 		cancelDeadline()
 		cancel()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -77,9 +77,13 @@
 		if reason := run.Permit(time.Now()); reason != "" {
 			return unavailableError(reason)
 		}
+		c.rewriteHeader(request.Header)
 		run.RecordSend(time.Now())
 		return nil
 	}
+	if c.expire != nil {
+		request.TimeLeft = c.limitExchange
+	}
 	answer, err := c.h.Pool.Send(ctx, c.choice.Endpoint.Address, request, c.attrs.ID)
 	if err != nil {
 		return c.sendFailed(ctx, run, err)
@@ -190,18 +194,35 @@
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
-// endpointRequest builds the request to the endpoint. A resumed stream continues after
-// the last event that the caller has.
-func (c *call) endpointRequest() upstream.Request {
-	header := c.r.Header.Clone()
-	removeHopHeaders(header)
+// rewriteHeader sets what the endpoint is told: right before the request is sent, since making a connection takes time, how
+// long it may work. A resumed stream continues after the last event that the caller has.
+func (c *call) rewriteHeader(header http.Header) {
 	after := c.attrs.LastEventID
 	if c.lastEventID != "" {
 		after = c.lastEventID
 	}
+	remaining := c.attrs.Timeout
+	if !c.deadline.IsZero() {
+		remaining = max(c.timeToAnswer(time.Now()), time.Millisecond)
+	}
 	c.h.HeaderCodec.RewriteForEndpoint(header, fleet.ForwardAttrs{
-		Endpoint: c.choice.Endpoint.ID, Customer: c.customer, Remaining: c.timeLeft(), LastEventID: after,
+		Endpoint: c.choice.Endpoint.ID, Customer: c.customer, Remaining: remaining, LastEventID: after,
 	})
+}
+
+// limitExchange returns how long the exchange with the endpoint may still take. When that is over, it ends the request.
+func (c *call) limitExchange() time.Duration {
+	left := c.timeToAnswer(time.Now())
+	if left <= 0 {
+		c.expire()
+	}
+	return left
+}
+
+// endpointRequest builds the request to the endpoint, without what rewriteHeader sets.
+func (c *call) endpointRequest() upstream.Request {
+	header := c.r.Header.Clone()
+	removeHopHeaders(header)
 	return upstream.Request{Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body, HeaderTimeout: c.responseTimeout(), Earlier: &c.connections}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,7 @@
 	signatures []uint64  // of the shared parts of the prompt, then of the request itself; nil without a quarantine
 	pastTarget bool      // retry whose target latency has already passed
 	deadline   time.Time // for the complete response; zero means no deadline
+	expire     func()    // ends the context of the request; nil without a deadline
 
 	sends         int                     // attempts that may have reached an endpoint
 	runs          int                     // attempts that an endpoint may have run
@@ -119,11 +120,8 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	c := &call{h: h, w: w, r: r, conn: outlet.FromContext(r.Context()), arrived: time.Now(), attrs: h.HeaderCodec.DecodeRequest(r.Header)}
-	if h.Overload != nil {
-		// The request has waited to be read for about the scheduling lag of
-		// the process, and that time counts, too.
-		c.arrived = c.arrived.Add(-h.Overload.Lag())
-	}
+	// The request has waited to be read for about the scheduling lag of the process, and that time counts, too.
+	c.arrived = c.arrived.Add(-h.lag())
 	defer c.releaseBody()
 	if !c.accept() {
 		return
@@ -207,20 +205,28 @@
 // must not be sent on. Beside a processor that lags, a response takes about the lag on its way, and
 // neither timers nor the server tell in time that the caller's time is over.
 func (c *call) hopeless(now time.Time) error {
-	lag := time.Duration(0)
-	if c.h.Overload != nil {
-		lag = c.h.Overload.Lag()
-	}
-	if !c.deadline.IsZero() && c.deadline.Sub(now) <= lag {
+	if !c.deadline.IsZero() && c.timeToAnswer(now) <= 0 {
 		return errNoTimeLeft
 	}
-	if lag >= peekLag && c.conn.Closed() {
+	if c.h.lag() >= peekLag && c.conn.Closed() {
 		c.left = true
 		return errCallerLeft
 	}
 	return nil
 }
 
+// timeToAnswer returns how long an endpoint may still work on the request for its response to reach the caller
+// before the deadline, which there must be.
+func (c *call) timeToAnswer(now time.Time) time.Duration { return c.deadline.Sub(now) - c.h.lag() }
+
+// lag returns the scheduling lag of the process.
+func (h *Handler) lag() time.Duration {
+	if h.Overload == nil {
+		return 0
+	}
+	return h.Overload.Lag()
+}
+
 // shouldRetry reports whether the request is retried at another endpoint.
 func (c *call) shouldRetry(o outcome) bool {
 	if c.retryWithdrawn {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -158,8 +158,13 @@
 func (g *testGateway) addEndpoint(id string, handle endpointFunc) {
 	l, err := g.network.Listen()
 	require.NoError(g.t, err)
-	g.listeners[id] = l
 	go handle.serve(l)
+	g.put(id, l)
+}
+
+// put adds an endpoint that listens to the balancer.
+func (g *testGateway) put(id string, l net.Listener) {
+	g.listeners[id] = l
 	g.balancer.Put(placement.Endpoint{ID: id, EndpointInfo: fleet.EndpointInfo{Service: "portal", Address: l.Addr().String(), Domain: "a", Slots: 4}})
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -88,6 +89,10 @@
 	// Permit is called when a connection is ready, right before the request is sent; if it
 	// returns an error, the request is not sent. Nil means that it always is.
 	Permit func() error
+	// TimeLeft returns for how much longer the exchange may go on; zero or less ends it. It is called when
+	// the request is sent, and again whenever the time that it returned has passed, by the goroutine that
+	// reads the response. Nil means that only the context ends the exchange.
+	TimeLeft func() time.Duration
 	// OnHead is called with each head of a response as soon as it has arrived, also for
 	// informational responses and responses to other requests. Nil means no callback.
 	OnHead func(fleet.ResponseAttrs)
@@ -135,6 +140,9 @@
 	remaining int
 	// answered is set once the head of the response has arrived, after which the body may wait.
 	answered atomic.Bool
+	// timeLeft is that of the request, expired is set once it has ended the exchange.
+	timeLeft func() time.Duration
+	expired  bool
 }
 
 var errTooManyBytes = errors.New("endpoint sent too many bytes before the response")
@@ -142,12 +150,12 @@
 // Read reads from the connection.
 func (c *conn) Read(p []byte) (int, error) {
 	if !c.limited {
-		return c.netConn.Read(p)
+		return c.read(p)
 	}
 	if c.remaining <= 0 {
 		return 0, errTooManyBytes
 	}
-	n, err := c.netConn.Read(p[:min(len(p), c.remaining)])
+	n, err := c.read(p[:min(len(p), c.remaining)])
 	c.remaining -= n
 	return n, err
 }
@@ -197,6 +205,10 @@
 		}
 	}
 	r.Earlier.add(c)
+	c.timeLeft = r.TimeLeft
+	if c.timeLeft != nil && !c.extend() {
+		return nil, &Failure{Reason: fleet.ReasonCancelled, Cause: os.ErrDeadlineExceeded}
+	}
 	a := &Answer{pool: p, conn: c}
 	a.stopAfterFunc = context.AfterFunc(ctx, c.abort)
 	if r.HeaderTimeout > 0 {
@@ -211,7 +223,7 @@
 			err = errNotDelivered
 		}
 		reason := fleet.ReasonEndpointFailed
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || c.expired {
 			reason = fleet.ReasonCancelled
 		} else if isInvalidResponse(err) {
 			reason = fleet.ReasonInvalidResponse
@@ -344,8 +356,10 @@
 		active := a.stopAfterFunc()
 		if active && a.bodyRead && a.Framed && !a.CloseConn && !a.Response.Close && a.requestSent() && a.conn.reader.Buffered() == 0 {
 			a.conn.markReusable(a.Attrs.IdleTimeout)
-			a.pool.put(a.conn)
-			return
+			if a.conn.endTime() {
+				a.pool.put(a.conn)
+				return
+			}
 		}
 		a.conn.abort()
 	})
