--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -177,6 +177,9 @@
 		o.reason, r = fleet.ReasonDeadline, placement.ResultCanceled
 	case errors.As(err, &unavailable):
 		o.kind, r = outcomeUnavailable, placement.ResultCanceled
+		if placement.Unavailability(unavailable).Leaving() {
+			c.h.Pool.CloseIdle(c.choice.Endpoint.Address)
+		}
 		c.countExpired(placement.Unavailability(unavailable))
 	case ctx.Err() != nil:
 		r = placement.ResultCanceled
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -245,6 +245,7 @@
 			return g.network.Dial(ctx, network, address)
 		}
 		g.balancer.SetInstanceWork("p", map[string]placement.Work{"i-2": {Runs: 3}}, true, time.Now())
+		kept := g.countOpen()
 		moved := make(chan string)
 		go func() {
 			_, body := g.post("/", "2")
@@ -255,6 +256,7 @@
 		require.Equal(t, "whole", <-moved)
 		require.Equal(t, "first", <-first)
 		require.EqualValues(t, 1, leaving.Load())
+		require.EqualValues(t, 1, kept.Load(), "that to i-2")
 	})
 }
 
@@ -289,20 +291,26 @@
 	return c.Conn.Close()
 }
 
+// countOpen counts the connections to endpoints that are made from now on and open.
+func (g *testGateway) countOpen() *atomic.Int64 {
+	open, dial := &atomic.Int64{}, g.handler.Pool.Dial
+	g.handler.Pool.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		open.Add(1)
+		return &connCounter{Conn: c, open: open}, nil
+	}
+	return open
+}
+
 // A connection to an endpoint that leaves is not kept, neither after the answer that says so nor
 // after one that had begun before.
 func TestConnectionsToLeavingEndpointAreClosed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newTestGateway(t, unaryConfig())
-		var open atomic.Int64
-		g.handler.Pool.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := g.network.Dial(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			open.Add(1)
-			return &connCounter{Conn: c, open: &open}, nil
-		}
+		open := g.countOpen()
 		end := make(chan struct{})
 		g.addCounted("i-1", func(r *http.Request, _ string, w io.Writer) bool {
 			if r.Header.Get("Request-Id") == "long" {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -5,17 +5,14 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"os"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -41,10 +38,6 @@
 	// idleMargin is subtracted from the idle timeout that an endpoint states,
 	// to leave time for the request to arrive.
 	idleMargin = 500 * time.Millisecond
-	// maxInlineBodyBytes is the largest body that is written before the
-	// response is read; a longer one may fill the send window of a connection
-	// that the endpoint does not read, and block.
-	maxInlineBodyBytes = 8 << 10
 	// maxDiscardBytes bounds the bodies of responses to other requests that are
 	// discarded to reach the expected response.
 	maxDiscardBytes = 1 << 20
@@ -53,8 +46,6 @@
 	maxHeadBytes = 64 << 10
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
-	// writeBufferBytes is the size of the buffer for writing a request.
-	writeBufferBytes = 4 << 10
 )
 
 // Failure is the error of an attempt that got no response.
@@ -87,7 +78,8 @@
 	// attempt is added. Nil means that there are no other attempts.
 	Earlier *Connections
 	// Permit is called when a connection is ready, right before the request is sent; if it
-	// returns an error, the request is not sent. Nil means that it always is.
+	// returns an error, the request is not sent and the pool keeps the connection. Nil means that
+	// it always is sent.
 	Permit func() error
 	// TimeLeft returns for how much longer the exchange may go on; zero or less ends it. It is called when
 	// the request is sent, and again whenever the time that it returned has passed, by the goroutine that
@@ -200,7 +192,7 @@
 	}
 	if r.Permit != nil {
 		if err := r.Permit(); err != nil {
-			_ = c.netConn.Close()
+			p.put(c)
 			return nil, &Failure{Reason: fleet.ReasonNoEndpoint, Cause: err}
 		}
 	}
@@ -233,61 +225,6 @@
 	return a, nil
 }
 
-// send writes a request and returns a channel that receives the result of the write. A
-// request with a short body is written before send returns, one with a long body
-// concurrently with reading the response, which may arrive before the body is sent.
-func (c *conn) send(r Request) chan error {
-	req := &http.Request{
-		Method: r.Method, URL: targetURL(r.Target), Host: r.Host, Header: r.Header,
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Body: http.NoBody, ContentLength: int64(len(r.Body)),
-	}
-	if len(r.Body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(r.Body))
-	}
-	if _, ok := r.Header["User-Agent"]; !ok {
-		// Keeps net/http from adding its own User-Agent.
-		r.Header["User-Agent"] = []string{""}
-	}
-	c.answered.Store(false)
-	result := make(chan error, 1)
-	if len(r.Body) <= maxInlineBodyBytes {
-		result <- write(req, c.netConn)
-		return result
-	}
-	go func() { result <- write(req, steadyWriter{c}) }()
-	return result
-}
-
-// writers holds buffers for writing requests, of type *bufio.Writer.
-var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
-
-// write writes a request through a buffer.
-func write(req *http.Request, to io.Writer) error {
-	w := writers.Get().(*bufio.Writer)
-	defer writers.Put(w)
-	w.Reset(to)
-	defer w.Reset(nil)
-	if err := req.Write(w); err != nil {
-		return err
-	}
-	return w.Flush()
-}
-
-// targetURL returns a URL that net/http writes as the same bytes as the given request
-// target.
-func targetURL(raw string) *url.URL {
-	if strings.HasPrefix(raw, "/") && !strings.HasPrefix(raw, "//") {
-		path, query, found := strings.Cut(raw, "?")
-		return &url.URL{Opaque: path, RawQuery: query, ForceQuery: found && query == ""}
-	}
-	u, err := url.ParseRequestURI(raw)
-	if err != nil {
-		return &url.URL{Path: raw}
-	}
-	return u
-}
-
 // readHeader waits for the header of the response with the given ID. It skips
 // informational responses and discards responses to other requests.
 func (a *Answer) readHeader(r Request, id string) error {
@@ -436,7 +373,6 @@
 	if err != nil {
 		return err
 	}
-	c.markReusable(0)
 	p.put(c)
 	return nil
 }
@@ -459,6 +395,7 @@
 	}
 	c := &conn{netConn: n, address: address}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	c.markReusable(0)
 	return c, nil
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -189,6 +189,38 @@
 	})
 }
 
+// A request is not sent on a connection that is ready, because its endpoint or its time no longer permits it: the connection was
+// closed, or the pool kept one that it never used.
+func TestConnectionWithoutRequestIsKept(t *testing.T) {
+	for _, end := range []string{"permit", "context"} {
+		synctest.Test(t, func(t *testing.T) {
+			d := &fakeDialer{serve: func(c net.Conn, br *bufio.Reader) {
+				readRequest(t, br)
+				writeResponse(c, "2", "ok")
+				readRequest(t, br)
+			}}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			p := &upstream.Pool{HeaderCodec: requestIDCodec{}, Dial: d.dial}
+			r := upstream.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}
+			if end == "context" {
+				p.OnDial = func(string) { cancel() }
+			} else {
+				r.Permit = func() error { return fmt.Errorf("not permitted") }
+			}
+			_, err := p.Send(ctx, "e", r, "1")
+			var f *upstream.Failure
+			require.ErrorAs(t, err, &f)
+			require.False(t, f.Reached)
+			body, err := post(p, "2", "x")
+			require.NoError(t, err)
+			require.Equal(t, "ok", body)
+			require.Equal(t, 1, d.dials, end)
+			p.Close()
+		})
+	}
+}
+
 // When the context of a request is done, its connection to the endpoint is closed at once.
 func TestContextDoneClosesConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
