--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -95,6 +95,7 @@
 	// views. heardPeers is set once it has heard a peer.
 	starts     warmup.Home
 	views      warmup.Views[membersView]
+	members    warmup.Members
 	heardPeers bool
 	// unauthenticated counts requests whose signature was not made with the
 	// fleet key.
--- a/internal/peer/start.go
+++ b/internal/peer/start.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -19,8 +20,9 @@
 	// homes of the endpoints there.
 	nearMembers []Member
 	nearHashes  []uint64
-	// mayGrant is set unless this instance may be on the smaller side of a cut.
-	mayGrant bool
+	// share is the part of the bound that a home may grant; zero while this instance may be on the smaller side
+	// of a cut that began lately.
+	share float64
 }
 
 // recordView records the current members for the decisions on starts. The caller holds the lock.
@@ -29,13 +31,11 @@
 		return
 	}
 	members, digest := x.liveMembers(now), x.liveDigest(now)
-	mayGrant := x.hearsHalf(len(members), now)
-	if !mayGrant {
-		digest = ^digest
-	}
+	share := x.shareOfStarts(len(members), now)
+	digest ^= math.Float64bits(share)
 	x.views.Set(digest, func() membersView {
 		members = append(members, x.Self)
-		v := membersView{members: members, hashes: memberHashes(members), mayGrant: mayGrant}
+		v := membersView{members: members, hashes: memberHashes(members), share: share}
 		for i, m := range members {
 			if m.Domain == x.Self.Domain {
 				v.nearMembers, v.nearHashes = append(v.nearMembers, m), append(v.nearHashes, v.hashes[i])
@@ -45,14 +45,15 @@
 	}, now)
 }
 
-// hearsHalf reports whether this instance and the given number of live peers are at least half of the
-// instances known lately, so that no more than warmup.MaxHomes parts of the fleet grant starts. An
-// instance that has heard others and hears none now does not; one that never knew any does. The caller
-// holds the lock.
-func (x *Exchange) hearsHalf(live int, now time.Time) bool {
+// shareOfStarts returns which part of the bound the homes may grant that this instance and the given number of
+// live peers take for such. At first that is nothing unless these are at least half of the instances known lately, so that no
+// more than warmup.MaxHomes parts of the fleet grant starts while they learn of a cut; later it is their share of the instances
+// that there were. An instance that has heard others and hears none now grants nothing; one that never knew any does. The
+// caller holds the lock.
+func (x *Exchange) shareOfStarts(live int, now time.Time) float64 {
 	x.heardPeers = x.heardPeers || live > 0
-	if live == 0 {
-		return !x.heardPeers && len(x.peers) == 0
+	if live == 0 && (x.heardPeers || len(x.peers) > 0) {
+		return 0
 	}
 	silent := 0
 	for _, p := range x.peers {
@@ -60,7 +61,11 @@
 			silent++
 		}
 	}
-	return live+1 >= silent
+	share := x.members.Share(live+1, live+1+silent, now)
+	if live+1 < silent {
+		return 0
+	}
+	return share
 }
 
 // home returns the home of an endpoint by the view of an instance in the given failure domain.
@@ -78,22 +83,25 @@
 	return b
 }
 
-// isHome reports whether this instance was the home of an endpoint by all its views of the last
-// warmup.Window. If not, it returns after which time that may change.
-func (x *Exchange) isHome(endpoint string, now time.Time) (wait time.Duration, ok bool) {
+// homeShare returns which part of the bound this instance may grant as the home of an endpoint: the least by all
+// its views of the last warmup.Window. If it was not the home by all of them, that is zero, and wait the time after which it
+// may change.
+func (x *Exchange) homeShare(endpoint string, now time.Time) (share float64, wait time.Duration) {
 	e, known := x.Balancer.Endpoint(endpoint)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	views, wait, whole := x.views.Recent(now)
 	if !known || !whole {
-		return max(wait, reserveBackoff), false
+		return 0, max(wait, reserveBackoff)
 	}
+	share = 1
 	for _, v := range views {
-		if !v.mayGrant || v.home(e, x.Self.Domain).Address != x.Self.Address {
-			return reserveBackoff, false
+		if v.share == 0 || v.home(e, x.Self.Domain).Address != x.Self.Address {
+			return 0, reserveBackoff
 		}
+		share = min(share, v.share)
 	}
-	return 0, true
+	return share, 0
 }
 
 // decide decides, at the home of an endpoint, on a reservation there.
@@ -107,8 +115,8 @@
 		g.Granted = x.Balancer.Grant(r.From, reservation, now)
 		return
 	}
-	wait, isHome := x.isHome(r.Endpoint, now)
-	if !isHome {
+	var wait time.Duration
+	if limit.Share, wait = x.homeShare(r.Endpoint, now); limit.Share == 0 {
 		x.starts.Refuse()
 		g.Next = milliseconds(wait)
 		return
@@ -134,8 +142,9 @@
 	if cold == 0 && !r.Start {
 		return fleet.GrantAccepted
 	}
-	wait, ok := x.isHome(r.Endpoint, now)
-	if ok {
+	var wait time.Duration
+	if limit.Share, wait = x.homeShare(r.Endpoint, now); limit.Share > 0 {
+		var ok bool
 		if wait, ok = x.starts.Start(r.Endpoint, limit, now); ok {
 			return fleet.GrantStart
 		}
--- a/internal/peer/start_test.go
+++ b/internal/peer/start_test.go
@@ -221,6 +221,14 @@
 			f.setLink(func(from, to string) bool { return side[from] == side[to] })
 			time.Sleep(2 * time.Second)
 		},
+		"three parts": func(f *fleetInMemory) {
+			side := map[string]int{}
+			for i, x := range f.members {
+				side[x.Self.Address] = i % 3
+			}
+			f.setLink(func(from, to string) bool { return side[from] == side[to] })
+			time.Sleep(30 * time.Second)
+		},
 		"scattered": func(f *fleetInMemory) {
 			f.setLink(func(_, _ string) bool { return false })
 			time.Sleep(2 * time.Second)
@@ -247,6 +255,9 @@
 				stop()
 				time.Sleep(time.Second)
 				require.LessOrEqual(t, a.busiest(from, from.Add(coldTime)), 23)
+				if name == "three parts" {
+					require.GreaterOrEqual(t, a.count(from, from.Add(time.Second)), 12*coldEndpoints, "each part grants its share")
+				}
 			})
 		})
 	}
--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -31,16 +31,23 @@
 	// of the whole fleet in any second. An Over under 1 counts as 1, a Slack under 0 as 0. If
 	// the bound is under MaxHomes, cold endpoints get no requests.
 	Over, Slack float64
+	// Share is the part of the bound that the homes of one part of a cut fleet may grant, from 0 to 1. More
+	// than 1 / MaxHomes counts as that, and so does zero.
+	Share float64
 }
 
 // Limited reports whether there is a limit.
 func (l Limit) Limited() bool { return l.Rate > 0 }
 
 // Starts returns how many starts one home grants in any Window: about the rate, but so few that
-// MaxHomes homes together stay within the bound.
+// MaxHomes homes together stay within the bound, and those of all parts of a cut fleet.
 func (l Limit) Starts() int {
 	bound := l.Rate*max(l.Over, 1) + max(l.Slack, 0)
-	return int(min(math.Floor(bound/MaxHomes), math.Ceil(l.Rate*Window.Seconds())))
+	share := 1.0 / MaxHomes
+	if l.Share > 0 {
+		share = min(share, l.Share)
+	}
+	return int(min(math.Floor(bound*share), math.Ceil(l.Rate*Window.Seconds())))
 }
 
 // asksPerStart is how many instances on average request each start of a cold endpoint: enough that few
--- a/internal/warmup/warmup_test.go
+++ b/internal/warmup/warmup_test.go
@@ -29,17 +29,30 @@
 	}
 }
 
-// Callers ask two homes at arbitrary times, as on both sides of a cut, and use each start after an
-// arbitrary part of its lifetime.
+// A fleet is cut into any number of parts, and callers ask the homes of all parts at arbitrary times and use each start after an
+// arbitrary part of its lifetime. The parts know how many instances there were, some for a while only by what they hear.
 func TestNoSecondExceedsBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := warmup.Limit{Rate: rapid.Float64Range(1, 40).Draw(t, "rate"), Over: rapid.Float64Range(0, 3).Draw(t, "over"), Slack: rapid.Float64Range(0, 10).Draw(t, "slack")}
-		homes := [warmup.MaxHomes]warmup.Home{}
+		sizes, all := rapid.SliceOfN(rapid.IntRange(1, 40), 2, 12).Draw(t, "parts"), 0
+		for _, n := range sizes {
+			all += n
+		}
+		now := rapid.SampledFrom([]time.Duration{0, 29 * time.Minute}).Draw(t, "cut")
+		homes := make([]warmup.Home, len(sizes))
+		shares := make([]float64, len(sizes))
+		for i, n := range sizes {
+			m := warmup.Members{}
+			require.Equal(t, 1.0, m.Share(all, all, start))
+			require.Equal(t, 1.0, m.Share(all, all, start.Add(now)))
+			shares[i] = m.Share(n, rapid.IntRange(n, all).Draw(t, "known"), start.Add(now).Add(time.Minute))
+		}
 		var used []time.Duration
-		now := time.Duration(0)
 		for range rapid.IntRange(1, 400).Draw(t, "asks") {
 			now += time.Duration(rapid.IntRange(0, 30).Draw(t, "pause")) * time.Millisecond
-			if _, ok := homes[rapid.IntRange(0, 1).Draw(t, "home")].Start("i-1", l, start.Add(now)); ok {
+			i := rapid.IntRange(0, len(homes)-1).Draw(t, "home")
+			l.Share = shares[i]
+			if _, ok := homes[i].Start("i-1", l, start.Add(now)); ok {
 				used = append(used, now+time.Duration(rapid.Int64Range(0, int64(warmup.GrantLifetime)-1).Draw(t, "delay")))
 			}
 		}
@@ -47,6 +60,18 @@
 	})
 }
 
+// A fleet that has become smaller for good grants as much as before after an hour.
+func TestSmallerFleetIsNoPartForGood(t *testing.T) {
+	var m warmup.Members
+	require.Equal(t, 1.0, m.Share(40, 40, start))
+	for _, c := range []struct {
+		after time.Duration
+		share float64
+	}{{time.Minute, 0.25}, {31 * time.Minute, 0.25}, {62 * time.Minute, 1}} {
+		require.Equal(t, c.share, m.Share(10, 10, start.Add(c.after)), c.after)
+	}
+}
+
 // requireBound checks that no second has more starts than allowed.
 func requireBound(t *rapid.T, l warmup.Limit, used []time.Duration) {
 	bound := l.Rate*max(l.Over, 1) + l.Slack
