--- a/internal/entry/idle.go
+++ b/internal/entry/idle.go
@@ -189,6 +189,20 @@
 	if !ok {
 		return
 	}
+	i.record(c, s)
+	if s != http.StateClosed && s != http.StateHijacked {
+		return
+	}
+	if out, ok := c.Conn.(*outlet.Conn); ok {
+		// Its socket stays open until the caller has read the last response.
+		out.AfterClose(i.closed)
+		return
+	}
+	i.closed()
+}
+
+// record records a state of a connection, but not that its socket is closed.
+func (i *idleConns) record(c *callerConn, s http.ConnState) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	switch s {
@@ -204,8 +218,6 @@
 		return
 	case http.StateActive:
 		c.resume()
-	case http.StateClosed, http.StateHijacked:
-		i.open--
 	}
 	delete(i.idleSince, c)
 	if c.receiving {
@@ -214,6 +226,13 @@
 	}
 }
 
+// closed records that the socket of a connection is closed.
+func (i *idleConns) closed() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.open--
+}
+
 // sweep closes connections that are idle for longer than they may be, and the longest idle ones
 // if more than MaxConns are open.
 func (i *idleConns) sweep(now time.Time) {
--- a/internal/entry/idle_test.go
+++ b/internal/entry/idle_test.go
@@ -1,14 +1,19 @@
 package entry
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/greengagestep/greengagestep/internal/backlog"
+	"github.com/greengagestep/greengagestep/internal/outlet"
 )
 
 const idleTimeout = 15 * time.Second
@@ -125,6 +130,27 @@
 	require.Equal(t, 78, before-i.expiredCount(), "connections with a stated idle time of less than nine seconds are closed")
 }
 
+// The server closes a connection whose caller has not read the response: the socket stays, up to closeTime of package outlet, and
+// the connection counted as closed.
+func TestConnectionWithUnreadResponseCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := newIdleConns(100)
+		server, client := net.Pipe()
+		c := &callerConn{Conn: outlet.New(server, &backlog.Account{}, nil), conns: i}
+		i.track(c, http.StateNew)
+		_, err := c.Write([]byte("response"))
+		require.NoError(t, err)
+		require.NoError(t, c.Close())
+		i.track(c, http.StateClosed)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 1, i.openCount())
+		_, err = io.ReadAll(client)
+		require.NoError(t, err)
+		synctest.Wait()
+		require.Zero(t, i.openCount())
+	})
+}
+
 // An overloaded instance asks a caller to connect elsewhere: the response states that its connection
 // closes, and no time for which it may be idle.
 func TestMovedCallerIsToldToReconnect(t *testing.T) {
--- a/internal/outlet/outlet.go
+++ b/internal/outlet/outlet.go
@@ -75,6 +75,7 @@
 	pieces   []*piece // what is unread; while there are any, a goroutine writes them
 	writing  bool
 	closing  time.Time // until when pieces are written although the server closed the connection; zero before
+	closed   func()    // called when pieces are no longer written after that; nil for none
 	err      error     // of all further writes
 }
 
@@ -231,7 +232,6 @@
 // writePieces writes what is unread until there is nothing left.
 func (c *Conn) writePieces() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	queued, movedAt := c.unacknowledged(), time.Now()
 	for c.err == nil && len(c.pieces) > 0 {
 		first := c.pieces[0]
@@ -269,10 +269,15 @@
 	if c.err == nil {
 		_ = c.Conn.SetWriteDeadline(time.Time{})
 	}
+	closed := c.closed
 	if !c.closing.IsZero() {
 		_ = c.Conn.Close()
 	}
 	c.changed.Broadcast()
+	c.mu.Unlock()
+	if closed != nil {
+		closed()
+	}
 }
 
 // readCheckInterval is how often it is checked whether a caller that has fallen behind reads: the kernel
@@ -412,6 +417,20 @@
 	return c.Conn.Close()
 }
 
+// AfterClose calls f once the socket of a connection that the server has closed is closed too: at once unless something is
+// left to write. It must be called once at most.
+func (c *Conn) AfterClose(f func()) {
+	c.mu.Lock()
+	writing := c.writing
+	if writing {
+		c.closed = f
+	}
+	c.mu.Unlock()
+	if !writing {
+		f()
+	}
+}
+
 // CloseWrite shuts down the writing side, if the connection can, unless there is something left to write.
 func (c *Conn) CloseWrite() error {
 	c.mu.Lock()
