placement: a home that says that a domain is emptied speaks for endpoints listed later too

Cause (review): RecordEvacuated marked the endpoints listed at that moment only; one that was listed or restarted within the second after it got requests. Test: TestEvacuationByHomeConcernsDomain (fails before).

--- a/internal/placement/evacuation.go
+++ b/internal/placement/evacuation.go
@@ -18,6 +18,7 @@
 	if b.evacuated == nil {
 		b.evacuated = map[string]bool{}
 	}
+	delete(b.evacuatedUntil, domain)
 	if evacuated {
 		b.evacuated[domain] = true
 	} else {
@@ -34,10 +35,7 @@
 // have become cold meanwhile.
 func (b *Balancer) setEvacuated(s *endpointState, evacuated bool, now time.Time) {
 	ended := s.evacuated && !evacuated
-	if s.evacuated != evacuated {
-		s.evacuatedUntil = time.Time{}
-	}
-	s.evacuated = evacuated
+	s.evacuated, s.evacuatedUntil = evacuated, b.evacuatedUntil[s.Domain]
 	if ended {
 		b.markUncertain(s, "its failure domain was emptied", now)
 	}
@@ -56,7 +54,8 @@
 	return s != nil && s.evacuated
 }
 
-// RecordEvacuated records that the home of an endpoint has said that its failure domain is emptied.
+// RecordEvacuated records that the home of an endpoint has said that its failure domain is emptied. It concerns
+// endpoints that are listed later, too.
 func (b *Balancer) RecordEvacuated(id string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -64,6 +63,10 @@
 	if e == nil {
 		return
 	}
+	if b.evacuatedUntil == nil {
+		b.evacuatedUntil = map[string]time.Time{}
+	}
+	b.evacuatedUntil[e.Domain] = now.Add(evacuationLead)
 	for _, s := range b.byID {
 		if s.Domain == e.Domain {
 			s.evacuatedUntil = now.Add(evacuationLead)
--- a/internal/placement/evacuation_test.go
+++ b/internal/placement/evacuation_test.go
@@ -39,6 +39,26 @@
 	})
 }
 
+// A home says that a domain is emptied, ahead of the operator's record: also an endpoint that is listed or restarts within the lead
+// gets nothing. One in another domain does, and so does this one once the lead is over.
+func TestEvacuationByHomeConcernsDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &placement.Balancer{}
+		b.Put(endpointIn("i-0", "a", 1))
+		b.RecordEvacuated("i-0", time.Now())
+		b.Put(endpointIn("i-1", "a", 1))
+		b.Put(endpointIn("i-0", "a", 2))
+		requireUnavailable(t, b)
+		b.Put(endpointIn("i-1", "b", 1))
+		require.Equal(t, "i-1", choose(t, b, newRequest(1), time.Now()).Endpoint.ID)
+		b.Remove("i-1", "no record")
+		b.SetEvacuated("a", true, time.Now())
+		b.SetEvacuated("a", false, time.Now())
+		b.Put(endpointIn("i-1", "a", 1))
+		begin(t, b)
+	})
+}
+
 // It concerns every endpoint of the domain: those that are listed later, restart, come back after
 // their records lapsed, or move into it. One that moves out takes requests.
 func TestEvacuationConcernsDomain(t *testing.T) {
