--- a/internal/placement/explain.go
+++ b/internal/placement/explain.go
@@ -25,7 +25,8 @@
 	// ExcludedAvoided. It is empty if it can be.
 	Excluded string `json:"excluded,omitempty"`
 	// Chance is the probability with which the endpoint is compared: 1 for the preferred
-	// ones of the request and those that have cached its shared parts.
+	// ones of the request and those that have cached its shared parts, less for each right after it
+	// was cold.
 	Chance float64 `json:"chance"`
 	// Cold is set if the endpoint is cold or may be: its home has to grant a start.
 	Cold     bool    `json:"cold"`
@@ -69,6 +70,7 @@
 		if s == first || s == second || s.cachesAllShared(r, now) {
 			c.Chance = 1
 		}
+		c.Chance *= min(s.warmShare(now), 1)
 		candidates = append(candidates, c)
 	}
 	slices.SortFunc(candidates, func(a, b Candidate) int {
@@ -80,8 +82,8 @@
 	return candidates
 }
 
-// Weigh returns the endpoint that Choose would return for a request if it compared all of them, or
-// false if none can be chosen. Nothing changes by the call.
+// Weigh returns the endpoint that Choose would return for a request if it compared all of them but those that it
+// leaves out for most requests right after they were cold, or false if none can be chosen. Nothing changes by the call.
 func (b *Balancer) Weigh(r Request, now time.Time) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -90,10 +92,7 @@
 	var best, near Choice
 	found, nearFound := false, false
 	least, nearLeast := math.Inf(1), math.Inf(1)
-	for _, s := range list {
-		if s.excluded(r, now) != "" {
-			continue
-		}
+	consider := func(s *endpointState) {
 		fault := s.fault
 		c := b.estimate(s, r, now)
 		cost := b.cost(s, c, r, affinityFactor(s, first, second), now)
@@ -105,6 +104,21 @@
 			near, nearLeast, nearFound = c, cost, true
 		}
 	}
+	var justWarm []*endpointState
+	for _, s := range list {
+		switch {
+		case s.excluded(r, now) != "":
+		case s.warmShare(now) < 0.5:
+			justWarm = append(justWarm, s)
+		default:
+			consider(s)
+		}
+	}
+	if !found || r.MaxWait > 0 && best.Wait > r.MaxWait && !nearFound {
+		for _, s := range justWarm {
+			consider(s)
+		}
+	}
 	if !found {
 		return Choice{}, false
 	}
--- a/internal/placement/warmth_test.go
+++ b/internal/placement/warmth_test.go
@@ -218,3 +218,26 @@
 		require.NotEqual(t, placement.WeighingOver, c.Weighing)
 	}
 }
+
+// An endpoint that has just become warm is the cheapest one and considered for a tenth of the requests: the explanation says so
+// and names the one that most requests go to, or the only one.
+func TestExplanationKnowsWhatHasJustBecomeWarm(t *testing.T) {
+	now := time.Now()
+	b := newBalancer(2)
+	b.SetStartup(map[string]placement.Startup{"model": {Limit: warmup.Limit{Rate: 12, Over: 1.5, Slack: 5}, Time: 3 * time.Second}}, now)
+	b.LearnCold("i-1", 100*time.Millisecond, now)
+	b.SetInstanceWork("peer", map[string]placement.Work{"i-0": {Runs: 3}}, true, now)
+	r := newRequest(0)
+	for after, want := range map[time.Duration]string{110 * time.Millisecond: "i-0", 2 * time.Second: "i-1"} {
+		c, ok := b.Weigh(r, now.Add(after))
+		require.True(t, ok)
+		require.Equal(t, want, c.Endpoint.ID, after)
+	}
+	now = now.Add(110 * time.Millisecond)
+	require.Equal(t, "i-1", b.Explain(r, now)[0].Endpoint)
+	require.InDelta(t, 0.1, b.Explain(r, now)[0].Chance, 0.01)
+	r.Avoid = []string{"i-0"}
+	c, ok := b.Weigh(r, now)
+	require.True(t, ok)
+	require.Equal(t, "i-1", c.Endpoint.ID)
+}
