entry: small instances leave the collector room beside what is held for callers

Cause (review): at 144 MB, what the process takes (48 MB) and what may be held for callers (38 MB) are all of the heap limit (86 MB); the collector would run without pause when callers read slowly. The limit is 108 MB there, and unchanged from 576 MB on. Test: TestHeldBytesLeaveRoomForProcess (fails with the old limit).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -189,8 +189,11 @@
 	// from a freeze, which may have ended before the signal was sent.
 	maxSignalLag = 500 * time.Millisecond
 	// heapShare is the fraction of the memory to which the heap may grow before the
-	// garbage collector runs more often.
-	heapShare = 0.6
+	// garbage collector runs more often. It is more in small instances, where garbageShare of the
+	// memory has to be left beside what the process takes and what may be held for callers: without
+	// garbage to collect, the collector would run all the time.
+	heapShare    = 0.6
+	garbageShare = 0.15
 	// heapGrowthPercent is by how much the heap may grow between two collections, in percent of
 	// what is live, as long as it stays below heapShare: the live heap is some megabytes only,
 	// so that collections would be frequent.
@@ -203,7 +206,7 @@
 	}
 	i.logger = i.Log.Logger().With(zap.String("instance", i.Name))
 	if i.MaxMemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(heapShare * float64(i.MaxMemoryBytes)))
+		debug.SetMemoryLimit(heapLimit(i.MaxMemoryBytes))
 		debug.SetGCPercent(heapGrowthPercent)
 	}
 	i.stopping = make(chan struct{})
@@ -262,6 +265,13 @@
 	}
 }
 
+// heapLimit returns up to which size of the heap the garbage collector runs rarely, in a process that may use maxMemory
+// bytes.
+func heapLimit(maxMemory int64) int64 {
+	held, _ := heldBytes(maxMemory)
+	return max(int64(heapShare*float64(maxMemory)), held+min(processBytes, maxMemory/2)+int64(garbageShare*float64(maxMemory)))
+}
+
 // heldBytes returns how many bytes may be held for callers in a process that may use maxMemory bytes, and
 // how many of these by bodies; zero means that there is no bound.
 func heldBytes(maxMemory int64) (total, bodies int64) {
--- a/internal/entry/memory_test.go
+++ b/internal/entry/memory_test.go
@@ -14,6 +14,9 @@
 		connections := int64(callerMemoryShare * float64(memory))
 		require.Less(t, total+connections+min(processBytes, memory/2), memory)
 		require.Less(t, bodies, total)
+		room := heapLimit(memory) - total - min(processBytes, memory/2)
+		require.Greater(t, room, memory/10, "of %d: the collector runs without pause when all that may be held is", memory)
+		require.LessOrEqual(t, heapLimit(memory), memory*8/10)
 		require.Greater(t, bodies, int64(4<<20))
 	}
 	total, bodies := heldBytes(0)
