fleet: no limit of a wait has a name, and a limit is never zero

Cause (review): zero means 'no limit' where an endpoint is chosen and 'no wait' in a reservation; a limit that is rounded to zero would have lifted it.

--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -1,8 +1,9 @@
 package admission
 
 import (
-	"math"
 	"time"
+
+	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
 // Request describes a request as far as its admission depends on it.
@@ -98,17 +99,19 @@
 // Admit decides whether a request is sent to an endpoint now.
 func (l *Ledger) Admit(r Request, now time.Time) bool { return r.QueueWait <= l.MaxQueueWait(r, now) }
 
-// MaxQueueWait returns the longest time that a request may be queued at an endpoint.
-// Without a target latency there is no limit.
+// MaxQueueWait returns the longest time that a request may be queued at an endpoint, always more than zero.
+// Without a target latency it is fleet.NoLimit.
 func (l *Ledger) MaxQueueWait(r Request, now time.Time) time.Duration {
 	if r.TargetLatency <= 0 {
-		return math.MaxInt64
+		return fleet.NoLimit
 	}
 	limit := queueWaitFraction * float64(r.TargetLatency)
 	ratio := l.FairShareRatio(r.Customer, now)
 	if r.PastTarget {
-		return time.Duration(max(pastTargetFraction, 1-ratio/fullWaitRatio) * limit)
+		limit *= max(pastTargetFraction, 1-ratio/fullWaitRatio)
+	} else {
+		excess := min(max((ratio-fullWaitRatio)/(minWaitRatio-fullWaitRatio), 0), 1)
+		limit *= 1 - excess*(1-overShareFraction)
 	}
-	excess := min(max((ratio-fullWaitRatio)/(minWaitRatio-fullWaitRatio), 0), 1)
-	return time.Duration(limit * (1 - excess*(1-overShareFraction)))
+	return max(time.Duration(limit), 1)
 }
--- a/internal/admission/fleet_test.go
+++ b/internal/admission/fleet_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/greengagestep/greengagestep/internal/admission"
+	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
 // flow is the demand of one customer at some instances of a fleet.
@@ -159,4 +160,8 @@
 	r.Customer = "other"
 	require.Greater(t, l.MaxQueueWait(r, now), within)
 	require.Less(t, l.MaxQueueWait(r, now), 200*time.Millisecond, "a request within its target latency goes first")
+	r.TargetLatency = 1
+	require.Positive(t, l.MaxQueueWait(r, now), "zero is no limit where an endpoint is chosen")
+	r.TargetLatency = 0
+	require.Equal(t, fleet.NoLimit, l.MaxQueueWait(r, now))
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -36,7 +35,7 @@
 			c.maxWait = c.h.Ledger.MaxQueueWait(c.admissionRequest(), time.Now())
 		} else {
 			// A request that has run already is not refused for a wait: no limit.
-			c.maxWait = 0
+			c.maxWait = fleet.NoLimit
 		}
 		choice, ok := c.h.Balancer.Choose(c.placementRequest(), time.Now())
 		if !ok && len(c.refusedBy) > 0 {
@@ -49,7 +48,7 @@
 		}
 		c.choice = choice
 		if c.runs > 0 {
-			if !choice.Cold || c.reserveStart(ctx, math.MaxInt64) {
+			if !choice.Cold || c.reserveStart(ctx, c.maxWait) {
 				return true
 			}
 			if c.grant == fleet.GrantRefused {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,7 +97,7 @@
 	connections   upstream.Connections    // of all attempts
 	refusedBy     []string                // endpoints whose home instance refused a reservation
 	startRefusals int                     // starts at cold endpoints that were refused or expired
-	maxWait       time.Duration           // longest wait with which it is admitted, of the last choice
+	maxWait       time.Duration           // longest wait with which it is admitted, of the last choice; fleet.NoLimit without a limit
 	grant         fleet.ReservationResult // result of the last reservation; empty if none was requested
 	choice        placement.Choice
 	run           *placement.Run // of the last attempt that was begun
--- a/pkg/fleet/reservation.go
+++ b/pkg/fleet/reservation.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"time"
 )
 
+// NoLimit is the longest wait of a request that may wait for any time.
+const NoLimit = time.Duration(math.MaxInt64)
+
 // Reservation is a request to the home instance of an endpoint to reserve capacity
 // there. The home is the one instance that counts the requests that all instances send
 // to the endpoint.
@@ -12,7 +16,8 @@
 	Endpoint string
 	// Tokens is how many prompt tokens the endpoint would have to process.
 	Tokens int
-	// MaxWait is the longest time that the request may be queued at the endpoint.
+	// MaxWait is the longest time that the request may be queued at the endpoint: NoLimit for any
+	// time, zero for none.
 	MaxWait time.Duration
 	// Start is set if the requesting instance takes the endpoint for cold: then the request
 	// needs a start.
