--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -6,9 +6,9 @@
 	"context"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,19 +20,23 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagestep/greengagestep/internal/link"
+	"github.com/greengagestep/greengagestep/internal/standin"
 )
 
 // peer is an instance that answers requests with their body and signature.
 type peer struct {
-	*httptest.Server
-	links *link.Handler
-	held  chan struct{} // gets a value when a request to /hold has arrived
-	hold  chan struct{} // such a request is answered once it is closed
+	URL     string
+	network standin.MemoryNetwork
+	mux     *http.ServeMux
+	links   *link.Handler
+	held    chan struct{} // gets a value when a request to /hold has arrived
+	hold    chan struct{} // such a request is answered once it is closed
 }
 
 func newPeer(t *testing.T, withLinks bool) *peer {
 	p := &peer{held: make(chan struct{}, 1), hold: make(chan struct{})}
 	mux := http.NewServeMux()
+	p.mux = mux
 	echo := func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		w.Header().Set("Signature", "reply to "+r.Header.Get("Signature"))
@@ -49,22 +53,27 @@
 	if withLinks {
 		mux.Handle("POST "+link.Path, p.links)
 	}
-	p.Server = httptest.NewServer(mux)
+	l, err := p.network.Listen()
+	require.NoError(t, err)
+	p.URL = "http://" + l.Addr().String()
+	srv := &http.Server{Handler: mux, ErrorLog: log.New(io.Discard, "", 0)}
+	go func() { _ = srv.Serve(l) }()
 	t.Cleanup(func() {
 		p.links.Close()
-		p.Close()
+		_ = srv.Close()
 	})
 	return p
 }
 
-// dials are the connections that a transport has opened.
+// dials are the connections that a transport has opened to a peer.
 type dials struct {
+	peer *peer
 	mu   sync.Mutex
 	list []net.Conn
 }
 
 func (d *dials) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	c, err := d.peer.network.Dial(ctx, network, address)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.list = append(d.list, c)
@@ -77,10 +86,13 @@
 	return len(d.list)
 }
 
-func newTransport(t *testing.T, d *dials) *link.Transport {
-	transport := &link.Transport{Dial: d.dial, HTTP: &http.Transport{DialContext: d.dial}, SignatureHeader: "Signature"}
+func newTransport(t *testing.T, p *peer) (*link.Transport, *dials) {
+	d := &dials{peer: p}
+	plain := &http.Transport{DialContext: d.dial}
+	transport := &link.Transport{Dial: d.dial, HTTP: plain, SignatureHeader: "Signature"}
 	t.Cleanup(transport.Close)
-	return transport
+	t.Cleanup(plain.CloseIdleConnections)
+	return transport, d
 }
 
 func post(ctx context.Context, transport *link.Transport, url, body string) (string, error) {
@@ -101,8 +113,8 @@
 // Many requests at once, short ones and long ones, share one connection, and each gets its own
 // response. One on which the peer fails gets none, and does not end the link.
 func TestRequestsShareOneConnection(t *testing.T) {
-	p, d := newPeer(t, true), &dials{}
-	transport := newTransport(t, d)
+	p := newPeer(t, true)
+	transport, d := newTransport(t, p)
 	var wg sync.WaitGroup
 	for i := range 200 {
 		wg.Go(func() {
@@ -125,8 +137,8 @@
 // A request that is given up, as a reservation that takes too long, delays no other one and leaves the
 // link open. Its late response is dropped.
 func TestRequestGivenUpLeavesLinkOpen(t *testing.T) {
-	p, d := newPeer(t, true), &dials{}
-	transport := newTransport(t, d)
+	p := newPeer(t, true)
+	transport, d := newTransport(t, p)
 	long := strings.Repeat("x", 8<<10)
 	_, err := post(t.Context(), transport, p.URL+"/echo", "first")
 	require.NoError(t, err)
@@ -152,8 +164,8 @@
 
 // In a rolling update a peer may have a version that knows no links.
 func TestPeerWithoutLinksGetsHTTP(t *testing.T) {
-	p, d := newPeer(t, false), &dials{}
-	transport := newTransport(t, d)
+	p := newPeer(t, false)
+	transport, _ := newTransport(t, p)
 	for range 3 {
 		got, err := post(t.Context(), transport, p.URL+"/echo", "x")
 		require.NoError(t, err)
@@ -163,8 +175,8 @@
 
 // A connection that breaks fails the requests that wait on it; the next one opens another.
 func TestBrokenLinkIsReplaced(t *testing.T) {
-	p, d := newPeer(t, true), &dials{}
-	transport := newTransport(t, d)
+	p := newPeer(t, true)
+	transport, d := newTransport(t, p)
 	_, err := post(t.Context(), transport, p.URL+"/echo", "x")
 	require.NoError(t, err)
 	done := make(chan error)
