--- a/internal/outlet/close_test.go
+++ b/internal/outlet/close_test.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/greengagestep/greengagestep/internal/backlog"
 	"github.com/greengagestep/greengagestep/internal/outlet"
+	"github.com/greengagestep/greengagestep/internal/standin"
 )
 
 // A caller that is given up gets a reset: a response that ends with its connection must not look complete.
@@ -50,23 +52,29 @@
 
 // The server closes: a write that waits for a caller that does not read ends soon, as with net/http alone.
 func TestServerCloseEndsWaitingWrite(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	ended := make(chan struct{})
-	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		defer close(ended)
-		_, _ = io.WriteString(w, strings.Repeat("x", 32<<20))
-	})}
-	go func() { _ = srv.Serve(listener{l, &backlog.Account{MaxBytes: 1 << 20}}) }()
-	c, err := net.Dial("tcp", l.Addr().String())
-	require.NoError(t, err)
-	defer c.Close()
-	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-	time.Sleep(500 * time.Millisecond)
-	_ = srv.Close()
-	select {
-	case <-ended:
-	case <-time.After(3 * time.Second):
-		t.Fatal("the handler still waits 3 s after Close")
-	}
+	synctest.Test(t, func(t *testing.T) {
+		network := &standin.MemoryNetwork{}
+		l, err := network.Listen()
+		require.NoError(t, err)
+		ended := make(chan struct{})
+		srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			defer close(ended)
+			_, _ = io.WriteString(w, strings.Repeat("x", 32<<20))
+		})}
+		go func() { _ = srv.Serve(listener{l, &backlog.Account{MaxBytes: 1 << 20}}) }()
+		c, err := network.Dial(t.Context(), "tcp", l.Addr().String())
+		require.NoError(t, err)
+		defer c.Close()
+		fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		time.Sleep(500 * time.Millisecond)
+		select {
+		case <-ended:
+			t.Fatal("the write does not wait")
+		default:
+		}
+		closed := time.Now()
+		_ = srv.Close()
+		<-ended
+		require.Less(t, time.Since(closed), 3*time.Second)
+	})
 }
--- a/internal/outlet/outlet.go
+++ b/internal/outlet/outlet.go
@@ -232,7 +232,7 @@
 // writePieces writes what is unread until there is nothing left.
 func (c *Conn) writePieces() {
 	c.mu.Lock()
-	queued, movedAt := c.unacknowledged(), time.Now()
+	queued, movedAt := c.Unacknowledged(), time.Now()
 	for c.err == nil && len(c.pieces) > 0 {
 		first := c.pieces[0]
 		unread := first.buf[first.start:first.end]
@@ -251,7 +251,7 @@
 			break
 		}
 		c.advance(first, n)
-		left, now := c.unacknowledged(), time.Now()
+		left, now := c.Unacknowledged(), time.Now()
 		if n > 0 || left < queued {
 			movedAt = now
 		}
@@ -284,8 +284,16 @@
 // tells room for more only in large steps.
 const readCheckInterval = time.Second
 
-// unacknowledged returns how many bytes the socket still holds for the caller; zero if it does not tell.
-func (c *Conn) unacknowledged() int {
+// acknowledger is a connection that knows how many bytes its peer has not acknowledged.
+type acknowledger interface {
+	Unacknowledged() int
+}
+
+// Unacknowledged returns how many bytes the socket still holds for the caller; zero if it does not tell.
+func (c *Conn) Unacknowledged() int {
+	if a, ok := c.Conn.(acknowledger); ok {
+		return a.Unacknowledged()
+	}
 	n := 0
 	if c.raw != nil {
 		// An error means that the connection is closed.
--- a/internal/upstream/steady.go
+++ b/internal/upstream/steady.go
@@ -123,6 +123,9 @@
 
 // queued returns how many bytes the socket still holds for the endpoint; zero if it does not tell.
 func (c *conn) queued() int {
+	if a, ok := c.netConn.(acknowledger); ok {
+		return a.Unacknowledged()
+	}
 	sc, ok := c.netConn.(syscall.Conn)
 	if !ok {
 		return 0
