--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -85,43 +85,35 @@
 	}
 }
 
-// A start that is used too late, after the answer of the home or the connection took long, is not used.
-func TestExpiredStartIsNotUsed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := newTestGateway(t, unaryConfig())
-		arrived := g.addCounted("i-1", serveWell)
-		g.setCold(3 * time.Second)
-		var asked atomic.Int64
-		g.handler.Homes = homesFunc(func(fleet.Reservation) fleet.ReservationResult {
-			asked.Add(1)
-			time.Sleep(warmup.GrantLifetime)
-			return fleet.GrantStart
-		})
-		resp, _ := g.post("/", "1")
-		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
-		require.Zero(t, arrived.Load())
-		require.LessOrEqual(t, asked.Load(), int64(4))
-	})
-}
-
-// The home refuses a request to a cold endpoint for another reason than its rate, as when it knows of
-// more work there: it is not asked again for the same request.
-func TestRefusedRequestIsNotReservedAgain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := newTestGateway(t, unaryConfig())
-		arrived := g.addCounted("i-1", serveWell)
-		g.setCold(3 * time.Second)
-		var asked atomic.Int64
-		g.handler.Homes = homesFunc(func(fleet.Reservation) fleet.ReservationResult {
-			asked.Add(1)
-			time.Sleep(time.Millisecond)
-			return fleet.GrantRefused
+// A start that is used too late, after the answer of the home or the connection took long, is not used. If the home refuses a
+// request for another reason than its rate, as when it knows of more work there, it is not asked again for the same request.
+func TestColdEndpointGetsNothingWithoutStart(t *testing.T) {
+	for grant, c := range map[fleet.ReservationResult]struct {
+		takes time.Duration
+		most  int64 // times that the home is asked
+	}{
+		fleet.GrantStart:   {warmup.GrantLifetime, 4},
+		fleet.GrantRefused: {time.Millisecond, 1},
+	} {
+		t.Run(string(grant), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newTestGateway(t, unaryConfig())
+				arrived := g.addCounted("i-1", serveWell)
+				g.setCold(3 * time.Second)
+				var asked atomic.Int64
+				g.handler.Homes = homesFunc(func(fleet.Reservation) fleet.ReservationResult {
+					asked.Add(1)
+					time.Sleep(c.takes)
+					return grant
+				})
+				resp, _ := g.post("/", "1")
+				require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+				require.Positive(t, asked.Load())
+				require.LessOrEqual(t, asked.Load(), c.most)
+				require.Zero(t, arrived.Load())
+			})
 		})
-		resp, _ := g.post("/", "1")
-		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
-		require.EqualValues(t, 1, asked.Load())
-		require.Zero(t, arrived.Load())
-	})
+	}
 }
 
 // Thirty endpoints are cold, and their homes refuse a request that another endpoint has failed: it asks
--- a/internal/gateway/quiet_test.go
+++ b/internal/gateway/quiet_test.go
@@ -48,6 +48,19 @@
 	return n
 }
 
+// addQuiet adds the endpoint i-1, which refuses its first request, with the header line notRun, and asks for quiet.
+func (g *testGateway) addQuiet(notRun string, quiet time.Duration) *arrivals {
+	seen := &arrivals{}
+	g.addEndpoint("i-1", func(r *http.Request, body string, w io.Writer) bool {
+		if seen.add() > 1 {
+			return serveWell(r, body, w)
+		}
+		fmt.Fprintf(w, "HTTP/1.1 503 X\r\nRequest-Id: %s\r\n%sQuiet-Millis: %d\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"), notRun, quiet.Milliseconds())
+		return true
+	})
+	return seen
+}
+
 // An endpoint that refuses a request and asks for quiet gets nothing until the end of that time,
 // whether it says that it did not run the request or not: no first attempt, no retry and no
 // connection. Then it gets requests again.
@@ -57,14 +70,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := newTestGateway(t, unaryConfig())
-				var seen arrivals
-				g.addEndpoint("i-1", func(r *http.Request, body string, w io.Writer) bool {
-					if seen.add() > 1 {
-						return serveWell(r, body, w)
-					}
-					fmt.Fprintf(w, "HTTP/1.1 503 X\r\nRequest-Id: %s\r\n%sQuiet-Millis: %d\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"), notRun, quiet.Milliseconds())
-					return true
-				})
+				seen := g.addQuiet(notRun, quiet)
 				var dials atomic.Int64
 				g.handler.Pool.OnDial = func(string) { dials.Add(1) }
 				g.post("/", "first")
@@ -231,14 +237,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := newTestGateway(t, unaryConfig())
-				var seen arrivals
-				g.addEndpoint("i-1", func(r *http.Request, body string, w io.Writer) bool {
-					if seen.add() > 1 {
-						return serveWell(r, body, w)
-					}
-					fmt.Fprintf(w, "HTTP/1.1 503 X\r\nRequest-Id: %s\r\n%sQuiet-Millis: 300\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"), notRun)
-					return true
-				})
+				seen := g.addQuiet(notRun, 300*time.Millisecond)
 				g.post("/", "first")
 				counts := g.balancer.Services(time.Now())["portal"]
 				require.Equal(t, placement.Counts{Listed: 1, Quiet: 1, Slots: 4}, counts)
