--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -285,6 +285,7 @@
 // recorder stores a response, to be replayed to requests with the same idempotency
 // key.
 type recorder struct {
+	after    string // the Last-Event-ID of the request
 	response claim.Answer
 	tooLarge bool
 }
@@ -294,7 +295,7 @@
 	removeHopByHopHeaders(header)
 	header.Del("Content-Length")
 	header.Del(endpoint.HeaderLeaving)
-	r.response = claim.Answer{Status: resp.StatusCode, Header: header}
+	r.response = claim.Answer{Status: resp.StatusCode, Header: header, After: r.after}
 }
 
 func (r *recorder) add(p []byte) {
--- a/internal/claim/registry.go
+++ b/internal/claim/registry.go
@@ -34,6 +34,9 @@
 	Status int         `json:"status"`
 	Header http.Header `json:"header"`
 	Body   []byte      `json:"body"`
+	// After is the ID after which the request asked for the events of a stream; empty for all, and in
+	// records of earlier versions.
+	After string `json:"after,omitempty"`
 	// Complete is false if the body was too long to be kept.
 	Complete bool `json:"whole"`
 }
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -92,6 +92,16 @@
 	return s
 }
 
+// Replay returns a sequence for a stream that is whole, given the ID of the last event that the caller has; without one,
+// or with one that is no number, it lacks all.
+func Replay(has string) *Sequence {
+	s := &Sequence{}
+	if id, ok := parseID(has); ok {
+		s.Relayed = id
+	}
+	return s
+}
+
 // Next checks complete blocks and returns the events that the caller lacks, up to the first block that
 // is invalid, and the ID of the last one, zero if none has an ID. The error is that of the invalid block,
 // nil if there is none. The part may be stored in place of the blocks and overwrites them.
