--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -76,7 +76,7 @@
 		if len(pending) > stream.MaxEventBytes {
 			return broken(stream.ErrTooLong)
 		}
-		end := stream.CompleteEnd(pending)
+		end := completeEnd(sequence, pending)
 		checked := checkBlocks(sequence, pending[:end])
 		if end > 0 && checked.err == nil {
 			watch.receive(checked.progress)
@@ -136,11 +136,19 @@
 	err      error  // of the block that is invalid, nil if none is
 }
 
+// completeEnd returns the offset after the last complete block, 0 if there is none. Numbered events end their lines with LF.
+func completeEnd(sequence *stream.Sequence, pending []byte) int {
+	if sequence == nil {
+		return stream.CompleteEndOfAny(pending)
+	}
+	return stream.CompleteEnd(pending)
+}
+
 // checkBlocks checks complete blocks, which it overwrites. Without a sequence each of them is for the
 // caller.
 func checkBlocks(sequence *stream.Sequence, blocks []byte) checkedBlocks {
 	if sequence == nil {
-		n := bytes.Count(blocks, []byte("\n\n")) + bytes.Count(blocks, []byte("\r\n\r\n"))
+		n := bytes.Count(blocks, []byte("\n\n")) + bytes.Count(blocks, []byte("\r\n\r\n")) + bytes.Count(blocks, []byte("\r\r"))
 		return checkedBlocks{part: blocks, events: max(n, min(len(blocks), 1)), progress: hasData(blocks)}
 	}
 	before := sequence.Events()
@@ -166,7 +174,7 @@
 
 // hasData reports whether there is an event with data among complete ones.
 func hasData(events []byte) bool {
-	return bytes.HasPrefix(events, []byte("data:")) || bytes.Contains(events, []byte("\ndata:"))
+	return bytes.HasPrefix(events, []byte("data:")) || bytes.Contains(events, []byte("\ndata:")) || bytes.Contains(events, []byte("\rdata:"))
 }
 
 // forward writes complete events to the caller. Last is the ID of the last one, zero if they have
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -218,6 +218,25 @@
 	}
 }
 
+// CompleteEndOfAny is like CompleteEnd for streams that are relayed as they are: a line may end with CR alone, too.
+func CompleteEndOfAny(p []byte) int {
+	end, empty := 0, true
+	for i := 0; i < len(p); i++ {
+		if p[i] != '\n' && p[i] != '\r' {
+			empty = false
+			continue
+		}
+		if p[i] == '\r' && i+1 < len(p) && p[i+1] == '\n' {
+			i++
+		}
+		if empty {
+			end = i + 1
+		}
+		empty = true
+	}
+	return end
+}
+
 // parse returns what one complete block is, and the ID of an event that has one. Fields of other
 // names are ignored in events with an ID, and invalid elsewhere.
 func (s *Sequence) parse(block []byte) (Kind, int64, error) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -232,6 +232,9 @@
 	a.conn.limited, a.conn.remaining = true, maxHeadBytes+maxDiscardBytes
 	defer func() { a.conn.limited = false }()
 	for {
+		if namesChunksInHTTP10(a.conn.reader) {
+			return errFraming
+		}
 		resp, err := http.ReadResponse(a.conn.reader, req)
 		if err != nil {
 			return err
@@ -264,7 +267,7 @@
 // isInvalidResponse reports whether an error means that the response is malformed or
 // belongs to another request, rather than that the connection broke.
 func isInvalidResponse(err error) bool {
-	if errors.Is(err, errOtherRequest) || errors.Is(err, errTooManyBytes) {
+	if errors.Is(err, errOtherRequest) || errors.Is(err, errFraming) || errors.Is(err, errTooManyBytes) {
 		return true
 	}
 	var netErr net.Error
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -221,6 +221,21 @@
 	}
 }
 
+// HTTP/1.0 has no chunks: a response that names them has a framing that cannot be trusted. Its chunk lines were taken for the body.
+func TestChunksInHTTP10AreInvalid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &fakeDialer{serve: func(c net.Conn, br *bufio.Reader) {
+			readRequest(t, br)
+			fmt.Fprint(c, "HTTP/1.0 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+		}}
+		_, err := post(&upstream.Pool{HeaderCodec: requestIDCodec{}, Dial: d.dial}, "1", "x")
+		var f *upstream.Failure
+		require.ErrorAs(t, err, &f)
+		require.True(t, f.Reached)
+		require.Equal(t, fleet.ReasonInvalidResponse, f.Reason)
+	})
+}
+
 // When the context of a request is done, its connection to the endpoint is closed at once.
 func TestContextDoneClosesConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
