outlet, gateway: a request on a new connection arrived before its goroutine ran

Test: the case of a new connection in TestRunEndsBeforeDeadlineByLag (630 ms stated before, 180 now).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,8 +120,9 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	c := &call{h: h, w: w, r: r, conn: outlet.FromContext(r.Context()), arrived: time.Now(), attrs: h.HeaderCodec.DecodeRequest(r.Header)}
-	// The request has waited to be read for about the scheduling lag of the process, and that time counts, too.
-	c.arrived = c.arrived.Add(-h.lag())
+	// The request has waited to be read, or its connection to be accepted, for about the scheduling lag of the process,
+	// and that time counts, too.
+	c.arrived = c.arrived.Add(-h.lag() - c.conn.TakeDelay())
 	defer c.releaseBody()
 	if !c.accept() {
 		return
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -99,7 +99,8 @@
 	handler   *gateway.Handler
 	balancer  *placement.Balancer
 	client    *http.Client
-	givenUp   chan string // customer of each caller that was given up, and why
+	readDelay time.Duration // from when a connection of a caller is accepted until it is read
+	givenUp   chan string   // customer of each caller that was given up, and why
 }
 
 func newTestGateway(t testing.TB, config arrangement.Config) *testGateway {
@@ -149,9 +150,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return outlet.New(c, &l.gateway.handler.Backlog, func(customer string, reason backlog.Reason) {
+	conn := outlet.New(c, &l.gateway.handler.Backlog, func(customer string, reason backlog.Reason) {
 		l.gateway.givenUp <- fmt.Sprint(customer, " ", reason)
-	}), nil
+	})
+	time.Sleep(l.gateway.readDelay)
+	return conn, nil
 }
 
 // addEndpoint starts a simulated endpoint and adds it to the balancer.
--- a/internal/gateway/lag_test.go
+++ b/internal/gateway/lag_test.go
@@ -22,11 +22,13 @@
 func TestRunEndsBeforeDeadlineByLag(t *testing.T) {
 	const lag, dial, wait = 35 * time.Millisecond, 300 * time.Millisecond, time.Second
 	for name, c := range map[string]struct {
-		laterLag time.Duration // from half a second on
-		want     time.Duration
+		laterLag  time.Duration // from half a second on
+		readDelay time.Duration // of the connection, which is new
+		want      time.Duration
 	}{
-		"lag lasts": {lag, wait - 2*lag},
-		"lag ends":  {0, wait - lag},
+		"lag lasts":                         {lag, 0, wait - 2*lag},
+		"lag ends":                          {0, 0, wait - lag},
+		"a new connection waits to be read": {lag, 450 * time.Millisecond, wait - 2*lag},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -38,6 +40,7 @@
 					time.Sleep(dial)
 					return g.network.Dial(ctx, network, address)
 				}
+				g.readDelay = c.readDelay
 				asked := time.Now()
 				stated, ended := make(chan string, 1), make(chan time.Duration, 1)
 				l, err := g.network.Listen()
@@ -59,7 +62,7 @@
 					g.handler.Overload.Record(c.laterLag)
 				}
 				time.Sleep(wait)
-				require.Equal(t, strconv.FormatInt((wait-dial-2*lag).Milliseconds(), 10), <-stated)
+				require.Equal(t, strconv.FormatInt((wait-dial-c.readDelay-2*lag).Milliseconds(), 10), <-stated)
 				require.Equal(t, c.want, <-ended)
 				require.NoError(t, conn.Close())
 			})
--- a/internal/outlet/outlet.go
+++ b/internal/outlet/outlet.go
@@ -67,6 +67,7 @@
 	attempt  []byte
 	n        int
 	fault    error
+	delay    delay
 
 	mu       sync.Mutex
 	changed  sync.Cond // when pieces are removed or err is set
@@ -82,7 +83,7 @@
 // New wraps a connection. onGiveUp is called when its caller is given up, with the customer of the
 // last request; it must not block. Nil means no callback.
 func New(c net.Conn, account *backlog.Account, onGiveUp func(customer string, reason backlog.Reason)) *Conn {
-	o := &Conn{Conn: c, account: account, onGiveUp: onGiveUp}
+	o := &Conn{Conn: c, account: account, onGiveUp: onGiveUp, delay: delay{accepted: time.Now()}}
 	o.changed.L = &o.mu
 	o.reader.GiveUp = o.giveUp
 	if sc, ok := c.(syscall.Conn); ok {
