--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -46,20 +46,19 @@
 	// become cold counts as cold for so much longer than its start takes.
 	HeartbeatInterval time.Duration
 
-	mu        sync.Mutex
-	services  map[string][]*endpointState
-	byID      map[string]*endpointState
-	former    formerEndpoints
-	evacuated map[string]bool // failure domains that operators have emptied
-	// evacuatedUntil is until when others are, by what homes of endpoints there have said.
-	evacuatedUntil map[string]time.Time
-	lastSends      map[string]time.Time // when this instance last sent a request, by failure domain of the endpoint
-	departures     departureLog
-	instances      int                // that send to the endpoints, as of the last choice
-	startups       map[string]Startup // of the services with a start-up rate, by name
-	latencyModels  map[string]*latencyModel
-	fills          []CacheFill // the newest fills by requests of this instance, oldest first
-	fillCount      int64       // number of all fills by requests of this instance
+	mu            sync.Mutex
+	services      map[string][]*endpointState
+	byID          map[string]*endpointState
+	former        formerEndpoints
+	evacuated     map[string]bool      // failure domains that operators have emptied
+	evacuationEnd map[string]time.Time // of others, by what homes of endpoints there have said
+	lastSends     map[string]time.Time // when this instance last sent a request, by failure domain of the endpoint
+	departures    departureLog
+	instances     int                // that send to the endpoints, as of the last choice
+	startups      map[string]Startup // of the services with a start-up rate, by name
+	latencyModels map[string]*latencyModel
+	fills         []CacheFill // the newest fills by requests of this instance, oldest first
+	fillCount     int64       // number of all fills by requests of this instance
 }
 
 // CacheFill records that an endpoint processes shared parts of a prompt that it had not
--- a/internal/placement/evacuation.go
+++ b/internal/placement/evacuation.go
@@ -18,7 +18,7 @@
 	if b.evacuated == nil {
 		b.evacuated = map[string]bool{}
 	}
-	delete(b.evacuatedUntil, domain)
+	delete(b.evacuationEnd, domain)
 	if evacuated {
 		b.evacuated[domain] = true
 	} else {
@@ -35,7 +35,7 @@
 // have become cold meanwhile.
 func (b *Balancer) setEvacuated(s *endpointState, evacuated bool, now time.Time) {
 	ended := s.evacuated && !evacuated
-	s.evacuated, s.evacuatedUntil = evacuated, b.evacuatedUntil[s.Domain]
+	s.evacuated, s.evacuatedUntil = evacuated, b.evacuationEnd[s.Domain]
 	if ended {
 		b.markUncertain(s, "its failure domain was emptied", now)
 	}
@@ -63,10 +63,10 @@
 	if e == nil {
 		return
 	}
-	if b.evacuatedUntil == nil {
-		b.evacuatedUntil = map[string]time.Time{}
+	if b.evacuationEnd == nil {
+		b.evacuationEnd = map[string]time.Time{}
 	}
-	b.evacuatedUntil[e.Domain] = now.Add(evacuationLead)
+	b.evacuationEnd[e.Domain] = now.Add(evacuationLead)
 	for _, s := range b.byID {
 		if s.Domain == e.Domain {
 			s.evacuatedUntil = now.Add(evacuationLead)
