--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -99,7 +99,8 @@
 	handler   *gateway.Handler
 	balancer  *placement.Balancer
 	client    *http.Client
-	givenUp   chan string // customer of each caller that was given up, and why
+	readDelay time.Duration // from when a connection of a caller is accepted until it is read
+	givenUp   chan string   // customer of each caller that was given up, and why
 }
 
 func newTestGateway(t testing.TB, config arrangement.Config) *testGateway {
@@ -149,17 +150,24 @@
 	if err != nil {
 		return nil, err
 	}
-	return outlet.New(c, &l.gateway.handler.Backlog, func(customer string, reason backlog.Reason) {
+	conn := outlet.New(c, &l.gateway.handler.Backlog, func(customer string, reason backlog.Reason) {
 		l.gateway.givenUp <- fmt.Sprint(customer, " ", reason)
-	}), nil
+	})
+	time.Sleep(l.gateway.readDelay)
+	return conn, nil
 }
 
 // addEndpoint starts a simulated endpoint and adds it to the balancer.
 func (g *testGateway) addEndpoint(id string, handle endpointFunc) {
 	l, err := g.network.Listen()
 	require.NoError(g.t, err)
-	g.listeners[id] = l
 	go handle.serve(l)
+	g.put(id, l)
+}
+
+// put adds an endpoint that listens to the balancer.
+func (g *testGateway) put(id string, l net.Listener) {
+	g.listeners[id] = l
 	g.balancer.Put(placement.Endpoint{ID: id, EndpointInfo: fleet.EndpointInfo{Service: "portal", Address: l.Addr().String(), Domain: "a", Slots: 4}})
 }
 
--- a/internal/outlet/outlet.go
+++ b/internal/outlet/outlet.go
@@ -67,6 +67,7 @@
 	attempt  []byte
 	n        int
 	fault    error
+	delay    delay
 
 	mu       sync.Mutex
 	changed  sync.Cond // when pieces are removed or err is set
@@ -75,13 +76,14 @@
 	pieces   []*piece // what is unread; while there are any, a goroutine writes them
 	writing  bool
 	closing  time.Time // until when pieces are written although the server closed the connection; zero before
+	closed   func()    // called when pieces are no longer written after that; nil for none
 	err      error     // of all further writes
 }
 
 // New wraps a connection. onGiveUp is called when its caller is given up, with the customer of the
 // last request; it must not block. Nil means no callback.
 func New(c net.Conn, account *backlog.Account, onGiveUp func(customer string, reason backlog.Reason)) *Conn {
-	o := &Conn{Conn: c, account: account, onGiveUp: onGiveUp}
+	o := &Conn{Conn: c, account: account, onGiveUp: onGiveUp, delay: delay{accepted: time.Now()}}
 	o.changed.L = &o.mu
 	o.reader.GiveUp = o.giveUp
 	if sc, ok := c.(syscall.Conn); ok {
@@ -231,8 +233,7 @@
 // writePieces writes what is unread until there is nothing left.
 func (c *Conn) writePieces() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	queued, movedAt := c.unacknowledged(), time.Now()
+	queued, movedAt := c.Unacknowledged(), time.Now()
 	for c.err == nil && len(c.pieces) > 0 {
 		first := c.pieces[0]
 		unread := first.buf[first.start:first.end]
@@ -251,7 +252,7 @@
 			break
 		}
 		c.advance(first, n)
-		left, now := c.unacknowledged(), time.Now()
+		left, now := c.Unacknowledged(), time.Now()
 		if n > 0 || left < queued {
 			movedAt = now
 		}
@@ -269,18 +270,31 @@
 	if c.err == nil {
 		_ = c.Conn.SetWriteDeadline(time.Time{})
 	}
+	closed := c.closed
 	if !c.closing.IsZero() {
 		_ = c.Conn.Close()
 	}
 	c.changed.Broadcast()
+	c.mu.Unlock()
+	if closed != nil {
+		closed()
+	}
 }
 
 // readCheckInterval is how often it is checked whether a caller that has fallen behind reads: the kernel
 // tells room for more only in large steps.
 const readCheckInterval = time.Second
 
-// unacknowledged returns how many bytes the socket still holds for the caller; zero if it does not tell.
-func (c *Conn) unacknowledged() int {
+// acknowledger is a connection that knows how many bytes its peer has not acknowledged.
+type acknowledger interface {
+	Unacknowledged() int
+}
+
+// Unacknowledged returns how many bytes the socket still holds for the caller; zero if it does not tell.
+func (c *Conn) Unacknowledged() int {
+	if a, ok := c.Conn.(acknowledger); ok {
+		return a.Unacknowledged()
+	}
 	n := 0
 	if c.raw != nil {
 		// An error means that the connection is closed.
@@ -412,6 +426,20 @@
 	return c.Conn.Close()
 }
 
+// AfterClose calls f once the socket of a connection that the server has closed is closed too: at once unless something is
+// left to write. It must be called once at most.
+func (c *Conn) AfterClose(f func()) {
+	c.mu.Lock()
+	writing := c.writing
+	if writing {
+		c.closed = f
+	}
+	c.mu.Unlock()
+	if !writing {
+		f()
+	}
+}
+
 // CloseWrite shuts down the writing side, if the connection can, unless there is something left to write.
 func (c *Conn) CloseWrite() error {
 	c.mu.Lock()
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -51,6 +51,7 @@
 	byID          map[string]*endpointState
 	former        formerEndpoints
 	evacuated     map[string]bool      // failure domains that operators have emptied
+	evacuationEnd map[string]time.Time // of others, by what homes of endpoints there have said
 	lastSends     map[string]time.Time // when this instance last sent a request, by failure domain of the endpoint
 	departures    departureLog
 	instances     int                // that send to the endpoints, as of the last choice
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -92,6 +92,16 @@
 	return s
 }
 
+// Replay returns a sequence for a stream that is whole, given the ID of the last event that the caller has; without one,
+// or with one that is no number, it lacks all.
+func Replay(has string) *Sequence {
+	s := &Sequence{}
+	if id, ok := parseID(has); ok {
+		s.Relayed = id
+	}
+	return s
+}
+
 // Next checks complete blocks and returns the events that the caller lacks, up to the first block that
 // is invalid, and the ID of the last one, zero if none has an ID. The error is that of the invalid block,
 // nil if there is none. The part may be stored in place of the blocks and overwrites them.
@@ -208,6 +218,25 @@
 	}
 }
 
+// CompleteEndOfAny is like CompleteEnd for streams that are relayed as they are: a line may end with CR alone, too.
+func CompleteEndOfAny(p []byte) int {
+	end, empty := 0, true
+	for i := 0; i < len(p); i++ {
+		if p[i] != '\n' && p[i] != '\r' {
+			empty = false
+			continue
+		}
+		if p[i] == '\r' && i+1 < len(p) && p[i+1] == '\n' {
+			i++
+		}
+		if empty {
+			end = i + 1
+		}
+		empty = true
+	}
+	return end
+}
+
 // parse returns what one complete block is, and the ID of an event that has one. Fields of other
 // names are ignored in events with an ID, and invalid elsewhere.
 func (s *Sequence) parse(block []byte) (Kind, int64, error) {
