placement: what is handed on is chosen without a sort

A review measured 219 to 473 ms with the balancer locked at 100 and 300 endpoints with 3,000 parts each, since all parts were sorted; ages are counted by second now, and only what is handed on is copied. Ages of a reply are bounded.

--- a/internal/peer/learned.go
+++ b/internal/peer/learned.go
@@ -128,7 +128,7 @@
 		return
 	}
 	now := time.Now()
-	age := time.Duration(max(reply.Age, 0))*time.Millisecond + now.Sub(sent)
+	age := time.Duration(min(max(reply.Age, 0), learnedRequestTime.Milliseconds()))*time.Millisecond + now.Sub(sent)
 	parts := x.Balancer.Learn(learned, age, now)
 	x.Logger.Info(event.Learned, zap.String("peer", name), zap.Int("services", len(learned.Services)), zap.Int("parts", parts), zap.Duration("age", age))
 	done = len(learned.Services) > 0
--- a/internal/placement/learned.go
+++ b/internal/placement/learned.go
@@ -1,10 +1,6 @@
 package placement
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // Learned is what an instance has learned of endpoints, for another one that has just started.
 type Learned struct {
@@ -47,12 +43,6 @@
 // maxLearnedMS bounds times learned from a peer, in milliseconds: no request takes longer.
 const maxLearnedMS = 600_000
 
-type learnedPart struct {
-	state *endpointState
-	hash  uint64
-	at    int64 // see sinceEpoch
-}
-
 // Learned returns what this instance has learned: of the parts that endpoints have cached those that were
 // used last. Services without any response so far are left out.
 func (b *Balancer) Learned(now time.Time) Learned {
@@ -61,38 +51,53 @@
 	l := Learned{Services: map[string]LearnedTimes{}}
 	for name, m := range b.latencyModels {
 		if m.samples() > 0 {
-			l.Services[name] = LearnedTimes{m.baseMS, m.tokensPerMS, m.requestMS, m.eventIntervalMS, m.baseSamples, m.rateSamples, m.requestSamples}
+			l.Services[name] = LearnedTimes{
+				BaseMS: m.baseMS, TokensPerMS: m.tokensPerMS, RequestMS: m.requestMS, EventIntervalMS: m.eventIntervalMS,
+				BaseSamples: m.baseSamples, RateSamples: m.rateSamples, RequestSamples: m.requestSamples,
+			}
 		}
 	}
-	var parts []learnedPart
+	maxAge, left := b.learnedAge(now), maxLearnedParts
 	for _, s := range b.byID {
+		c := LearnedCache{Endpoint: s.ID, Born: s.Born}
 		for hash, at := range s.cache.lastUsed {
-			if sinceEpoch(now)-at <= int64(cacheLifetime) {
-				parts = append(parts, learnedPart{s, hash, at})
+			if age := (sinceEpoch(now) - at) / int64(time.Millisecond); age < maxAge && left > 0 {
+				left--
+				c.PrefixHashes, c.Ages = append(c.PrefixHashes, hash), append(c.Ages, age)
 			}
 		}
+		if len(c.Ages) > 0 {
+			l.Caches = append(l.Caches, c)
+		}
 	}
-	slices.SortFunc(parts, func(x, y learnedPart) int { return cmp.Compare(y.at, x.at) })
-	caches := map[*endpointState]*LearnedCache{}
-	for _, p := range parts[:min(len(parts), maxLearnedParts)] {
-		c := caches[p.state]
-		if c == nil {
-			c = &LearnedCache{Endpoint: p.state.ID, Born: p.state.Born}
-			caches[p.state] = c
+	return l
+}
+
+// learnedAge returns the largest age, in milliseconds, below which there are no more than maxLearnedParts
+// cached parts, by whole seconds and at least one. The caller holds the lock.
+func (b *Balancer) learnedAge(now time.Time) int64 {
+	var parts [cacheLifetime / time.Second]int
+	for _, s := range b.byID {
+		for _, at := range s.cache.lastUsed {
+			if age := (sinceEpoch(now) - at) / int64(time.Second); age < int64(len(parts)) {
+				parts[max(age, 0)]++
+			}
 		}
-		c.PrefixHashes = append(c.PrefixHashes, p.hash)
-		c.Ages = append(c.Ages, (sinceEpoch(now)-p.at)/int64(time.Millisecond))
 	}
-	for _, c := range caches {
-		l.Caches = append(l.Caches, *c)
+	total := 0
+	for age, n := range parts {
+		if total += n; total > maxLearnedParts {
+			return max(int64(age), 1) * 1000
+		}
 	}
-	return l
+	return cacheLifetime.Milliseconds()
 }
 
-// Learn adds what another instance had learned up to age ago and returns how many cached parts were not
+// Learn adds what another instance had learned up to age ago, at most cacheLifetime, and returns how many cached parts were not
 // known. Times of services of which this instance has learned itself, and caches of endpoints that are not
 // listed or have restarted since, are ignored.
 func (b *Balancer) Learn(l Learned, age time.Duration, now time.Time) (parts int) {
+	from := sinceEpoch(now.Add(-min(max(age, 0), cacheLifetime)))
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for name, t := range l.Services {
@@ -107,7 +112,7 @@
 			continue
 		}
 		for i, hash := range c.PrefixHashes[:min(len(c.PrefixHashes), len(c.Ages), maxCachedParts)] {
-			at := sinceEpoch(now.Add(-age)) - min(max(c.Ages[i], 0), cacheLifetime.Milliseconds())*int64(time.Millisecond)
+			at := from - min(max(c.Ages[i], 0), cacheLifetime.Milliseconds())*int64(time.Millisecond)
 			known, ok := s.cache.lastUsed[hash]
 			if !ok {
 				parts++
--- a/internal/placement/learned_test.go
+++ b/internal/placement/learned_test.go
@@ -38,3 +38,24 @@
 		b.Learned(now)
 	})
 }
+
+// Of more parts than fit, those used last are handed on.
+func TestLearnedPartsUsedLast(t *testing.T) {
+	b, now := &Balancer{}, time.Now()
+	b.Put(Endpoint{ID: "i", EndpointInfo: fleet.EndpointInfo{Service: "m", Slots: 4, Born: 1}})
+	b.Put(Endpoint{ID: "j", EndpointInfo: fleet.EndpointInfo{Service: "m", Slots: 4, Born: 1}})
+	for n := range 2 * maxLearnedParts {
+		at := now.Add(-time.Duration(n) * 3 * time.Millisecond)
+		b.byID[[]string{"i", "j"}[n%2]].cache.lastUsed[uint64(n)] = sinceEpoch(at)
+	}
+	handed := 0
+	for _, c := range b.Learned(now).Caches {
+		for i, hash := range c.PrefixHashes {
+			require.Less(t, hash, uint64(maxLearnedParts))
+			require.InDelta(t, float64(hash)*3, float64(c.Ages[i]), 2)
+		}
+		handed += len(c.Ages)
+	}
+	require.LessOrEqual(t, handed, maxLearnedParts)
+	require.Greater(t, handed, maxLearnedParts-1000)
+}
