--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -259,7 +259,6 @@
 		Feeds: map[string]watch.Relay{"operators": i.operators, "endpoints": i.endpoints},
 	}
 	i.handler.Homes = i.peers
-	i.quarantine.Rank = func() int { return i.peers.Rank(time.Now()) }
 	i.balancer.Instances = func() int { return 1 + i.peers.Peers(time.Now()) }
 	for _, seed := range i.Seeds {
 		i.peers.AddPeer(peer.Member{Address: seed}, now)
@@ -345,7 +344,8 @@
 	tree.Add(i.peers.Key)
 	tree.Add(i.peers)
 	if i.Quarantine != nil {
-		tree.Add(&quarantine.Store{List: i.quarantine, Storage: i.Quarantine, Rank: i.quarantine.Rank, Logger: i.logger})
+		rank := func() int { return i.peers.Rank(time.Now()) }
+		tree.Add(&quarantine.Store{List: i.quarantine, Storage: i.Quarantine, Rank: rank, Logger: i.logger})
 	}
 	tree.Add(&peer.Finder{Directory: i.Directory, Exchange: i.peers, Logger: i.logger})
 	tree.Add(&service.Server{Listener: i.Peers, HTTP: &http.Server{Handler: i.peerMux(), ReadTimeout: headerTimeout, IdleTimeout: peerIdleTimeout}})
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -36,15 +36,11 @@
 	// OnCrash is called for each endpoint that crashed, whether this instance or a peer
 	// detected it. It is called with the list locked; nil is allowed.
 	OnCrash func(endpoint string)
-	// Rank returns the rank of this instance among those that are live: that of rank 0 tries whether rules still
-	// hold. It is called without a lock; nil means that this instance never does.
-	Rank func() int
 
 	mu       sync.Mutex
 	evidence evidence
 	answered *simplelru.LRU[uint64, time.Time] // by signature: time of the last answer
 	rules    []rule
-	trials   []trial
 	changed  bool      // the evidence has changed since the rules were derived
 	reviewAt time.Time // when the first of the crashes behind the rules expires; zero without rules
 	watchers map[*watcher]bool
@@ -69,19 +65,6 @@
 
 // Contains implements fleet.Quarantine.
 func (l *List) Contains(signatures []uint64) bool {
-	if !l.matches(signatures) {
-		return false
-	}
-	if l.Rank == nil || l.Rank() > 0 {
-		return true
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return !l.onTrial(signatures, time.Now())
-}
-
-// matches reports whether a request with the given signatures has what a rule names.
-func (l *List) matches(signatures []uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.review(time.Now())
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -46,7 +46,6 @@
 //	sleep D
 //	refused A SIGNATURE..., served A SIGNATURE...   what A does with such requests
 //	rules A N                        A has N rules
-//	trials A                         A has the lowest rank, which tries whether rules still hold
 //	canceled R, running R            whether R was ended because it became quarantined
 type play struct {
 	t         *testing.T
@@ -191,8 +190,6 @@
 		require.Equal(t, verb == "refused", p.instances[args[0]].Contains(signatures(args[1:])), line)
 	case "rules":
 		require.Equal(t, args[1], strconv.Itoa(p.instances[args[0]].Size()), line)
-	case "trials":
-		p.instances[args[0]].Rank = func() int { return 0 }
 	case "canceled", "running":
 		require.Equal(t, verb == "canceled", p.requests[args[0]].canceled, line)
 	default:
