--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -218,7 +218,8 @@
 	}
 }
 
-// CompleteEndOfAny is like CompleteEnd for streams that are relayed as they are: a line may end with CR alone, too.
+// CompleteEndOfAny is like CompleteEnd for streams that are relayed as they are: a line may end with CR alone, too. If p ends between
+// the CR and the LF of an empty line, the block ends at the CR, since an event must not wait for what follows.
 func CompleteEndOfAny(p []byte) int {
 	end, empty := 0, true
 	for i := 0; i < len(p); i++ {
--- a/internal/upstream/time_left.go
+++ b/internal/upstream/time_left.go
@@ -3,7 +3,10 @@
 import (
 	"errors"
 	"os"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // The connection itself ends an exchange whose time is over: the runtime wakes its reader, which closes it. A
@@ -19,9 +22,42 @@
 	}
 }
 
+// readyTime is how long a read may take that finds what it reads.
+const readyTime = 20 * time.Millisecond
+
+// unreader is a connection that knows whether it holds data that has not been read.
+type unreader interface {
+	Unread() bool
+}
+
+// unread reports whether the socket holds data that has not been read; false if it does not tell.
+func (c *conn) unread() bool {
+	if u, ok := c.netConn.(unreader); ok {
+		return u.Unread()
+	}
+	sc, ok := c.netConn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	var peek [1]byte
+	// An error means that the connection is closed.
+	_ = raw.Control(func(fd uintptr) { n, _, _ = unix.Recvfrom(int(fd), peek[:], unix.MSG_PEEK|unix.MSG_DONTWAIT) })
+	return n > 0
+}
+
 // extend lets the exchange go on for the time that is left. If there is none, it closes the connection and
 // returns false.
 func (c *conn) extend() bool {
+	if c.unread() {
+		// What has arrived is not thrown away because its reader was late; the context ends the exchange.
+		_ = c.netConn.SetReadDeadline(time.Now().Add(readyTime))
+		return true
+	}
 	left := c.timeLeft()
 	if left > 0 {
 		// An error means that the connection is closed, which the next use reports.
