--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -4,10 +4,8 @@
 package caller
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -24,7 +22,6 @@
 	"github.com/greengagestep/greengagestep/internal/quarantine"
 	"github.com/greengagestep/greengagestep/internal/queue"
 	"github.com/greengagestep/greengagestep/internal/share"
-	"github.com/greengagestep/greengagestep/internal/stream"
 	"github.com/greengagestep/greengagestep/pkg/arrangement"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
@@ -296,45 +293,6 @@
 	}
 }
 
-func (c *call) replayResponse(d claim.Decision) {
-	a := d.Result.Answer
-	body, err := c.lacking(a)
-	if err != nil {
-		c.writeError(http.StatusConflict, fleet.OutcomeRan, "answer-not-kept", "the request ran under the same key for a part of the stream only: "+err.Error())
-		return
-	}
-	for name, values := range a.Header {
-		c.w.Header()[name] = values
-	}
-	keepTypeMissing(c.w.Header())
-	c.w.Header().Set(HeaderRequestID, c.id)
-	c.w.Header().Set("Replayed-From", d.Winner.Request)
-	c.w.Header().Set("Trailer", HeaderOutcome)
-	c.w.WriteHeader(a.Status)
-	_, _ = c.w.Write(body)
-	c.writeOutcomeTrailer(fleet.OutcomeRan, "replayed")
-}
-
-// lacking returns what follows the last event that the caller has in an answer that was kept. The error says that events
-// between are missing, since the answer is that to a request which resumed the stream later.
-func (c *call) lacking(a *claim.Answer) ([]byte, error) {
-	isStream := stream.MediaType(a.Header) == stream.MediaTypeEvents || stream.ReadOpening(a.Body) == stream.OpeningEvents
-	if !c.service.Resume || a.Status/100 != 2 || !isStream {
-		return a.Body, nil
-	}
-	sequence := stream.Replay(c.r.Header.Get(headerResume))
-	if after := stream.Replay(a.After).Relayed; after > sequence.Relayed {
-		return nil, fmt.Errorf("after event %d", after)
-	}
-	sequence.AllowNamed = true
-	part, _, err := sequence.Next(bytes.Clone(a.Body))
-	if err != nil {
-		return nil, err
-	}
-	rest, err := sequence.End()
-	return append(part, rest...), err
-}
-
 // run makes attempts until one returns a complete response or no retry is allowed.
 func (c *call) run(ctx context.Context) {
 	request := queue.Request{ID: c.id, Key: c.key, Bytes: c.body.memoryBytes(), Deadline: c.deadline, PrefixHash: c.body.prefixHash(), ArrivedAt: c.arrived}
