run: requests stay in the regions of their customer; evacuations are logged with source and age

Cause: run knew no regions at all, and an evacuation there left no entry of its own, no time of the last send and nothing at the endpoints in status. Home and holder of a slot ask Scheduler.allows; what waits is refused at once, reason evacuated or region, for each customer apart. domains of the text gives the regions.

RefuseWaiting takes an account instead of a service, OnAccept an Origin: their tests check the same with the new arguments.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -21,6 +21,7 @@
 	EventMember        EventType = "member"
 	EventLease         EventType = "lease"
 	EventEndpoint      EventType = "endpoint"
+	EventEvacuation    EventType = "evacuation"
 	EventConfiguration EventType = "configuration"
 	EventLeader        EventType = "leader"
 	EventOrder         EventType = "order"
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -52,12 +52,12 @@
 	Target func(name string) (endpoint.Target, endpoint.Verdict)
 	// RecordAnswer records what an endpoint said about itself in an answer.
 	RecordAnswer func(target endpoint.Target, a endpoint.Answer)
-	// QuietUntil returns until when all endpoints of a service want no requests, and
-	// false if one takes them now.
-	QuietUntil func(service string) (time.Time, bool)
-	// IsEvacuated reports whether a service has no endpoint because of emptied failure
-	// domains; nil means never.
-	IsEvacuated func(service string) bool
+	// QuietUntil returns until when all endpoints of a service that a customer may use
+	// want no requests, and false if one takes them now.
+	QuietUntil func(service, customer string) (time.Time, bool)
+	// RefusalReason returns fleet.ReasonEvacuated or fleet.ReasonRegion if a customer has no
+	// endpoint of a service because of that, and "" otherwise; nil means always "".
+	RefusalReason func(service, customer string) fleet.Reason
 	// RecordResult records whether a call to an endpoint succeeded.
 	RecordResult func(name string, ok bool)
 	// Crashed reports whether an endpoint that broke a connection no longer
@@ -346,8 +346,10 @@
 // takes any, unless its response has begun: that waits for the first endpoint.
 func (c *call) acquire(ctx context.Context, request queue.Request, retry bool) (*dispatch.Slot, error) {
 	for {
-		if c.h.IsEvacuated != nil && c.h.IsEvacuated(c.service.Name) {
-			return nil, &dispatch.Refused{Reason: fleet.ReasonEvacuated}
+		if c.h.RefusalReason != nil {
+			if reason := c.h.RefusalReason(c.key.Service, c.key.Customer); reason != "" {
+				return nil, &dispatch.Refused{Reason: reason}
+			}
 		}
 		until, quiet := c.quietUntil()
 		if !quiet {
@@ -373,7 +375,7 @@
 	if c.h.QuietUntil == nil {
 		return time.Time{}, false
 	}
-	return c.h.QuietUntil(c.service.Name)
+	return c.h.QuietUntil(c.key.Service, c.key.Customer)
 }
 
 // answerWithoutSlot responds to a request that got no slot.
--- a/internal/command/query.go
+++ b/internal/command/query.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -14,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/greengagestep/greengagestep/internal/setting"
+	"github.com/greengagestep/greengagestep/pkg/fleet"
 	"github.com/greengagestep/greengagestep/pkg/operator"
 )
 
@@ -188,11 +190,7 @@
 			fmt.Fprintf(w, "instance\t%s\t%s\t%s\tversion %d\n", m.Name, m.Domain, m.State, m.Version)
 		}
 		for _, e := range st.Endpoints {
-			state := "open"
-			if e.ClosedReason != "" {
-				state = e.ClosedReason
-			}
-			fmt.Fprintf(w, "endpoint\t%s\t%s\t%s\t%d slots\t%s\n", e.Name, e.Domain, e.Service, e.Slots, state)
+			fmt.Fprintf(w, "endpoint\t%s\t%s\t%s\t%s\t%d slots\t%s\n", e.Name, e.Domain, cmp.Or(e.Region, "-"), e.Service, e.Slots, endpointState(e))
 		}
 		for _, a := range st.CustomerAccounts {
 			fmt.Fprintf(w, "customer\t%s\t%s\tlag %.0f\t%d waiting\t%d running\n", a.Customer, a.Service, a.Lag, a.Waiting, a.Running)
@@ -203,6 +201,16 @@
 	})
 }
 
+// endpointState returns why an endpoint gets no requests, or "open", and whether it is in an emptied
+// failure domain beside that.
+func endpointState(e operator.Endpoint) string {
+	state := cmp.Or(e.ClosedReason, "open")
+	if e.Evacuated && state != string(fleet.ReasonEvacuated) {
+		state += ", evacuated"
+	}
+	return state
+}
+
 func printExplanation(w io.Writer, e operator.Explanation) {
 	fmt.Fprintf(w, "request %s\n", e.Request)
 	if e.Note != "" {
--- a/internal/endpoint/verdict.go
+++ b/internal/endpoint/verdict.go
@@ -168,15 +168,15 @@
 	return changed
 }
 
-// QuietUntil returns when the first endpoint of a service takes requests again, and true
-// if all of its endpoints that could serve want quiet until then.
-func (t *Table) QuietUntil(service string, now time.Time) (time.Time, bool) {
+// QuietUntil returns when the first endpoint of a service in the given failure domains, nil for all,
+// takes requests again, and true if all of those that could serve want quiet until then.
+func (t *Table) QuietUntil(service string, domains map[string]bool, now time.Time) (time.Time, bool) {
 	if !now.Before(t.lastQuiet) {
 		return time.Time{}, false
 	}
 	var first time.Time
 	for _, e := range t.entries {
-		if e.instance.Service != service || e.leaving || t.evacuated(e) {
+		if e.instance.Service != service || !e.isIn(domains) || e.leaving || t.evacuated(e) {
 			continue
 		}
 		if !now.Before(e.quietUntil) {
@@ -196,12 +196,17 @@
 	return t.Evacuated != nil && t.Evacuated(e.instance.Domain)
 }
 
-// IsEvacuated reports whether all endpoints of a service that do not leave are in emptied failure
-// domains, and whether there are any.
-func (t *Table) IsEvacuated(service string) bool {
+// isIn reports whether the endpoint is in one of the given failure domains, nil for all.
+func (e *entry) isIn(domains map[string]bool) bool {
+	return domains == nil || domains[e.instance.Domain]
+}
+
+// IsEvacuated reports whether all endpoints of a service that do not leave, of those in the given
+// failure domains, nil for all, are in emptied ones, and whether there are any.
+func (t *Table) IsEvacuated(service string, domains map[string]bool) bool {
 	found := false
 	for _, e := range t.entries {
-		if e.instance.Service != service || e.leaving {
+		if e.instance.Service != service || !e.isIn(domains) || e.leaving {
 			continue
 		}
 		if !t.evacuated(e) {
--- a/internal/endpoint/verdict_test.go
+++ b/internal/endpoint/verdict_test.go
@@ -195,15 +195,15 @@
 	}
 	ask("m0", 3*time.Second)
 	ask("m1", 2*time.Second)
-	_, all := table.QuietUntil("model", now)
+	_, all := table.QuietUntil("model", nil, now)
 	require.False(t, all)
 	table.RecordLoad("m2", endpoint.Load{Leaving: true}, now)
-	until, all := table.QuietUntil("model", now)
+	until, all := table.QuietUntil("model", nil, now)
 	require.True(t, all)
 	require.Equal(t, start.Add(2*time.Second), until, "the first endpoint that takes requests again counts")
-	_, all = table.QuietUntil("model", start.Add(2*time.Second))
+	_, all = table.QuietUntil("model", nil, start.Add(2*time.Second))
 	require.False(t, all)
-	_, all = table.QuietUntil("other", now)
+	_, all = table.QuietUntil("other", nil, now)
 	require.False(t, all)
 }
 
--- a/internal/publication/follower.go
+++ b/internal/publication/follower.go
@@ -26,7 +26,7 @@
 	Trail *audit.Trail
 	// OnAccept is called with each configuration that comes into force, in order of
 	// versions and with the follower locked; nil is allowed.
-	OnAccept func(config arrangement.Config, version int64)
+	OnAccept func(config arrangement.Config, o Origin)
 
 	mu    sync.Mutex
 	state state
@@ -34,6 +34,16 @@
 	// rejected, nil if it was accepted.
 	outcomes       map[string]error
 	lastSnapshotAt time.Time // when the newest snapshot was appended
+	readAt         time.Time // when the last Poll that read the stream to its end began
+}
+
+// Origin is where a version of the configuration was read.
+type Origin struct {
+	Version int64
+	Cause   string
+	// Since is the earliest time at which the version may have been published, as far as
+	// this instance knows. It is the time of the call if this instance knew no version before.
+	Since time.Time
 }
 
 // Unavailable is the error for a log service that could not be used. The publication
@@ -75,7 +85,7 @@
 	if !f.state.adopt(snap) {
 		return false
 	}
-	f.notifyAccepted(before, "taken from peer "+from)
+	f.notifyAccepted(before, "taken from peer "+from, f.readAt)
 	return true
 }
 
@@ -83,11 +93,15 @@
 // if the log cannot be read.
 func (f *Follower) Poll(ctx context.Context) error {
 	for {
+		begun := time.Now()
 		more, err := f.readPage(ctx)
 		if err != nil {
 			return &Unavailable{Cause: err}
 		}
 		if !more {
+			f.mu.Lock()
+			f.readAt = begun
+			f.mu.Unlock()
 			return nil
 		}
 	}
@@ -141,7 +155,7 @@
 	}
 	before := f.state.snapshot.Version
 	if f.state.adopt(*newest) {
-		f.notifyAccepted(before, "snapshot in the log")
+		f.notifyAccepted(before, "snapshot in the log", f.readAt)
 		return true, nil
 	}
 	f.state.snapshot.NextOffset = max(f.state.snapshot.NextOffset, newest.NextOffset)
@@ -169,7 +183,7 @@
 		f.Trail.Add(audit.Entry{Type: audit.EventConfiguration, Subject: fmt.Sprintf("publication %s", w.ID), Change: "rejected", Cause: err.Error(), Actor: w.Actor})
 		return
 	}
-	f.notifyAccepted(before, "published by "+w.Actor)
+	f.notifyAccepted(before, "published by "+w.Actor, time.Now().Add(-r.Age))
 }
 
 func (f *Follower) recordOutcome(id string, err error) {
@@ -179,14 +193,17 @@
 	f.outcomes[id] = err
 }
 
-func (f *Follower) notifyAccepted(before int64, cause string) {
+func (f *Follower) notifyAccepted(before int64, cause string, since time.Time) {
 	version := f.state.snapshot.Version
 	if version == before {
 		return
 	}
 	f.Trail.Add(audit.Entry{Type: audit.EventConfiguration, Subject: fmt.Sprintf("version %d", version), Change: "in force", Cause: cause})
 	if f.OnAccept != nil {
-		f.OnAccept(f.state.config, version)
+		if before == 0 || since.IsZero() {
+			since = time.Now()
+		}
+		f.OnAccept(f.state.config, Origin{Version: version, Cause: cause, Since: since})
 	}
 }
 
--- a/internal/publication/publication_test.go
+++ b/internal/publication/publication_test.go
@@ -26,9 +26,9 @@
 func newFollower(t *testing.T, log *standin.Log, name string) *checkedFollower {
 	f := &checkedFollower{}
 	f.Follower = &publication.Follower{Log: log, Trail: &audit.Trail{Instance: name}}
-	f.OnAccept = func(_ arrangement.Config, version int64) {
-		require.Greater(t, version, f.lastVersion, "the version of the configuration did not increase")
-		f.lastVersion = version
+	f.OnAccept = func(_ arrangement.Config, o publication.Origin) {
+		require.Greater(t, o.Version, f.lastVersion, "the version of the configuration did not increase")
+		f.lastVersion = o.Version
 	}
 	return f
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -5,6 +5,8 @@
 import (
 	"container/list"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/greengagestep/greengagestep/internal/share"
@@ -212,15 +214,13 @@
 	return expired
 }
 
-// RemoveAll removes and returns all waiting requests of a service.
-func (q *Queue) RemoveAll(service string) []Request {
+// RemoveAll removes and returns all requests in the subqueue of a key.
+func (q *Queue) RemoveAll(k share.Key) []Request {
 	var removed []Request
-	for _, k := range q.Keys(service) {
-		for subqueue := q.subqueues[k]; subqueue.Len() > 0; {
-			r := subqueue.Front().Value.(Request)
-			q.remove(subqueue.Front(), r)
-			removed = append(removed, r)
-		}
+	for subqueue := q.subqueues[k]; subqueue != nil && subqueue.Len() > 0; {
+		r := subqueue.Front().Value.(Request)
+		q.remove(subqueue.Front(), r)
+		removed = append(removed, r)
 	}
 	return removed
 }
@@ -251,6 +251,9 @@
 	return keys
 }
 
+// AllKeys returns the keys for which requests wait, in no particular order.
+func (q *Queue) AllKeys() []share.Key { return slices.Collect(maps.Keys(q.subqueues)) }
+
 // Oldest returns the arrival time of the request at the front of a key's subqueue, and
 // false if none waits.
 func (q *Queue) Oldest(k share.Key) (time.Time, bool) {
--- a/internal/router/explain.go
+++ b/internal/router/explain.go
@@ -65,4 +65,7 @@
 	_, version := r.follower.Config()
 	set("configuration.version", int(version))
 	set("claims.appends", r.claims.Appends())
+	for domain, last := range r.lastSends() {
+		set("evacuations."+domain+".last", int(last.Milliseconds()))
+	}
 }
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -253,6 +253,8 @@
 type readiness struct {
 	// servable contains the services that have an endpoint that can serve them.
 	servable map[string]bool
+	// domains contains, by service, the failure domains that have such an endpoint.
+	domains map[string]map[string]bool
 	// missing maps each service that is not ready to the service that is not
 	// servable: the service itself or one that it depends on.
 	missing map[string]string
@@ -264,11 +266,15 @@
 	if config == nil {
 		return
 	}
-	current := &readiness{servable: map[string]bool{}, missing: map[string]string{}}
+	current := &readiness{servable: map[string]bool{}, domains: map[string]map[string]bool{}, missing: map[string]string{}}
 	r.dispatcher.With(func(s *scheduler.Scheduler) {
 		for _, e := range states {
 			if e.Ready && s.Home(e.Name) != "" {
 				current.servable[e.Service] = true
+				if current.domains[e.Service] == nil {
+					current.domains[e.Service] = map[string]bool{}
+				}
+				current.domains[e.Service][e.Domain] = true
 			}
 		}
 	})
--- a/internal/router/operators.go
+++ b/internal/router/operators.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/greengagestep/greengagestep/internal/audit"
@@ -98,7 +99,8 @@
 			e.ClosedReason = r.reasonInForce(e.Name)
 		}
 		status.Endpoints = append(status.Endpoints, operator.Endpoint{
-			Name: e.Name, Service: e.Service, Domain: e.Domain, Slots: e.Slots, Ready: e.Ready, ClosedReason: e.ClosedReason,
+			Name: e.Name, Service: e.Service, Domain: e.Domain, Region: config.Region(e.Domain), Slots: e.Slots, Ready: e.Ready,
+			Evacuated: slices.Contains(config.Evacuated, e.Domain), ClosedReason: e.ClosedReason,
 		})
 	}
 	for i := range status.Members {
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"sync/atomic"
 
 	"github.com/greengagestep/greengagestep/internal/queue"
@@ -32,10 +33,41 @@
 // Without a configuration or an entry in it, defaults apply.
 type policy struct {
 	config atomic.Pointer[arrangement.Config]
+	// domains holds the failure domains whose endpoints may run the requests of each customer
+	// that has regions.
+	domains atomic.Pointer[map[string]map[string]bool]
+}
+
+// set puts a configuration into force.
+func (p *policy) set(config arrangement.Config) {
+	domains := map[string]map[string]bool{}
+	for _, c := range config.Customers {
+		if len(c.Regions) == 0 {
+			continue
+		}
+		domains[c.Name] = map[string]bool{}
+		for _, d := range config.Domains {
+			if slices.Contains(c.Regions, d.Region) {
+				domains[c.Name][d.Name] = true
+			}
+		}
+	}
+	p.domains.Store(&domains)
+	p.config.Store(&config)
+}
+
+// domainsOf returns the failure domains whose endpoints may run the requests of a customer, nil for
+// all.
+func (p *policy) domainsOf(customer string) map[string]bool {
+	if domains := p.domains.Load(); domains != nil {
+		return (*domains)[customer]
+	}
+	return nil
 }
 
 func (p *policy) apply(s *scheduler.Scheduler, memoryBytes int64) {
 	s.Policy.Unit = p.unit
+	s.Policy.Domains = p.domainsOf
 	s.Policy.Slack = func(service string) float64 { return slackSeconds * p.rate(service) }
 	s.Ledger.Weight = p.weight
 	s.Ledger.Policy = func(service string) share.Policy {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -81,6 +81,7 @@
 	endpoints    *endpoint.Table
 	peerVersions map[string]int64 // configuration version of each peer
 	leadership   leadership
+	places       places
 	readiness    atomic.Pointer[readiness]
 
 	parts           []messagePart
@@ -159,7 +160,7 @@
 	r.claims = &claim.Registry{Self: r.Name, Incarnation: r.self.Incarnation, Log: r.Log, Peers: claimPeers{r}, Trail: r.trail}
 	r.caller = &caller.Handler{
 		Instance: r.Name, Dispatcher: r.dispatcher, EndpointClient: r.proxyClient,
-		Target: r.target, RecordAnswer: r.recordAnswer, QuietUntil: r.quietUntil, IsEvacuated: r.isEvacuated,
+		Target: r.target, RecordAnswer: r.recordAnswer, QuietUntil: r.quietUntil, RefusalReason: r.refusalReason,
 		RecordResult: r.recordResult, Crashed: r.isCrashed, Claims: r.claims, Trail: r.trail,
 		Ready: r.serviceReady, Quarantine: r.quarantine, Budget: &budget.Budget{Slack: retryBudgetSlack}, Metrics: r.metrics,
 	}
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -18,9 +18,9 @@
 	"github.com/greengagestep/greengagestep/internal/audit"
 	"github.com/greengagestep/greengagestep/internal/caller"
 	"github.com/greengagestep/greengagestep/internal/endpoint"
+	"github.com/greengagestep/greengagestep/internal/publication"
 	"github.com/greengagestep/greengagestep/internal/scheduler"
 	"github.com/greengagestep/greengagestep/pkg/arrangement"
-	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
 const (
@@ -73,9 +73,10 @@
 }
 
 // applyConfiguration puts a configuration into force at this instance.
-func (r *Router) applyConfiguration(config arrangement.Config, _ int64) {
-	r.policy.config.Store(&config)
+func (r *Router) applyConfiguration(config arrangement.Config, o publication.Origin) {
+	r.policy.set(config)
 	r.caller.SetConfiguration(config)
+	r.applyEvacuations(config.Evacuated, o)
 	go r.updateEndpoints(time.Now())
 }
 
@@ -121,33 +122,15 @@
 	r.mu.Unlock()
 	endpoints := make([]scheduler.Endpoint, 0, len(states))
 	reasons := make(map[string]string, len(states))
-	quiet, evacuated := map[string]bool{}, map[string]bool{}
 	for _, s := range states {
-		if _, known := evacuated[s.Service]; !known {
-			evacuated[s.Service] = r.isEvacuated(s.Service)
-		}
 		reasons[s.Name] = s.ClosedReason
 		endpoints = append(endpoints, scheduler.Endpoint{
 			Name: s.Name, Service: s.Service, Domain: s.Domain, Slots: s.Slots, Closed: s.Closed, Quiet: s.Quiet, Limit: s.Limit,
 		})
-		if s.Quiet && !quiet[s.Service] {
-			_, quiet[s.Service] = r.quietUntil(s.Service)
-		}
 	}
-	r.dispatcher.With(func(s *scheduler.Scheduler) {
-		s.SetEndpoints(endpoints, now)
-		for service, all := range quiet {
-			if all {
-				s.RefuseWaiting(service, fleet.ReasonQuiet)
-			}
-		}
-		for service, all := range evacuated {
-			if all {
-				s.RefuseWaiting(service, fleet.ReasonEvacuated)
-			}
-		}
-	})
+	r.dispatcher.With(func(s *scheduler.Scheduler) { s.SetEndpoints(endpoints, now) })
 	r.updateReadiness(states)
+	r.refuseWaiting()
 	r.inForce.Store(&reasons)
 }
 
@@ -178,6 +161,8 @@
 	if !verdict.Allowed() {
 		reason := strings.ReplaceAll(string(verdict.Reason), " ", "-")
 		metrics.GetOrRegisterCounter("endpoints.withheld."+reason+"."+string(verdict.Source), r.metrics).Inc(1)
+	} else if in, ok := r.endpoints.Instance(name); ok && use != endpoint.UseProbe {
+		r.places.recordSend(in.Domain, time.Now())
 	}
 	return target, verdict
 }
@@ -194,20 +179,10 @@
 	}
 }
 
-func (r *Router) quietUntil(service string) (time.Time, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.endpoints.QuietUntil(service, time.Now())
-}
-
-// isEvacuated implements caller.Handler's IsEvacuated.
-func (r *Router) isEvacuated(service string) bool {
-	if config := r.policy.config.Load(); config == nil || len(config.Evacuated) == 0 {
-		return false
-	}
+func (r *Router) quietUntil(service, customer string) (time.Time, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.endpoints.IsEvacuated(service)
+	return r.endpoints.QuietUntil(service, r.policy.domainsOf(customer), time.Now())
 }
 
 // pollLoads requests load reports from the endpoints that this instance is the home
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -82,7 +82,11 @@
 // domain, then those with the most free slots.
 func (s *Scheduler) candidateHomes(k share.Key) []candidateHome {
 	var homes []candidateHome
+	domains := s.domains(k)
 	for name, sameDomain := range s.peerHomes[k.Service] {
+		if domains != nil && !s.grantsIn(name, k.Service, domains) {
+			continue
+		}
 		p := s.peer(name)
 		homes = append(homes, candidateHome{name, sameDomain, p.receivedFreeSlots[k.Service], p.sentState.Waiting(k) > 0})
 	}
@@ -100,6 +104,17 @@
 	return homes
 }
 
+// grantsIn reports whether a peer is the home of an open endpoint of a service in one of the given
+// failure domains.
+func (s *Scheduler) grantsIn(home, service string, domains map[string]bool) bool {
+	for name, e := range s.endpoints {
+		if s.owners[name] == home && e.Service == service && !e.Closed && domains[e.Domain] {
+			return true
+		}
+	}
+	return false
+}
+
 func compareBool(a, b bool) int {
 	if a == b {
 		return 0
--- a/internal/scheduler/quiet_test.go
+++ b/internal/scheduler/quiet_test.go
@@ -65,9 +65,9 @@
 	s.Finish("r0", now)
 	require.Len(t, port.started, 1)
 	require.Equal(t, 1, s.Status().Waiting)
-	s.RefuseWaiting("other", fleet.ReasonQuiet)
+	s.RefuseWaiting(share.Key{Service: "other", Customer: "a"}, fleet.ReasonQuiet)
 	require.Empty(t, port.reasons)
-	s.RefuseWaiting("model", fleet.ReasonQuiet)
+	s.RefuseWaiting(share.Key{Service: "model", Customer: "a"}, fleet.ReasonQuiet)
 	require.Equal(t, map[string]fleet.Reason{"later": fleet.ReasonQuiet}, port.reasons)
 	require.Zero(t, s.Status().Waiting)
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -70,6 +70,9 @@
 	// is still served next from a slot that became free here; nil means none. It
 	// saves the round trip to the home.
 	Slack func(service string) float64
+	// Domains returns the failure domains whose endpoints may run the requests of a
+	// customer; nil means all.
+	Domains func(customer string) map[string]bool
 }
 
 // Scheduler holds the scheduling state of one entry instance. It is not safe for
@@ -114,7 +117,7 @@
 
 // New returns a scheduler for an instance that starts at now.
 func New(self member.Member, now time.Time) *Scheduler {
-	return &Scheduler{
+	s := &Scheduler{
 		Table:      member.New(self),
 		Ledger:     share.New(),
 		Queue:      queue.New(),
@@ -132,6 +135,8 @@
 		recovering: map[string]bool{},
 		started:    now,
 	}
+	s.home.Allows = s.allows
+	return s
 }
 
 func (s *Scheduler) self() string { return s.Table.Self.Name }
@@ -150,6 +155,20 @@
 	return s.Policy.Slack(service)
 }
 
+// domains returns the failure domains whose endpoints may run the requests of an account, nil for all.
+func (s *Scheduler) domains(k share.Key) map[string]bool {
+	if s.Policy.Domains == nil {
+		return nil
+	}
+	return s.Policy.Domains(k.Customer)
+}
+
+// allows reports whether an endpoint may run the requests of an account.
+func (s *Scheduler) allows(k share.Key, endpoint string) bool {
+	domains := s.domains(k)
+	return domains == nil || domains[s.endpoints[endpoint].Domain]
+}
+
 func (s *Scheduler) order(k share.Key, pendingCustomer, pendingKind int) (float64, float64) {
 	if s.Order != nil {
 		return s.Order(k, pendingCustomer, pendingKind)
@@ -291,7 +310,7 @@
 // requests that go first. Otherwise it keeps the slot idle or returns it.
 func (s *Scheduler) reuse(l *slot.Lease, now time.Time) {
 	if s.mayReuse(l, now) {
-		k, ok := s.bestAccount(l.Service)
+		k, ok := s.bestAccount(l)
 		if ok && s.start(l, k, now) {
 			return
 		}
@@ -335,22 +354,26 @@
 	return running >= e.Limit
 }
 
-// RefuseWaiting refuses the requests of a service that wait here.
-func (s *Scheduler) RefuseWaiting(service string, reason fleet.Reason) {
-	for _, r := range s.Queue.RemoveAll(service) {
-		s.updateCounts(r.Key)
+// RefuseWaiting refuses the requests of an account that wait here.
+func (s *Scheduler) RefuseWaiting(k share.Key, reason fleet.Reason) {
+	for _, r := range s.Queue.RemoveAll(k) {
+		s.updateCounts(k)
 		s.Port.Refuse(r, reason)
 	}
 }
 
-// bestAccount returns the account to serve next among those with requests waiting
-// here. It returns false if there is none or if another instance has waiting requests
+// bestAccount returns the account to serve next in a slot held here, among those with requests
+// waiting here that its endpoint may run. It returns false if there is none or if another instance has waiting requests
 // whose sort key is lower by more than the slack.
-func (s *Scheduler) bestAccount(service string) (share.Key, bool) {
+func (s *Scheduler) bestAccount(l *slot.Lease) (share.Key, bool) {
+	service := l.Service
 	var best share.Key
 	var bestCustomerKey, bestKindKey float64
 	found := false
 	for _, k := range s.Queue.Keys(service) {
+		if !s.allows(k, l.Endpoint) {
+			continue
+		}
 		customerKey, kindKey := s.order(k, 0, 0)
 		if !found || customerKey < bestCustomerKey || (customerKey == bestCustomerKey && (kindKey < bestKindKey || (kindKey == bestKindKey && less(k, best)))) {
 			best, bestCustomerKey, bestKindKey, found = k, customerKey, kindKey, true
@@ -371,6 +394,9 @@
 }
 
 func (s *Scheduler) start(l *slot.Lease, k share.Key, now time.Time) bool {
+	if !s.allows(k, l.Endpoint) {
+		return false
+	}
 	r, ok := s.Queue.Pop(k, queue.Target{
 		Endpoint:     l.Endpoint,
 		Suspects:     s.suspects[l.Endpoint],
--- a/internal/slot/decide.go
+++ b/internal/slot/decide.go
@@ -55,13 +55,13 @@
 }
 
 // chooseEndpoint returns the endpoint for a grant: the one with the largest fraction of
-// free slots, or nil if only recently declined endpoints have free slots.
+// free slots, or nil if only endpoints that were declined recently or are not allowed have some.
 func (h *Home) chooseEndpoint(e *entry, k share.Key, now time.Time) *endpoint {
 	var best *endpoint
 	bestFraction := 0.0
 	for _, ep := range h.endpoints {
 		free := ep.freeSlots(now)
-		if ep.service != k.Service || free == 0 || e.avoids(k, ep.name, now) {
+		if ep.service != k.Service || free == 0 || e.avoids(k, ep.name, now) || h.Allows != nil && !h.Allows(k, ep.name) {
 			continue
 		}
 		freeFraction := float64(free) / float64(ep.slots)
--- a/internal/slot/home.go
+++ b/internal/slot/home.go
@@ -39,6 +39,8 @@
 	// Domain is the failure domain of the instance. Among entry instances with
 	// requests of the same account, those of this domain are preferred.
 	Domain string
+	// Allows reports whether an endpoint may run the requests of an account; nil means that all may.
+	Allows func(k share.Key, endpoint string) bool
 
 	endpoints  map[string]*endpoint
 	entries    map[string]*entry
--- a/pkg/arrangement/arrangement_test.go
+++ b/pkg/arrangement/arrangement_test.go
@@ -46,6 +46,9 @@
 		{"a region that is listed twice", "services:\n  - name: a\nroutes:\n  - name: r\n    path: /r/\n    regions: [n, n]\n    to: [{service: a}]\n", `6:18: route "r" lists region "n" twice`},
 		{"a domain that is evacuated twice", "services:\n  - name: a\nevacuated: [d0, d1, d0]\n", `3:21: failure domain "d0" is listed as evacuated twice`},
 		{"an empty region", "customers:\n  - name: a\n    keys: [k]\n    regions: ['']\n", `4:15: customer "a" has an empty region`},
+		{"a region without a domain", "customers:\n  - name: a\n    keys: [k]\n    regions: [n, s]\ndomains:\n  - {name: d0, region: n}\n", `4:18: customer "a" names region "s", which no failure domain is in`},
+		{"a domain that is listed twice", "domains:\n  - {name: d0, region: n}\n  - {name: d0, region: s}\n", `3:12: failure domain "d0" is listed twice`},
+		{"a domain without a region", "domains:\n  - name: d0\n", `2:5: failure domain "d0" states no region`},
 		{"a target latency above the timeout", "services:\n  - name: a\nroutes:\n  - name: r\n    path: /r/\n    aim: 500\n    timeout: 100\n    to: [{service: a}]\n", `6:10: aim of route "r" is over its timeout of 100 ms`},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/pkg/arrangement/check.go
+++ b/pkg/arrangement/check.go
@@ -27,6 +27,7 @@
 	c.models()
 	c.routes()
 	c.limits()
+	c.domains()
 	c.evacuated()
 	slices.SortStableFunc(c.faults, func(a, b Fault) int {
 		if a.Line != b.Line {
@@ -181,6 +182,27 @@
 		if slices.Contains(regions[:i], region) {
 			c.report(fmt.Sprintf("%s.regions[%d]", at, i), "%s %q lists region %q twice", section, name, region)
 		}
+		inRegion := func(d Domain) bool { return d.Region == region }
+		if region != "" && len(c.config.Domains) > 0 && !slices.ContainsFunc(c.config.Domains, inRegion) {
+			c.report(fmt.Sprintf("%s.regions[%d]", at, i), "%s %q names region %q, which no failure domain is in", section, name, region)
+		}
+	}
+}
+
+func (c *checker) domains() {
+	names := map[string]bool{}
+	for i, d := range c.config.Domains {
+		at := fmt.Sprintf("$.domains[%d]", i)
+		switch {
+		case d.Name == "":
+			c.report(at, "a failure domain has no name")
+		case names[d.Name]:
+			c.report(at+".name", "failure domain %q is listed twice", d.Name)
+		}
+		if d.Region == "" {
+			c.report(at, "failure domain %q states no region", d.Name)
+		}
+		names[d.Name] = true
 	}
 }
 
--- a/pkg/arrangement/config.go
+++ b/pkg/arrangement/config.go
@@ -18,10 +18,20 @@
 	Models    []Model    `yaml:"models,omitempty" json:"models,omitempty"`
 	Routes    []Route    `yaml:"routes,omitempty" json:"routes,omitempty"`
 	Limits    Limits     `yaml:"limits,omitempty" json:"limits,omitzero"`
+	// Domains says in which region each failure domain is; one that is not listed is in none.
+	// The instances of `greengagestep serve` have that from their settings instead.
+	Domains []Domain `yaml:"domains,omitempty" json:"domains,omitempty"`
 	// Evacuated lists the failure domains whose endpoints get no new requests.
 	Evacuated []string `yaml:"evacuated,omitempty" json:"evacuated,omitempty"`
 }
 
+// Domain is a failure domain and its region.
+type Domain struct {
+	// Name is unique among the domains.
+	Name   string `yaml:"name" json:"name"`
+	Region string `yaml:"region" json:"region"`
+}
+
 // Limits holds limits on what callers may send, and the total rate of the endpoints.
 type Limits struct {
 	// MaxBodyBytes is the size limit of a request body. The default (zero) value
@@ -203,6 +213,16 @@
 	return c.Services[i], true
 }
 
+// Region returns the region of a failure domain; empty means that it is in none.
+func (c Config) Region(domain string) string {
+	for _, d := range c.Domains {
+		if d.Name == domain {
+			return d.Region
+		}
+	}
+	return ""
+}
+
 // Model returns the model with the given name, and whether it exists.
 func (c Config) Model(name string) (Model, bool) {
 	i := slices.IndexFunc(c.Models, func(m Model) bool { return m.Name == name })
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -56,11 +56,15 @@
 // Endpoint is an endpoint as the reporting instance sees it. ClosedReason is the reason
 // why the endpoint gets no new requests; empty means that it gets them.
 type Endpoint struct {
-	Name         string `json:"name"`
-	Service      string `json:"service"`
-	Domain       string `json:"domain"`
-	Slots        int    `json:"slots"`
-	Ready        bool   `json:"ready"`
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	Domain  string `json:"domain"`
+	// Region is empty if the failure domain is in none.
+	Region string `json:"region,omitempty"`
+	Slots  int    `json:"slots"`
+	Ready  bool   `json:"ready"`
+	// Evacuated is set if operators have emptied the failure domain.
+	Evacuated    bool   `json:"evacuated,omitempty"`
 	ClosedReason string `json:"closed,omitempty"`
 }
 
