run: cold endpoints get requests at their service's start-up rate

Cause: starts and startup of a service did nothing on run; endpoints that returned cold got their whole load at once. Nothing acts without starts in the configuration.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -45,6 +45,10 @@
 	if !verdict.Allowed() {
 		return nil, &endpoint.Withheld{Endpoint: slot.Endpoint, Verdict: verdict}
 	}
+	ctx, err := c.withStart(ctx, slot.Endpoint)
+	if err != nil {
+		return nil, err
+	}
 	c.lastAttempt = quarantine.Attempt{
 		Quarantine: c.h.Quarantine, Endpoint: slot.Endpoint, Request: c.id, Signatures: c.signatures, Sent: time.Now(),
 	}
@@ -78,6 +82,15 @@
 	return nil, nil
 }
 
+// withStart returns the context for a call to an endpoint, whose home may have to grant a start first.
+func (c *call) withStart(ctx context.Context, name string) (context.Context, error) {
+	if c.h.Start == nil {
+		return ctx, nil
+	}
+	expires, err := c.h.Start(ctx, name)
+	return endpoint.WithExpiry(ctx, expires), err
+}
+
 // recordFailure counts a failure against the endpoint, unless the request was
 // cancelled or its deadline passed.
 func (c *call) recordFailure(ctx context.Context, f *endpoint.Failure) *endpoint.Failure {
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -50,6 +51,9 @@
 	// Target returns where a request for an endpoint is sent and whether it may be sent
 	// there now.
 	Target func(name string) (endpoint.Target, endpoint.Verdict)
+	// Start returns until when a request may be begun at an endpoint, zero for any time, or a
+	// *endpoint.Withheld if the endpoint is cold and its home grants no start; nil means any time.
+	Start func(ctx context.Context, name string) (expires time.Time, err error)
 	// RecordAnswer records what an endpoint said about itself in an answer.
 	RecordAnswer func(target endpoint.Target, a endpoint.Answer)
 	// QuietUntil returns until when all endpoints of a service that a customer may use
@@ -325,6 +329,7 @@
 		slot.Release()
 		if err != nil {
 			c.recordStep("not sent", err.Error())
+			c.awaitStart(ctx, err)
 			continue
 		}
 		if failure == nil {
@@ -342,6 +347,22 @@
 	}
 }
 
+// startDelay is how long a request waits at least after a refused start.
+const startDelay = 10 * time.Millisecond
+
+// awaitStart waits for a moment if the home of a cold endpoint has granted no start, so that the request
+// does not ask without pause while another instance holds the endpoint for warm.
+func (c *call) awaitStart(ctx context.Context, err error) {
+	var withheld *endpoint.Withheld
+	if !errors.As(err, &withheld) || withheld.Verdict.Reason != endpoint.ReasonCold {
+		return
+	}
+	select {
+	case <-time.After(startDelay + rand.N(startDelay)):
+	case <-ctx.Done():
+	}
+}
+
 // acquire waits for a slot. A request is refused at once while no endpoint of its service
 // takes any, unless its response has begun: that waits for the first endpoint.
 func (c *call) acquire(ctx context.Context, request queue.Request, retry bool) (*dispatch.Slot, error) {
--- a/internal/command/query.go
+++ b/internal/command/query.go
@@ -201,13 +201,16 @@
 	})
 }
 
-// endpointState returns why an endpoint gets no requests, or "open", and whether it is in an emptied
-// failure domain beside that.
+// endpointState returns why an endpoint gets no requests, or "open", and beside that whether it is in
+// an emptied failure domain and whether it is cold.
 func endpointState(e operator.Endpoint) string {
 	state := cmp.Or(e.ClosedReason, "open")
 	if e.Evacuated && state != string(fleet.ReasonEvacuated) {
 		state += ", evacuated"
 	}
+	if e.Cold {
+		state += ", cold"
+	}
 	return state
 }
 
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -202,6 +202,14 @@
 	return ""
 }
 
+// Domain returns the failure domain of an endpoint, or an empty string if it is unknown.
+func (s *Site) Domain(endpoint string) string {
+	address := s.Address(endpoint)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.domainByAddress[address]
+}
+
 // updateList adds an entry to the instance list or replaces the entry of the same name.
 func (s *Site) updateList(in fleet.Instance) {
 	s.mu.Lock()
--- a/internal/demo/soak_test.go
+++ b/internal/demo/soak_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -27,16 +28,33 @@
 // twice, and refused requests were not executed. Longer runs:
 //
 //	go test ./internal/demo -run Soak -soak.steps 2000 -soak.seeds 20
-func TestSoak(t *testing.T) { soakSeedsOf(t, false) }
+func TestSoak(t *testing.T) { soakSeedsOf(t, soakFaults) }
 
 // TestSoakWithSignals is TestSoak with endpoints that ask for quiet, fall silent for a moment, spoil
 // events of streams and fail the rest of broken ones.
-func TestSoakWithSignals(t *testing.T) { soakSeedsOf(t, true) }
+func TestSoakWithSignals(t *testing.T) { soakSeedsOf(t, soakSignals) }
 
-func soakSeedsOf(t *testing.T, signals bool) {
+// TestSoakWithPlaces is TestSoak with endpoints that return cold and failure domains that are emptied, beside
+// kills of instances, endpoints that pause and an unavailable platform. Instances are not frozen and
+// domains not cut off: a write that waits for the end of a freeze has been decided on before. Beside
+// the checks of TestSoak, no cold endpoint gets more than the limit of its rate in any second from when
+// its callers can know of it, and none in an emptied domain gets a request of an instance that has the
+// configuration in force.
+func TestSoakWithPlaces(t *testing.T) { soakSeedsOf(t, soakPlaces) }
+
+// soakMode is what a soak run does beside its random faults.
+type soakMode string
+
+const (
+	soakFaults  soakMode = "faults"
+	soakSignals soakMode = "signals"
+	soakPlaces  soakMode = "places"
+)
+
+func soakSeedsOf(t *testing.T, mode soakMode) {
 	for seed := *soakFirst; seed < *soakFirst+uint64(*soakSeeds); seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { soak(t, seed, *soakSteps, signals) })
+			synctest.Test(t, func(t *testing.T) { soak(t, seed, *soakSteps, mode) })
 		})
 	}
 }
@@ -46,19 +64,24 @@
 	scenario
 	rng        *rand.Rand
 	job        *job
+	mode       soakMode
 	down       map[string]bool
 	faultTrace []string
 }
 
-func soak(t *testing.T, seed uint64, steps int, signals bool) {
-	signalRNG := rand.New(rand.NewPCG(seed, 9))
-	s := &soakRun{rng: rand.New(rand.NewPCG(seed, 5)), job: newJob(), down: map[string]bool{}}
+func soak(t *testing.T, seed uint64, steps int, mode soakMode) {
+	modeRNG := rand.New(rand.NewPCG(seed, 9))
+	s := &soakRun{rng: rand.New(rand.NewPCG(seed, 5)), job: newJob(), down: map[string]bool{}, mode: mode}
 	s.site = &demo.Site{
 		Network: &standin.MemoryNetwork{}, InstanceCount: 5, DomainCount: 3, EngineCount: 4, PlainCount: 4,
 		CallTime: 30 * time.Millisecond, DrainTimeout: 30 * time.Second, Retention: time.Hour,
 	}
 	require.NoError(t, s.site.Start())
-	_, err := s.site.Publish(t.Context(), demo.ConfigText(), 0)
+	text := demo.ConfigText()
+	if mode == soakPlaces {
+		text = strings.ReplaceAll(text, "    slots: 4\n", fmt.Sprintf("    slots: 4\n    starts: %d\n    startup: %.0f\n", soakRate, soakStartup.Seconds()))
+	}
+	_, err := s.site.Publish(t.Context(), text, 0)
 	require.NoError(t, err)
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
@@ -66,11 +89,15 @@
 	for range steps {
 		time.Sleep(time.Duration(s.rng.IntN(1500)) * time.Millisecond)
 		s.injectFault(t)
-		if signals {
-			s.signal(signalRNG)
+		switch mode {
+		case soakSignals:
+			s.signal(modeRNG)
+		case soakPlaces:
+			s.changePlaces(t, modeRNG)
 		}
 	}
 	s.clearFaults(t)
+	s.checkPlaces(t)
 	close(stop)
 	callers.Wait()
 	s.job.wg.Wait()
@@ -126,6 +153,9 @@
 	other := fmt.Sprintf("d%d", s.rng.IntN(3))
 	node := s.site.Nodes[s.rng.IntN(len(s.site.Nodes))]
 	fault := s.rng.IntN(13)
+	if s.mode == soakPlaces && (fault >= 2 && fault <= 6 || fault == 8) {
+		return
+	}
 	s.faultTrace = append(s.faultTrace, fmt.Sprintf("%d:%s:%s", fault, domain, node.Name))
 	switch fault {
 	case 0, 1:
--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -87,6 +87,22 @@
 	return p
 }
 
+// expiryKey is the context key of the time until which a request may be begun.
+type expiryKey struct{}
+
+// WithExpiry returns a context for Call whose request is begun before a time or not at all: Call returns
+// a *Withheld if there is no connection by then. A zero time means that there is no such limit.
+func WithExpiry(ctx context.Context, expires time.Time) context.Context {
+	if expires.IsZero() {
+		return ctx
+	}
+	return context.WithValue(ctx, expiryKey{}, expires)
+}
+
+func errStartExpired(name string) *Withheld {
+	return &Withheld{Endpoint: name, Verdict: Verdict{Reason: ReasonCold, Source: SourceHome}}
+}
+
 // endpointKey is the context key of the name of the endpoint that is called.
 type endpointKey struct{}
 
@@ -96,7 +112,11 @@
 		return conn, err
 	}
 	name, _ := ctx.Value(endpointKey{}).(string)
-	if err := c.Permit(name); err != nil {
+	err = c.Permit(name)
+	if expires, ok := ctx.Value(expiryKey{}).(time.Time); err == nil && ok && time.Now().After(expires) {
+		err = errStartExpired(name)
+	}
+	if err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
@@ -149,6 +169,16 @@
 func (c *Client) Call(ctx context.Context, name string, req *http.Request, idempotent bool) (*http.Response, error) {
 	var connected atomic.Bool
 	p := c.pool(req.URL.Host)
+	if expires, ok := ctx.Value(expiryKey{}).(time.Time); ok {
+		var expire context.CancelCauseFunc
+		ctx, expire = context.WithCancelCause(ctx)
+		timer := time.AfterFunc(time.Until(expires), func() {
+			if !connected.Load() {
+				expire(errStartExpired(name))
+			}
+		})
+		defer timer.Stop()
+	}
 	ctx = httptrace.WithClientTrace(context.WithValue(ctx, endpointKey{}, name), &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 		PutIdleConn: func(error) {
@@ -171,7 +201,7 @@
 		return resp, nil
 	}
 	var withheld *Withheld
-	if errors.As(err, &withheld) {
+	if errors.As(err, &withheld) || !connected.Load() && errors.As(context.Cause(ctx), &withheld) {
 		return nil, withheld
 	}
 	f := &Failure{Endpoint: name, Reason: fleet.ReasonUnreachable, Reached: connected.Load(), Cause: err}
--- a/internal/endpoint/call_test.go
+++ b/internal/endpoint/call_test.go
@@ -153,3 +153,45 @@
 		network.Close()
 	}
 }
+
+// A connection that takes longer than the start of a cold endpoint may be used carries no request.
+func TestCallIsWithheldAfterItsStartExpired(t *testing.T) {
+	for name, c := range map[string]struct{ dial, lifetime time.Duration }{
+		"slow dial":          {200 * time.Millisecond, 80 * time.Millisecond},
+		"expired before":     {0, -time.Millisecond},
+		"in time":            {50 * time.Millisecond, 80 * time.Millisecond},
+		"dial without limit": {200 * time.Millisecond, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var arrived atomic.Int32
+				network := &standin.MemoryNetwork{}
+				address, stop := serve(t, network, func(http.ResponseWriter, *http.Request) { arrived.Add(1) })
+				defer stop()
+				client := endpoint.NewClient(func(ctx context.Context, n, a string) (net.Conn, error) {
+					time.Sleep(c.dial)
+					return network.Dial(ctx, n, a)
+				})
+				client.Permit = func(string) error { return nil }
+				defer client.Close()
+				req, err := http.NewRequest(http.MethodPost, "http://"+address+"/order", strings.NewReader("x"))
+				require.NoError(t, err)
+				ctx := t.Context()
+				if c.lifetime != 0 {
+					ctx = endpoint.WithExpiry(ctx, time.Now().Add(c.lifetime))
+				}
+				resp, err := client.Call(ctx, "p0", req, false)
+				time.Sleep(time.Second)
+				if c.lifetime == 0 || c.dial < c.lifetime {
+					require.NoError(t, err)
+					require.NoError(t, resp.Body.Close())
+					require.EqualValues(t, 1, arrived.Load())
+					return
+				}
+				var withheld *endpoint.Withheld
+				require.ErrorAs(t, err, &withheld)
+				require.Zero(t, arrived.Load())
+			})
+		})
+	}
+}
--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -57,6 +57,9 @@
 	Limit int `json:"limit,omitempty"`
 	// Incarnation is that of the instance list, zero if it states none.
 	Incarnation uint64 `json:"incarnation,omitempty"`
+	// Cold is how long the endpoint is cold or may be: requests need a start there. Zero
+	// means that it is warm.
+	Cold time.Duration `json:"cold,omitempty"`
 	// Ready is set if the endpoint has loaded what its service needs.
 	Ready   bool   `json:"ready"`
 	Model   string `json:"model,omitempty"`
@@ -73,6 +76,9 @@
 	Version string `json:"version,omitempty"`
 	Role    string `json:"role,omitempty"`
 	Fence   int64  `json:"fence,omitempty"`
+	// ColdMillis is how long the endpoint is still cold after its start, in milliseconds. It is
+	// nil if the endpoint does not say, 0 if it is warm.
+	ColdMillis *int64 `json:"cold,omitempty"`
 }
 
 // Change is a state transition of an endpoint, for the audit trail.
@@ -98,6 +104,9 @@
 	Draining func(name string) bool
 	// Evacuated reports whether operators have emptied a failure domain; nil means never.
 	Evacuated func(domain string) bool
+	// StartupTime returns how long an endpoint of a service is cold after its start; zero or nil
+	// means never.
+	StartupTime func(service string) time.Duration
 	// OnChange is called for every transition; nil is allowed.
 	OnChange func(Change)
 
@@ -144,6 +153,7 @@
 	probing     bool
 	droppedAt   time.Time // when the instance list no longer had it
 	silentSince time.Time // zero unless the last request for a load report timed out
+	warmth      warmth
 }
 
 // NewTable returns an empty table.
@@ -210,6 +220,11 @@
 	if in.Leaving {
 		t.markLeaving(e, SourceList, "instance list", now)
 	}
+	t.markCold(e, "instance list", SourceList, now)
+	if in.Incarnation != 0 {
+		// What its home says of this incarnation is about this start.
+		e.warmth.doubtUntil = now
+	}
 }
 
 func (t *Table) markLeaving(e *entry, from Source, cause string, now time.Time) {
@@ -235,6 +250,12 @@
 	if l.Ready && !e.load.Ready {
 		e.slowStartAt = now
 	}
+	switch {
+	case l.ColdMillis != nil:
+		t.setCold(e, time.Duration(*l.ColdMillis)*time.Millisecond, "its load report", SourceReport, now)
+	case !e.silentSince.IsZero():
+		t.markCold(e, "sent nothing for a while", SourceReport, now)
+	}
 	e.load = l
 	e.reportedAt = now
 	if !e.silentSince.IsZero() {
@@ -282,6 +303,7 @@
 		return
 	}
 	e.failures++
+	t.markCold(e, "a call failed", SourceSelf, now)
 	if e.probing || e.failures >= ejectionThreshold {
 		t.eject(e, now)
 	}
@@ -305,6 +327,7 @@
 		return
 	}
 	e.closedSince, e.closedUntil = now, now.Add(crashCloseTime)
+	t.markCold(e, "crashed", SourceSelf, e.closedUntil)
 	t.notify(Change{Name: name, To: "crashed", Cause: "broke off requests and did not answer"})
 }
 
@@ -339,6 +362,9 @@
 		return
 	}
 	e.homeState, e.homeStateAt = &s, now
+	if s.Cold > 0 || !now.Before(e.warmth.doubtUntil) {
+		t.setCold(e, s.Cold, "its home", SourceHome, now)
+	}
 	if Reason(s.ClosedReason) == ReasonLeaving && s.Incarnation != 0 && s.Incarnation == e.instance.Incarnation {
 		t.markLeaving(e, SourceHome, "its home", now)
 	}
@@ -401,6 +427,7 @@
 	}
 	s.Closed, s.ClosedReason = !v.Allowed(), string(v.Reason)
 	s.Limit = recoveryLimit(e, s.Slots, now)
+	s.Cold = t.cold(e, now)
 	return s
 }
 
--- a/internal/endpoint/table_test.go
+++ b/internal/endpoint/table_test.go
@@ -136,3 +136,49 @@
 	table.ClearHomeState("m0", now)
 	require.Equal(t, 1, slots(), "the state of an earlier home is removed, the endpoint is new here")
 }
+
+// TestColdBySources checks how long an endpoint with a startup time of 4 s is cold by what each source says
+// 10 s after it was listed.
+func TestColdBySources(t *testing.T) {
+	ms := func(n int64) *int64 { return &n }
+	now := start.Add(10 * time.Second)
+	for name, c := range map[string]struct {
+		apply func(table *endpoint.Table)
+		want  time.Duration
+	}{
+		"nothing":              {func(*endpoint.Table) {}, 0},
+		"a report":             {func(table *endpoint.Table) { table.RecordLoad("m0", endpoint.Load{ColdMillis: ms(3000)}, now) }, 3 * time.Second},
+		"an absurd report":     {func(table *endpoint.Table) { table.RecordLoad("m0", endpoint.Load{ColdMillis: ms(90000)}, now) }, 4 * time.Second},
+		"a report without it":  {func(table *endpoint.Table) { table.RecordLoad("m0", endpoint.Load{}, now) }, 0},
+		"a failed call":        {func(table *endpoint.Table) { table.RecordResult("m0", false, now) }, 4 * time.Second},
+		"an ended evacuation":  {func(table *endpoint.Table) { table.MarkDomainCold("", now) }, 4 * time.Second},
+		"another domain's end": {func(table *endpoint.Table) { table.MarkDomainCold("d9", now) }, 0},
+		"a new incarnation":    {func(table *endpoint.Table) { table.SetInstances(listing(2), now) }, 4 * time.Second},
+		"its home": {func(table *endpoint.Table) {
+			table.SetHomeState(endpoint.State{Name: "m0", Cold: 2 * time.Second, Incarnation: 1}, now)
+		}, 2 * time.Second},
+		"a report after a failed call": {func(table *endpoint.Table) {
+			table.RecordResult("m0", false, now)
+			table.RecordLoad("m0", endpoint.Load{ColdMillis: ms(0)}, now)
+		}, 0},
+		"its home soon after a failed call": {func(table *endpoint.Table) {
+			table.RecordResult("m0", false, now)
+			table.SetHomeState(endpoint.State{Name: "m0", Incarnation: 1}, now)
+		}, 4 * time.Second},
+		"its home of the new incarnation": {func(table *endpoint.Table) {
+			table.SetInstances(listing(2), now)
+			table.SetHomeState(endpoint.State{Name: "m0", Incarnation: 2}, now)
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := endpoint.NewTable()
+			table.SetInstances(listing(1), start)
+			table.StartupTime = func(string) time.Duration { return 4 * time.Second }
+			require.Equal(t, 4*time.Second, table.Cold("m0", start), "its start is not known to be long ago")
+			require.Zero(t, table.Cold("m0", now))
+			c.apply(table)
+			require.Equal(t, c.want, table.Cold("m0", now))
+			require.Zero(t, table.Cold("m0", now.Add(c.want)))
+		})
+	}
+}
--- a/internal/endpoint/verdict.go
+++ b/internal/endpoint/verdict.go
@@ -15,6 +15,7 @@
 	ReasonLeaving   Reason = "leaving"
 	ReasonEvacuated Reason = "evacuated"
 	ReasonQuiet     Reason = "quiet"
+	ReasonCold      Reason = "cold"
 	ReasonEjected   Reason = "ejected"
 	ReasonNoReport  Reason = "no load report yet"
 	ReasonOldReport Reason = "load report too old"
--- a/internal/router/explain.go
+++ b/internal/router/explain.go
@@ -65,6 +65,9 @@
 	_, version := r.follower.Config()
 	set("configuration.version", int(version))
 	set("claims.appends", r.claims.Appends())
+	granted, refused := r.starts.home.Counts()
+	set("starts.granted", int(granted))
+	set("starts.refused", int(refused))
 	for domain, last := range r.lastSends() {
 		set("evacuations."+domain+".last", int(last.Milliseconds()))
 	}
--- a/internal/router/operators.go
+++ b/internal/router/operators.go
@@ -99,7 +99,7 @@
 			e.ClosedReason = r.reasonInForce(e.Name)
 		}
 		status.Endpoints = append(status.Endpoints, operator.Endpoint{
-			Name: e.Name, Service: e.Service, Domain: e.Domain, Region: config.Region(e.Domain), Slots: e.Slots, Ready: e.Ready,
+			Name: e.Name, Service: e.Service, Domain: e.Domain, Region: config.Region(e.Domain), Slots: e.Slots, Ready: e.Ready, Cold: e.Cold > 0,
 			Evacuated: slices.Contains(config.Evacuated, e.Domain), ClosedReason: e.ClosedReason,
 		})
 	}
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"slices"
 	"sync"
@@ -143,6 +144,7 @@
 		}
 		r.endpoints.SetHomeState(endpoint.State{
 			Name: s.Name, Slots: s.Slots, Closed: s.Why != "", ClosedReason: s.Why, Ready: s.Ready, Incarnation: s.Incarnation,
+			Cold: time.Duration(s.Cold) * time.Second,
 		}, time.Now())
 	}
 	r.mu.Unlock()
@@ -159,6 +161,8 @@
 	// Incarnation is that of the endpoint to which the state applies, zero if the
 	// instance list states none.
 	Incarnation uint64 `json:"i,omitempty"`
+	// Cold is how long the endpoint is cold, in seconds rounded up, so that it changes rarely.
+	Cold int `json:"k,omitempty"`
 }
 
 // homedStates returns the states of the endpoints that this instance is the home of.
@@ -169,7 +173,7 @@
 	defer r.mu.Unlock()
 	for _, s := range r.endpoints.States(time.Now()) {
 		if slices.Contains(homed, s.Name) {
-			states = append(states, wireState{s.Name, s.Slots, s.Ready, s.ClosedReason, s.Incarnation})
+			states = append(states, wireState{s.Name, s.Slots, s.Ready, s.ClosedReason, s.Incarnation, int(math.Ceil(s.Cold.Seconds()))})
 		}
 	}
 	return states
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -68,6 +68,7 @@
 	mux.HandleFunc("POST "+pathMessage, r.serveMessage)
 	mux.HandleFunc("GET "+pathSnapshot, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, r.follower.Snapshot()) })
 	mux.HandleFunc("GET "+pathSteps, r.serveSteps)
+	mux.HandleFunc("POST "+pathStart, r.serveStart)
 	r.claims.Register(mux)
 	return mux
 }
--- a/internal/router/places.go
+++ b/internal/router/places.go
@@ -39,6 +39,9 @@
 	changes = append(changes, r.places.evacuations.Retain(kept)...)
 	for _, c := range changes {
 		change := "taken back"
+		if !c.Emptied {
+			r.endpoints.MarkDomainCold(c.Domain, time.Now())
+		}
 		if c.Emptied {
 			change = "emptied"
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -82,12 +82,14 @@
 	peerVersions map[string]int64 // configuration version of each peer
 	leadership   leadership
 	places       places
+	starts       starts
 	readiness    atomic.Pointer[readiness]
 
 	parts           []messagePart
 	senders         *suture.Supervisor
 	callerServer    *http.Server
 	stopping        chan struct{}
+	ended           chan struct{} // closed at the end of Run
 	stopOnce        sync.Once
 	killed          chan struct{}
 	killInit        sync.Once
@@ -147,6 +149,7 @@
 	r.trail = &audit.Trail{Instance: r.Name, Logger: r.Logger}
 	r.started = time.Now()
 	r.stopping = make(chan struct{})
+	r.ended = make(chan struct{})
 	r.peerVersions = map[string]int64{}
 	r.peerClient = newCountingClient(r.Dial, r.bytesSent)
 	r.endpointClient = newCountingClient(r.Dial, metrics.GetOrRegisterCounter("endpoints.bytes", r.metrics))
@@ -160,7 +163,7 @@
 	r.claims = &claim.Registry{Self: r.Name, Incarnation: r.self.Incarnation, Log: r.Log, Peers: claimPeers{r}, Trail: r.trail}
 	r.caller = &caller.Handler{
 		Instance: r.Name, Dispatcher: r.dispatcher, EndpointClient: r.proxyClient,
-		Target: r.target, RecordAnswer: r.recordAnswer, QuietUntil: r.quietUntil, RefusalReason: r.refusalReason,
+		Target: r.target, Start: r.start, RecordAnswer: r.recordAnswer, QuietUntil: r.quietUntil, RefusalReason: r.refusalReason,
 		RecordResult: r.recordResult, Crashed: r.isCrashed, Claims: r.claims, Trail: r.trail,
 		Ready: r.serviceReady, Quarantine: r.quarantine, Budget: &budget.Budget{Slack: retryBudgetSlack}, Metrics: r.metrics,
 	}
@@ -213,6 +216,7 @@
 	tree := suture.New("router", suture.Spec{EventHook: logEvent})
 	r.senders = suture.New("senders", suture.Spec{EventHook: logEvent})
 	r.buildComponents()
+	defer close(r.ended)
 	tree.Add(r.senders)
 	r.addServices(tree)
 	r.trail.Add(audit.Entry{Type: audit.EventStart, Subject: r.Name, Change: "started", Cause: fmt.Sprintf("incarnation %d", r.self.Incarnation)})
@@ -279,4 +283,5 @@
 	now := time.Now()
 	r.updateEndpoints(now)
 	r.dispatcher.With(func(s *scheduler.Scheduler) { s.Tick(now) })
+	r.recordViews(now)
 }
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -55,6 +55,7 @@
 		return 1
 	}
 	t.HasRequiredModel = r.hasRequiredModel
+	t.StartupTime = r.policy.startupTime
 	t.Evacuated = func(domain string) bool {
 		config := r.policy.config.Load()
 		return config != nil && slices.Contains(config.Evacuated, domain)
@@ -126,11 +127,13 @@
 		reasons[s.Name] = s.ClosedReason
 		endpoints = append(endpoints, scheduler.Endpoint{
 			Name: s.Name, Service: s.Service, Domain: s.Domain, Slots: s.Slots, Closed: s.Closed, Quiet: s.Quiet, Limit: s.Limit,
+			StartInterval: r.policy.startInterval(s),
 		})
 	}
 	r.dispatcher.With(func(s *scheduler.Scheduler) { s.SetEndpoints(endpoints, now) })
 	r.updateReadiness(states)
 	r.refuseWaiting()
+	r.schedulePace(states)
 	r.inForce.Store(&reasons)
 }
 
@@ -253,6 +256,11 @@
 	if !verdict.Allowed() {
 		return nil, &endpoint.Withheld{Endpoint: name, Verdict: verdict}
 	}
+	if use != endpoint.UseProbe {
+		if _, err := r.start(ctx, name); err != nil {
+			return nil, err
+		}
+	}
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+target.Address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
--- a/internal/scheduler/homes.go
+++ b/internal/scheduler/homes.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/greengagestep/greengagestep/internal/member"
+	"github.com/greengagestep/greengagestep/internal/share"
 )
 
 // SetEndpoints replaces the known endpoints and reassigns their homes.
@@ -45,6 +46,7 @@
 		}
 		s.home.AddEndpoint(name, e.Service, e.Slots, grantableFrom)
 		s.home.SetClosed(name, e.Closed)
+		s.home.SetStartInterval(name, e.StartInterval)
 	}
 	s.peerHomes = s.homesByService()
 }
@@ -124,3 +126,21 @@
 	}
 	return all
 }
+
+// domains returns the failure domains whose endpoints may run the requests of an account, nil for all.
+func (s *Scheduler) domains(k share.Key) map[string]bool {
+	if s.Policy.Domains == nil {
+		return nil
+	}
+	return s.Policy.Domains(k.Customer)
+}
+
+// allows reports whether an endpoint may run the requests of an account.
+func (s *Scheduler) allows(k share.Key, endpoint string) bool {
+	domains := s.domains(k)
+	return domains == nil || domains[s.endpoints[endpoint].Domain]
+}
+
+// Grant grants the slots of cold endpoints that have become free by time alone. It must be called more
+// often than Tick while this instance is the home of a cold endpoint.
+func (s *Scheduler) Grant(now time.Time) { s.grantSlots(now) }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -59,6 +59,9 @@
 	// Limit is how many requests of this instance may run there at a time; zero means
 	// no limit besides the slots.
 	Limit int
+	// StartInterval is the time between two slots that its home grants of a cold endpoint, each for
+	// one request. Zero means that the endpoint is warm.
+	StartInterval time.Duration
 }
 
 // Policy holds the parts of the configuration that affect scheduling.
@@ -155,20 +158,6 @@
 	return s.Policy.Slack(service)
 }
 
-// domains returns the failure domains whose endpoints may run the requests of an account, nil for all.
-func (s *Scheduler) domains(k share.Key) map[string]bool {
-	if s.Policy.Domains == nil {
-		return nil
-	}
-	return s.Policy.Domains(k.Customer)
-}
-
-// allows reports whether an endpoint may run the requests of an account.
-func (s *Scheduler) allows(k share.Key, endpoint string) bool {
-	domains := s.domains(k)
-	return domains == nil || domains[s.endpoints[endpoint].Domain]
-}
-
 func (s *Scheduler) order(k share.Key, pendingCustomer, pendingKind int) (float64, float64) {
 	if s.Order != nil {
 		return s.Order(k, pendingCustomer, pendingKind)
@@ -333,7 +322,7 @@
 
 func (s *Scheduler) mayReuse(l *slot.Lease, now time.Time) bool {
 	e, known := s.endpoints[l.Endpoint]
-	if !known || e.Closed || s.withholds(e) || s.owners[l.Endpoint] != l.Home {
+	if !known || e.Closed || e.StartInterval > 0 || s.withholds(e) || s.owners[l.Endpoint] != l.Home {
 		return false
 	}
 	return s.heldLeases.Valid(l, s.self(), now)
--- a/internal/slot/decide.go
+++ b/internal/slot/decide.go
@@ -25,6 +25,7 @@
 				continue
 			}
 			h.grant(e, k, ep)
+			ep.delayStart(now)
 			granted[e.name] = true
 			free--
 		}
--- a/internal/slot/home.go
+++ b/internal/slot/home.go
@@ -53,6 +53,10 @@
 	slots   int
 	// closed endpoints get no grants: they are leaving, ejected or not ready.
 	closed bool
+	// startInterval is the time between two grants, zero for none; startAfter is when the next
+	// one may be given.
+	startInterval time.Duration
+	startAfter    time.Time
 	// grantableFrom is the time from which slots that no entry instance has
 	// reported as held count as free.
 	grantableFrom time.Time
@@ -135,6 +139,13 @@
 	}
 }
 
+// SetStartInterval sets the time between two grants of slots of an endpoint; zero means none.
+func (h *Home) SetStartInterval(name string, d time.Duration) {
+	if e := h.endpoints[name]; e != nil {
+		e.startInterval = d
+	}
+}
+
 // Endpoints returns the names of the endpoints that the instance is home of, sorted.
 func (h *Home) Endpoints() []string {
 	names := make([]string, 0, len(h.endpoints))
@@ -336,14 +347,27 @@
 }
 
 func (e *endpoint) freeSlots(now time.Time) int {
-	if e.closed || now.Before(e.grantableFrom) {
+	if e.closed || now.Before(e.grantableFrom) || e.startInterval > 0 && now.Before(e.startAfter) {
 		return 0
 	}
 	excess := 0
 	if len(e.excess) == excessReports {
 		excess = slices.Min(e.excess)
 	}
-	return max(0, e.slots-e.used()-excess)
+	free := max(0, e.slots-e.used()-excess)
+	if e.startInterval > 0 {
+		return min(free, 1)
+	}
+	return free
+}
+
+// delayStart sets when the next slot of a cold endpoint may be granted. A grant that came late is made
+// up, but there is at least half of the interval between two.
+func (e *endpoint) delayStart(now time.Time) {
+	e.startAfter = e.startAfter.Add(e.startInterval)
+	if soonest := now.Add(e.startInterval / 2); e.startAfter.Before(soonest) {
+		e.startAfter = soonest
+	}
 }
 
 // Free returns the number of slots of a service that could be granted now.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -198,6 +198,7 @@
 	if time.Since(e.reportAt) >= e.ReportAge {
 		e.reportAt = time.Now()
 		e.report = LoadReport{
+			Cold:  e.cold(),
 			Slots: e.batchSize(), Running: e.running + e.waiting, Leaving: e.leaving,
 			Ready: e.model != "", Model: e.model, Version: e.version, Role: e.role, Fence: e.maxFence,
 		}
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -121,7 +121,7 @@
 	if slots == 0 {
 		slots = 8
 	}
-	writeJSON(w, LoadReport{Slots: slots, Running: p.running, Leaving: p.leaving, Ready: true})
+	writeJSON(w, LoadReport{Slots: slots, Running: p.running, Leaving: p.leaving, Ready: true, Cold: p.cold()})
 }
 
 func (p *PlainService) execute(w http.ResponseWriter, r *http.Request, body string) {
@@ -197,4 +197,6 @@
 	Role    string `json:"role,omitempty"`
 	// Fence is the highest fencing number of an accepted order.
 	Fence int64 `json:"fence,omitempty"`
+	// Cold is how long the endpoint is still cold, in milliseconds.
+	Cold *int64 `json:"cold,omitempty"`
 }
--- a/internal/standin/signals.go
+++ b/internal/standin/signals.go
@@ -35,6 +35,13 @@
 	told        map[string]time.Time // when each sender was first told that the endpoint leaves
 	quiet       []*quietPeriod
 	late        []LateRequest
+	coldUntil   time.Time
+	coldFrom    time.Time            // from when arrivals are counted
+	emptied     map[string]time.Time // since when each sender must send nothing
+	against     []LateRequest
+	coldRecent  []time.Time // arrivals of the last second while the endpoint is cold
+	coldPeak    int
+	coldTotal   int
 }
 
 // quietPeriod is the time in which a sender was asked to send nothing.
@@ -89,6 +96,51 @@
 	s.silentUntil = time.Now().Add(d)
 }
 
+// TurnCold makes the endpoint cold for a time, as after a start, and say so in its load reports. Arrivals
+// are counted once its callers have had some time to learn of it.
+func (s *Signals) TurnCold(d, learning time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coldUntil, s.coldFrom, s.coldRecent = time.Now().Add(d), time.Now().Add(learning), nil
+}
+
+// Empty says which senders know from some time ahead that the failure domain of the endpoint is emptied;
+// an empty list ends that.
+func (s *Signals) Empty(senders []string, ahead time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.emptied = map[string]time.Time{}
+	for _, sender := range senders {
+		s.emptied[sender] = time.Now().Add(ahead)
+	}
+}
+
+// Against returns the requests of senders that knew that the failure domain was emptied.
+func (s *Signals) Against() []LateRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]LateRequest(nil), s.against...)
+}
+
+// ColdArrivals returns the largest number of requests of all senders that arrived in one second while the
+// endpoint was cold, and the number of all.
+func (s *Signals) ColdArrivals() (peak, total int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.coldPeak, s.coldTotal
+}
+
+// cold returns for how many milliseconds the endpoint is cold, nil if it was never set to be.
+func (s *Signals) cold() *int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.coldUntil.IsZero() {
+		return nil
+	}
+	ms := max(time.Until(s.coldUntil).Milliseconds(), 0)
+	return &ms
+}
+
 // Restart ends all signals, as a new incarnation of the endpoint does. The counts stay.
 func (s *Signals) Restart() {
 	s.mu.Lock()
@@ -170,6 +222,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	if since, ok := s.emptied[sender]; ok && path != "/load" && now.After(since) {
+		s.against = append(s.against, LateRequest{Sender: sender, After: now.Sub(since), Path: path})
+	}
+	if now.Before(s.coldUntil) && !now.Before(s.coldFrom) && path != "/load" {
+		s.coldTotal++
+		s.coldRecent = append(s.coldRecent, now)
+		for now.Sub(s.coldRecent[0]) > time.Second {
+			s.coldRecent = s.coldRecent[1:]
+		}
+		s.coldPeak = max(s.coldPeak, len(s.coldRecent))
+	}
 	if told, ok := s.told[sender]; ok {
 		s.late = append(s.late, LateRequest{Sender: sender, After: now.Sub(told), Path: path})
 	}
--- a/pkg/arrangement/config.go
+++ b/pkg/arrangement/config.go
@@ -94,7 +94,7 @@
 	MemoryTokens int `yaml:"memory,omitempty" json:"memory,omitempty"`
 	// StartupRate is how many requests per second an endpoint gets from all instances
 	// together while it is cold after its start. The default (zero) value means that its
-	// start makes no difference. Only the instances of `greengagestep serve` limit it.
+	// start makes no difference.
 	StartupRate float64 `yaml:"starts,omitempty" json:"starts,omitempty"`
 	// StartupSeconds is how long an endpoint is cold after its start, in seconds. It must be
 	// set if StartupRate is.
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -63,6 +63,9 @@
 	Region string `json:"region,omitempty"`
 	Slots  int    `json:"slots"`
 	Ready  bool   `json:"ready"`
+	// Cold is set if the endpoint is cold after its start, or may be, so that its home grants
+	// each request a start.
+	Cold bool `json:"cold,omitempty"`
 	// Evacuated is set if operators have emptied the failure domain.
 	Evacuated    bool   `json:"evacuated,omitempty"`
 	ClosedReason string `json:"closed,omitempty"`
