gateway: a run ends at its deadline, not earlier by the lag

Likely, not traced: endpoints that go on after their connection has closed stop only when the time is over that they were told, which is later than an end by a lag that has grown. They are still told less by the lag.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -213,9 +213,10 @@
 	})
 }
 
-// limitExchange returns how long the exchange with the endpoint may still take. When that is over, it ends the request.
+// limitExchange returns how long the exchange with the endpoint may still take. When that is over, it ends the request. The lag
+// does not count here: endpoints that go on after their connection has closed stop when the time is over that they were told.
 func (c *call) limitExchange() time.Duration {
-	left := c.timeToAnswer(time.Now())
+	left := time.Until(c.deadline)
 	if left <= 0 {
 		c.expire()
 	}
