--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -251,7 +251,7 @@
 	i.peers = &peer.Exchange{
 		Self:     peer.Member{Name: i.Name, Domain: i.Domain, Address: i.Peers.Addr().String(), Start: now.UnixNano(), Cores: i.Cores},
 		Balancer: i.balancer, Ledger: i.ledger, Logger: i.logger,
-		Crashes: i.quarantine, Overloaded: i.lagMeter.Overloaded, Lag: i.Lag,
+		Crashes: i.quarantine, Overloaded: i.lagMeter.Overloaded,
 		Key:   &peer.Key{Storage: i.Secret, Logger: i.logger},
 		Feeds: map[string]watch.Relay{"operators": i.operators, "endpoints": i.endpoints},
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -113,7 +113,7 @@
 // reserve reports whether the home of the chosen endpoint admits the request.
 func (c *call) reserve(ctx context.Context, limit time.Duration) bool {
 	requested := time.Now()
-	c.grant = c.h.Homes.Reserve(ctx, fleet.Reservation{Endpoint: c.choice.Endpoint.ID, Tokens: c.choice.Tokens, MaxWait: limit, Patience: c.patience(requested), Start: c.choice.Cold})
+	c.grant = c.h.Homes.Reserve(ctx, fleet.Reservation{Endpoint: c.choice.Endpoint.ID, Tokens: c.choice.Tokens, MaxWait: limit, Start: c.choice.Cold})
 	c.h.Metrics.Count(gauge.Name("reservations_total", "answer", string(c.grant)))
 	switch c.grant {
 	case fleet.GrantStart:
@@ -124,7 +124,7 @@
 		return false
 	case fleet.GrantAccepted:
 		return true
-	case fleet.GrantNoAnswer, fleet.GrantUnasked:
+	case fleet.GrantNoAnswer:
 		if !c.choice.Cold {
 			return true
 		}
@@ -139,12 +139,6 @@
 	return false
 }
 
-// patience returns how long the request can wait until it is sent to the chosen endpoint and meet its
-// target. It is zero without a target and if the request is late in any case.
-func (c *call) patience(now time.Time) time.Duration {
-	return max(c.route.TargetLatency()-now.Sub(c.arrived)-c.choice.Expected, 0)
-}
-
 func (c *call) admissionRequest() admission.Request {
 	return admission.Request{Customer: c.customer, TargetLatency: c.config.targetLatencies[c.service], PastTarget: c.pastTarget}
 }
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -66,9 +66,6 @@
 	// Overloaded reports whether this instance's processor is behind, which other instances
 	// are told; nil means that it never is.
 	Overloaded func() bool
-	// Lag returns by how much this instance's processor is behind, the time for which what has
-	// arrived waits to be read; nil means that it never is. It must not call the exchange.
-	Lag func() time.Duration
 	// Key signs messages. Until it is known, no messages are sent and requests
 	// from peers are rejected.
 	Key    *Key
@@ -124,7 +121,6 @@
 	hasDepartures  bool             // it has received all departures once since its start
 	positions      map[string]int64 // first offset of each feed that it has not read, by name
 	reserveAfter   time.Time        // earliest time of the next reservation request to it
-	answers        answerTime       // to reservation requests
 	lastErr        error            // of the last message sent to it
 	membersDigest  uint64           // of the live instances that it knows
 	ringHash       uint32           // position on the ring
--- a/internal/peer/home.go
+++ b/internal/peer/home.go
@@ -179,15 +179,7 @@
 	p := x.peers[m.Address]
 	if p == nil || now.Before(p.reserveAfter) {
 		x.mu.Unlock()
-		return x.noAnswer(r, fleet.GrantNoAnswer, now)
-	}
-	limit := reserveTimeout
-	if !r.Start {
-		limit = answerLimit(r.Patience)
-	}
-	if !p.answers.inTime(limit, x.lag(), now) {
-		x.mu.Unlock()
-		return x.noAnswer(r, fleet.GrantUnasked, now)
+		return x.noAnswer(r, now)
 	}
 	x.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
@@ -203,10 +195,11 @@
 			// home.
 			return fleet.GrantNoAnswer
 		}
-		x.recordNoAnswer(p, now, time.Now())
-		return x.noAnswer(r, fleet.GrantNoAnswer, time.Now())
+		x.mu.Lock()
+		p.reserveAfter = time.Now().Add(reserveBackoff)
+		x.mu.Unlock()
+		return x.noAnswer(r, time.Now())
 	}
-	x.recordAnswer(p, now, time.Now())
 	x.Balancer.SetHomeWork(x.unpackWork(grant.Work, time.Now()), time.Now())
 	x.Balancer.MergeDepartures(grant.Departures, time.Now())
 	if grant.Cold > 0 {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -177,8 +177,8 @@
 }
 
 // newPair returns two instances that have received a message from each other. The
-// second is the home of endpoint i-1; the messages of the first pass through these transports.
-func newPair(t *testing.T, through ...*slowTransport) (requester, home *peer.Exchange) {
+// second listens on loopback and is the home of endpoint i-1.
+func newPair(t *testing.T) (requester, home *peer.Exchange) {
 	home = newExchange("key")
 	mux := http.NewServeMux()
 	mux.Handle("POST "+peer.Path, home)
@@ -186,9 +186,6 @@
 	home.Self = peer.Member{Name: "front-2", Domain: "b", Address: "10.0.0.2:80", Start: 1}
 	requester = newExchange("key")
 	requester.Transport = handlerTransport{mux}
-	for _, s := range through {
-		s.RoundTripper, requester.Transport = requester.Transport, s
-	}
 	requester.Self.Domain = "a"
 	deliver(t, requester, home.Self)
 	deliver(t, home, requester.Self)
--- a/internal/peer/start.go
+++ b/internal/peer/start.go
@@ -146,11 +146,10 @@
 	return fleet.GrantNoStart
 }
 
-// noAnswer returns the result of a reservation without an answer, which is the given one unless the
-// request needs a start: a cold endpoint gets nothing.
-func (x *Exchange) noAnswer(r fleet.Reservation, result fleet.ReservationResult, now time.Time) fleet.ReservationResult {
+// noAnswer returns the result of a reservation without an answer: a cold endpoint gets nothing.
+func (x *Exchange) noAnswer(r fleet.Reservation, now time.Time) fleet.ReservationResult {
 	if !r.Start {
-		return result
+		return fleet.GrantNoAnswer
 	}
 	x.Balancer.DelayStart(r.Endpoint, reserveBackoff, now)
 	return fleet.GrantNoStart
--- a/pkg/fleet/reservation.go
+++ b/pkg/fleet/reservation.go
@@ -14,9 +14,6 @@
 	Tokens int
 	// MaxWait is the longest time that the request may be queued at the endpoint.
 	MaxWait time.Duration
-	// Patience is how long the request can wait for the answer and still be answered within its
-	// target; zero means that this does not matter. It does not count if Start is set.
-	Patience time.Duration
 	// Start is set if the requesting instance takes the endpoint for cold: then the request
 	// needs a start.
 	Start bool
@@ -41,9 +38,6 @@
 	// GrantNoAnswer means that the home did not respond in time: the requesting
 	// instance decides from its own data.
 	GrantNoAnswer ReservationResult = "unheard"
-	// GrantUnasked means that the home was not asked, since its answer could not be read in
-	// time: the requesting instance decides from its own data, too.
-	GrantUnasked ReservationResult = "unasked"
 )
 
 // Homes reserves capacity at endpoints through their home instances. Implementations
