scheduler: a slot whose demand is gone and that cannot be reused ends that demand at its home

Cause (TestSoakWithPlaces seed 7, two instances without end at one instant of fake time): a home that goes by an old report granted a slot, the holder had no request of that account and may not reuse a slot of a cold endpoint, released it, and the home granted it again. It was returned as unused only while nothing waited at all. The seed is run always.

--- a/internal/demo/soak_test.go
+++ b/internal/demo/soak_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -42,6 +43,12 @@
 // configuration in force.
 func TestSoakWithPlaces(t *testing.T) { soakSeedsOf(t, soakPlaces) }
 
+// soakRegressions lists the seeds that have failed and run always.
+//
+//	places, 7: a home that held a cold endpoint for warm granted a slot for demand that was gone, and the
+//	   holder returned it, without end.
+var soakRegressions = map[soakMode][]uint64{soakPlaces: {7}}
+
 // soakMode is what a soak run does beside its random faults.
 type soakMode string
 
@@ -52,7 +59,16 @@
 )
 
 func soakSeedsOf(t *testing.T, mode soakMode) {
+	var seeds []uint64
 	for seed := *soakFirst; seed < *soakFirst+uint64(*soakSeeds); seed++ {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range soakRegressions[mode] {
+		if !slices.Contains(seeds, seed) {
+			seeds = append(seeds, seed)
+		}
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { soak(t, seed, *soakSteps, mode) })
 		})
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -274,7 +274,8 @@
 		s.decline(l, now)
 		return
 	}
-	if l.Home != s.self() && len(s.Queue.Keys(l.Service)) == 0 {
+	if l.Home != s.self() && (len(s.Queue.Keys(l.Service)) == 0 || !s.mayReuse(l, now)) {
+		// A home that goes by an old report would grant the slot again and again.
 		s.heldLeases.ReleaseUnused(l)
 		s.peer(l.Home).sentState.Invalidate(l.Key)
 		s.wake(l.Home)
