--- a/internal/endpoint/call_test.go
+++ b/internal/endpoint/call_test.go
@@ -120,19 +120,19 @@
 		var runs atomic.Int32
 		address, stop := serve(t, network, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
 		defer stop()
-		left := false
+		var left atomic.Bool
 		c := endpoint.NewClient(func(ctx context.Context, protocol, address string) (net.Conn, error) {
 			time.Sleep(time.Second)
 			return network.Dial(ctx, protocol, address)
 		})
 		c.Permit = func(name string) error {
-			if left {
+			if left.Load() {
 				return &endpoint.Withheld{Endpoint: name, Verdict: endpoint.Verdict{Reason: endpoint.ReasonLeaving}}
 			}
 			return nil
 		}
 		defer c.Close()
-		time.AfterFunc(500*time.Millisecond, func() { left = true })
+		time.AfterFunc(500*time.Millisecond, func() { left.Store(true) })
 		req, err := http.NewRequest(http.MethodPost, "http://"+address+"/", strings.NewReader("x"))
 		require.NoError(t, err)
 		_, err = c.Call(context.Background(), "p0", req, false)
