link: a long frame is not starved by short ones nor kept after it is written; upstream: one last read

At the end of an exchange, what has arrived is read for 20 ms and no longer, so that a stream that never pauses ends, too.

--- a/internal/link/frame.go
+++ b/internal/link/frame.go
@@ -92,6 +92,8 @@
 	spare   []byte   // buffer of the last write
 	writing bool
 	failed  bool
+	// shortWritten is set if the last write held short frames: then a long one is next.
+	shortWritten bool
 }
 
 // maxPendingBytes bounds what waits for a peer that does not read.
@@ -159,10 +161,12 @@
 // take returns what is written next, nothing if nothing waits. The caller holds the lock.
 func (w *frameWriter) take() []byte {
 	data := w.pending
-	if len(data) > 0 {
-		w.pending, w.spare = w.spare[:0], nil
-	} else if len(w.long) > 0 {
-		data, w.long = w.long[0], w.long[1:]
+	switch {
+	case len(w.long) > 0 && (len(data) == 0 || w.shortWritten):
+		data, w.long[0] = w.long[0], nil
+		w.long, w.shortWritten = w.long[1:], false
+	case len(data) > 0:
+		w.pending, w.spare, w.shortWritten = w.spare[:0], nil, true
 	}
 	w.waiting -= len(data)
 	return data
--- a/internal/upstream/time_left.go
+++ b/internal/upstream/time_left.go
@@ -22,7 +22,7 @@
 	}
 }
 
-// readyTime is how long a read may take that finds what it reads.
+// readyTime is how long the reads of what has arrived may take in all.
 const readyTime = 20 * time.Millisecond
 
 // unreader is a connection that knows whether it holds data that has not been read.
@@ -53,12 +53,11 @@
 // extend lets the exchange go on for the time that is left. If there is none, it closes the connection and
 // returns false.
 func (c *conn) extend() bool {
-	if c.unread() {
-		// What has arrived is not thrown away because its reader was late; the context ends the exchange.
-		_ = c.netConn.SetReadDeadline(time.Now().Add(readyTime))
-		return true
-	}
 	left := c.timeLeft()
+	if left <= 0 && !c.lastReads && c.unread() {
+		// What has arrived is not thrown away because its reader was late.
+		c.lastReads, left = true, readyTime
+	}
 	if left > 0 {
 		// An error means that the connection is closed, which the next use reports.
 		_ = c.netConn.SetReadDeadline(time.Now().Add(left))
@@ -74,6 +73,6 @@
 	if c.timeLeft == nil {
 		return true
 	}
-	c.timeLeft = nil
+	c.timeLeft, c.lastReads = nil, false
 	return c.netConn.SetReadDeadline(time.Time{}) == nil
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -135,6 +135,8 @@
 	// timeLeft is that of the request, expired is set once it has ended the exchange.
 	timeLeft func() time.Duration
 	expired  bool
+	// lastReads is set once the time is over and what has arrived is read.
+	lastReads bool
 }
 
 var errTooManyBytes = errors.New("endpoint sent too many bytes before the response")
