gateway: a run ends at the deadline less the lag after all

The trace: 2.4 s pass until a request is sent on, of which the instance knows too little, so that its deadline is too late.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -213,10 +213,9 @@
 	})
 }
 
-// limitExchange returns how long the exchange with the endpoint may still take. When that is over, it ends the request. The lag
-// does not count here: endpoints that go on after their connection has closed stop when the time is over that they were told.
+// limitExchange returns how long the exchange with the endpoint may still take. When that is over, it ends the request.
 func (c *call) limitExchange() time.Duration {
-	left := time.Until(c.deadline)
+	left := c.timeToAnswer(time.Now())
 	if left <= 0 {
 		c.expire()
 	}
