--- a/internal/warmup/members.go
+++ b/internal/warmup/members.go
@@ -2,12 +2,14 @@
 
 import "time"
 
-// partMemory is how long an instance remembers at least how many instances there were, and twice that at most:
-// not for good, since a fleet may become smaller.
+// partMemory is how long an instance remembers how many instances there were, and at most twice that: not
+// for good, since a fleet may become smaller.
 const partMemory = 30 * time.Minute
 
-// Members remembers the largest number of instances that were heard at once. In a fleet that is cut into separate parts for
-// up to partMemory, each part may grant the share that its instances are of all: the shares of all parts are 1 at most together. The zero value is ready to use. It is not safe for concurrent use.
+// Members remembers the largest number of instances that were heard at once. In a fleet that is cut into
+// separate parts for up to partMemory, each part may grant the share that its instances are of all: the
+// shares of all parts are 1 at most together. The zero value is ready to use. It is not safe for concurrent
+// use.
 type Members struct {
 	most, mostBefore int // of this span of partMemory and of the one before
 	since            time.Time
