overload: leave the rotation by the demand learned; refuse what is late, then what is dear

An instance of 0.144 cores left the rotation once its lag showed, came back 3 s after it was low, and was overloaded again by the callers that returned. It now learns what a request takes of its processor, leaves when the demand exceeds what its targets leave, stays out longer after each relapse (3 to 24 s), and moves callers only while it has more than room for. Cores unknown: the lag alone decides.

Refusals beside a lag were drawn at random before a request was read. The same part of the work is refused now, late requests first, then those that cost most; callers are told to come back once the load balancer sends them elsewhere.

--- a/internal/admission/retry_detector.go
+++ b/internal/admission/retry_detector.go
@@ -65,5 +65,20 @@
 		r.routes[route] = t
 	}
 	t.add(timeout)
+	return t.pastTarget(timeout, targetLatency)
+}
+
+// IsPastTarget reports the same as PastTarget without recording the timeout.
+func (r *RetryDetector) IsPastTarget(route string, timeout, targetLatency time.Duration) bool {
+	if timeout <= 0 || targetLatency <= 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.routes[route]
+	return t != nil && t.pastTarget(timeout, targetLatency)
+}
+
+func (t *typicalTimeout) pastTarget(timeout, targetLatency time.Duration) bool {
 	return float64(timeout) < minFirstFraction*float64(t.typical)-float64(targetLatency)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,9 +7,11 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -108,13 +110,17 @@
 	quarantine  *quarantine.List
 	handler     *gateway.Handler
 	lagMeter    *overload.Meter
-	relief      overload.Relief
-	idleConns   *idleConns
-	ledger      *admission.Ledger
-	peers       *peer.Exchange
-	links       *link.Handler
-	stopping    chan struct{}
-	graceNanos  atomic.Int64
+	capacity    overload.Capacity
+	rotation    overload.Rotation
+	// usageFailure guards the log line on a use of the processor that cannot be measured.
+	usageFailure sync.Once
+	relief       overload.Relief
+	idleConns    *idleConns
+	ledger       *admission.Ledger
+	peers        *peer.Exchange
+	links        *link.Handler
+	stopping     chan struct{}
+	graceNanos   atomic.Int64
 }
 
 const (
@@ -168,7 +174,8 @@
 	// expiryInterval is the interval between checks for endpoints whose records were not
 	// written again: it adds to the time for which they get requests.
 	expiryInterval = 100 * time.Millisecond
-	// reliefInterval is the interval between two decisions on how many callers are moved.
+	// reliefInterval is the interval between two decisions on whether the instance takes new
+	// callers and how many are moved.
 	reliefInterval = 200 * time.Millisecond
 	// sweepInterval is the interval between checks for expired connections.
 	sweepInterval = 500 * time.Millisecond
@@ -221,6 +228,8 @@
 	}
 	i.idleConns = &idleConns{MoveCaller: i.relief.MoveCaller, MaxConns: i.maxCallerConns(), IdleTimeout: func() time.Duration { return i.handler.IdleTimeout() }}
 	i.lagMeter = &overload.Meter{OnChange: i.overloadChanged}
+	i.capacity.Cores = i.Cores
+	i.rotation.Spread, i.rotation.OnChange = rand.Float64(), i.rotationChanged
 	if i.Lag == nil {
 		i.Lag = i.lagMeter.Lag
 	}
@@ -229,7 +238,7 @@
 	i.quarantine = quarantine.New(&audit.Trail{Instance: i.Name, Logger: i.logger})
 	i.handler = &gateway.Handler{
 		HeaderCodec: i.HeaderCodec, Balancer: i.balancer, Overload: i.lagMeter, Ledger: i.ledger, RetryDetector: &admission.RetryDetector{},
-		Pool: i.pool, Quarantine: i.quarantine, Metrics: &gauge.Set{Gauges: i.gauges}, Logger: i.logger,
+		Relief: &i.relief, Pool: i.pool, Quarantine: i.quarantine, Metrics: &gauge.Set{Gauges: i.gauges}, Logger: i.logger,
 		Budget: &budget.Budget{
 			Ratio: i.RetryRatio, Slack: i.RetrySlack, Window: i.RetryWindow,
 			Instances: func() int { return 1 + i.peers.Peers(time.Now()) },
@@ -251,7 +260,7 @@
 	i.peers = &peer.Exchange{
 		Self:     peer.Member{Name: i.Name, Domain: i.Domain, Address: i.Peers.Addr().String(), Start: now.UnixNano(), Cores: i.Cores},
 		Balancer: i.balancer, Ledger: i.ledger, Logger: i.logger,
-		Crashes: i.quarantine, Overloaded: i.lagMeter.Overloaded,
+		Crashes: i.quarantine, Overloaded: i.withdrawn,
 		Key:   &peer.Key{Storage: i.Secret, Logger: i.logger},
 		Feeds: map[string]watch.Relay{"operators": i.operators, "endpoints": i.endpoints},
 	}
@@ -386,21 +395,7 @@
 		return false
 	default:
 	}
-	return !i.lagMeter.Overloaded() && i.handler.Version() > 0 && i.tracker.Synced()
-}
-
-func (i *Instance) overloadChanged(overloaded bool, lag time.Duration) {
-	name := event.OverloadEnded
-	if overloaded {
-		name = event.Overload
-	}
-	i.logger.Warn(name, zap.Duration("lag", lag), zap.Int64("active", i.handler.Active()), zap.Int("connections", i.idleConns.openCount()), zap.Int64("moved", i.relief.Moved()))
-}
-
-func (i *Instance) updateRelief(context.Context) {
-	now := time.Now()
-	others, live := i.peers.OverloadedInDomain(now)
-	i.relief.Update(i.lagMeter.Overloaded(), i.idleConns.openCount(), live, others, now)
+	return !i.withdrawn() && i.handler.Version() > 0 && i.tracker.Synced()
 }
 
 func (i *Instance) sweep(context.Context) {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -10,11 +10,15 @@
 // gauges returns the current values of the instance's metrics.
 func (i *Instance) gauges() map[string]float64 {
 	now := time.Now()
+	load := i.load()
 	values := map[string]float64{
 		"configuration_version": float64(i.handler.Version()),
 		"requests_active":       float64(i.handler.Active()),
 		"peers_heard":           float64(i.peers.Peers(now)),
 		"callers_moved":         float64(i.relief.Moved()),
+		"processor_share":       load.Share,
+		"processor_demand":      load.Demand,
+		"processor_limit":       load.Limit,
 		"lag_milliseconds":      float64(i.lagMeter.Lag().Milliseconds()),
 		"log_lines_dropped":     float64(i.Log.DroppedLines()),
 		"body_bytes":            float64(i.handler.Backlog.Bodies()),
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -57,4 +57,8 @@
 	// rejecting requests because its processor cannot keep up.
 	Overload      = "overload"
 	OverloadEnded = "relieved"
+	// Withdrawn and Returned are logged when the instance leaves the load balancer's rotation
+	// because of its callers' demand, and when it returns.
+	Withdrawn = "withdrawn"
+	Returned  = "returned"
 )
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -16,11 +16,6 @@
 // accept runs all checks that do not depend on endpoints, and reads the body. If it
 // returns false, the request has been answered.
 func (c *call) accept() bool {
-	if c.h.Overload != nil && rand.Float64() < c.h.Overload.RejectFraction() {
-		c.w.Header().Set("Connection", "close")
-		c.refuse(fleet.ReasonCPUOverload)
-		return false
-	}
 	c.config = c.h.config.Load()
 	if c.config == nil {
 		c.refuse(fleet.ReasonNotReady)
@@ -29,6 +24,11 @@
 	if !c.resolveRoute() {
 		return false
 	}
+	if c.shed(time.Now()) {
+		c.w.Header().Set("Connection", "close")
+		c.refuse(fleet.ReasonCPUOverload)
+		return false
+	}
 	if c.refuseStopping(c.arrived) {
 		return false
 	}
@@ -133,12 +133,15 @@
 }
 
 // tokenCost returns the cost of the request in tokens: each prompt token counts once,
-// each generated token twice. Without the caller's estimate of the generated tokens it
-// assumes half of their maximum.
+// each generated token twice.
 func (c *call) tokenCost() float64 {
-	out := c.attrs.OutputEstimate
-	if out == 0 {
-		out = c.attrs.MaxOutputTokens / 2
+	return float64(c.attrs.PromptTokens() + 2*c.outputTokens())
+}
+
+// outputTokens returns the caller's estimate of the generated tokens, or else half of their maximum.
+func (c *call) outputTokens() int {
+	if c.attrs.OutputEstimate > 0 {
+		return c.attrs.OutputEstimate
 	}
-	return float64(c.attrs.PromptTokens() + 2*out)
+	return c.attrs.MaxOutputTokens / 2
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -63,6 +63,11 @@
 			return admission.ReturnDelay(at.Sub(now), rand.Float64())
 		}
 	}
+	if reason == fleet.ReasonCPUOverload && c.h.Relief != nil {
+		if elsewhere, ok := c.h.Relief.Elsewhere(time.Now()); ok {
+			return min(admission.ReturnDelay(elsewhere, rand.Float64()), admission.RetryDelay(c.timeLeft(), 0))
+		}
+	}
 	return admission.RetryDelay(c.timeLeft(), rand.Float64())
 }
 
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -59,6 +59,7 @@
 		}
 		if c.admit(ctx) {
 			c.h.Ledger.RecordServed(c.customer, c.tokenCost(), time.Now())
+			c.h.answerTimes.record(c.route.Name, c.choice.Expected)
 			return true
 		}
 		if c.grant == fleet.GrantNoStart {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -115,3 +115,18 @@
 	}
 	return defaultIdleTimeout
 }
+
+// ShortestTarget returns the shortest target latency of all routes; zero means that none has one.
+func (h *Handler) ShortestTarget() time.Duration {
+	shortest := time.Duration(0)
+	cfg := h.config.Load()
+	if cfg == nil {
+		return 0
+	}
+	for _, target := range cfg.targetLatencies {
+		if shortest == 0 || target < shortest {
+			shortest = target
+		}
+	}
+	return shortest
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,11 @@
 	// Overload measures whether the processor keeps up with the load; nil means
 	// that it always does.
 	Overload *overload.Meter
+	// Shedder decides which requests are refused while the processor does not keep up.
+	Shedder overload.Shedder
+	// Relief knows whether callers that connect again reach other instances; nil means that
+	// they may always reach this one.
+	Relief *overload.Relief
 	// Budget bounds the retries of this instance.
 	Budget *budget.Budget
 	// Quarantine finds out which requests crash endpoints, so that they are refused;
@@ -63,6 +68,7 @@
 	bodyReads   bodyReads
 	refusals    refusalLog
 	ending      endSignal
+	answerTimes answerTimes
 }
 
 // Active returns the number of requests in progress.
--- a/internal/overload/relief.go
+++ b/internal/overload/relief.go
@@ -16,32 +16,37 @@
 	maxBusyShare = 0.34
 )
 
-// Relief decides which connections of callers an overloaded instance closes after their responses, so
-// that these callers connect to instances that are not overloaded. While it is overloaded, it is out of
-// the load balancer's rotation. The zero value is ready to use. It is safe for concurrent use.
+// OthersHaveRoom reports whether callers that leave an instance find one with room, by how many instances of
+// its failure domain are live, itself included, and how many others of these are overloaded.
+func OthersHaveRoom(live, overloaded int) bool {
+	return live > 1 && float64(overloaded) < maxBusyShare*float64(live-1)
+}
+
+// Relief decides which connections of callers an instance closes after their responses, so that these callers
+// connect to instances that are not overloaded. Meanwhile it is out of the load balancer's rotation. The
+// zero value is ready to use. It is safe for concurrent use.
 type Relief struct {
-	mu         sync.Mutex
-	overloaded bool
-	since      time.Time // when it became overloaded
-	open       int       // connections of callers at the last Update
-	permitted  bool      // enough other instances of the domain are not overloaded
-	budget     float64   // connections that may be closed now
-	updated    time.Time
-	moved      int64
+	mu      sync.Mutex
+	out     bool
+	since   time.Time // when it left the rotation
+	excess  bool      // more callers than it can serve
+	open    int       // connections of callers at the last Update
+	others  bool      // other instances have room
+	budget  float64   // connections that may be closed now
+	updated time.Time
+	moved   int64
 }
 
-// Update has to be called several times a second, with whether the instance is overloaded, how many
-// connections callers have open, how many instances of its failure domain are live, itself included,
-// and how many others of these are overloaded.
-func (r *Relief) Update(overloaded bool, open, live, others int, now time.Time) {
+// Update has to be called several times a second, with whether the instance is out of the rotation, whether it
+// has more callers than it can serve, how many connections they have open and whether other instances have room.
+func (r *Relief) Update(out, excess bool, open int, others bool, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if overloaded && !r.overloaded {
+	if out && !r.out {
 		r.since = now
 	}
 	elapsed := now.Sub(r.updated)
-	r.overloaded, r.open, r.updated = overloaded, open, now
-	r.permitted = live > 1 && float64(others) < maxBusyShare*float64(live-1)
+	r.out, r.excess, r.open, r.others, r.updated = out, excess, open, others, now
 	if !r.moving(now) {
 		r.budget = 0
 		return
@@ -51,7 +56,15 @@
 
 // moving reports whether callers are moved now. The caller holds the lock.
 func (r *Relief) moving(now time.Time) bool {
-	return r.overloaded && r.permitted && now.Sub(r.since) >= noticeTime
+	return r.out && r.excess && r.others && now.Sub(r.since) >= noticeTime
+}
+
+// Elsewhere returns after which time callers that connect again reach other instances that have room. It
+// returns false if they may reach this one.
+func (r *Relief) Elsewhere(now time.Time) (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(noticeTime-now.Sub(r.since), 0), r.out && r.others
 }
 
 // MoveCaller reports whether the connection of a response that is about to begin has to be closed
--- a/internal/overload/relief_test.go
+++ b/internal/overload/relief_test.go
@@ -23,7 +23,7 @@
 		if callers > capacity {
 			overloadedUntil = at
 		}
-		r.Update(overloaded, callers, 25, 2, now.Add(at))
+		r.Update(overloaded, overloaded, callers, overload.OthersHaveRoom(25, 2), now.Add(at))
 		for range callers {
 			if r.MoveCaller(now.Add(at)) {
 				callers--
@@ -55,7 +55,7 @@
 			r := &overload.Relief{}
 			for i := range 100 {
 				now := time.Unix(0, 0).Add(time.Duration(i) * 100 * time.Millisecond)
-				r.Update(c.overloaded, 100, c.live, c.others, now)
+				r.Update(c.overloaded, c.overloaded, 100, overload.OthersHaveRoom(c.live, c.others), now)
 				require.False(t, r.MoveCaller(now))
 			}
 		})
--- /dev/null
+++ b/internal/overload/shed_test.go
@@ -0,0 +1,51 @@
+package overload_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/greengagestep/greengagestep/internal/overload"
+)
+
+// Load: 200 requests a second on a processor that can serve a part of them; a fifth are late already, a tenth are
+// long streams that cost as much as six others. What is refused of the work is what the lag asks for.
+func TestRefusedAreLateOnesThenDearOnes(t *testing.T) {
+	kinds := map[string]overload.Demand{"cheap": {Cost: 1}, "dear": {Cost: 6}, "late": {Cost: 2, Late: true}}
+	for _, c := range []struct {
+		fraction float64
+		refused  map[string]float64 // fraction of each kind
+	}{
+		// Of the work, the cheap are 0.41, the dear 0.35 and the late 0.24.
+		{0, map[string]float64{"cheap": 0, "dear": 0, "late": 0}},
+		{0.12, map[string]float64{"cheap": 0, "dear": 0, "late": 0.5}},
+		{0.5, map[string]float64{"cheap": 0, "dear": 0.75, "late": 1}},
+		{0.8, map[string]float64{"cheap": 0.5, "dear": 1, "late": 1}},
+		{1, map[string]float64{"cheap": 1, "dear": 1, "late": 1}},
+	} {
+		rng := rand.New(rand.NewPCG(1, 2))
+		s := &overload.Shedder{}
+		asked, refused := map[string]float64{}, map[string]float64{}
+		for i := range 4000 {
+			kind := "cheap"
+			switch x := rng.Float64(); {
+			case x < 0.2:
+				kind = "late"
+			case x < 0.3:
+				kind = "dear"
+			}
+			asked[kind]++
+			if s.Refuse(kinds[kind], c.fraction, rng.Float64(), time.Unix(0, int64(i)*int64(5*time.Millisecond))) {
+				refused[kind]++
+			}
+		}
+		for kind, want := range c.refused {
+			require.InDelta(t, want, refused[kind]/asked[kind], 0.15, "%s at %v", kind, c.fraction)
+		}
+		arrived, count := s.Counts()
+		require.EqualValues(t, 4000, arrived)
+		require.EqualValues(t, refused["cheap"]+refused["dear"]+refused["late"], count)
+	}
+}
