--- a/internal/command/where.go
+++ b/internal/command/where.go
@@ -92,7 +92,7 @@
 		fmt.Fprintf(w, "only endpoints in: %s\n", cmp.Or(strings.Join(e.Regions, ", "), "no region"))
 	}
 	if e.Overload > 0 {
-		fmt.Fprintf(w, "the processor cannot keep up: %.0f %% of all requests are refused\n", 100*e.Overload)
+		fmt.Fprintf(w, "the processor cannot keep up: %.0f %% of the work is refused, late and costly requests first\n", 100*e.Overload)
 	}
 	for _, t := range e.Targets {
 		fmt.Fprintf(w, "service %s, %.0f %% of the requests: %s\n", t.Service, 100*t.Share, outcomeOf(t))
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -15,8 +15,8 @@
 	Version  int64  `json:"version"`
 	Route    string `json:"route"`
 	Customer string `json:"customer,omitempty"`
-	// Overload is the fraction of all requests that are refused because the processor cannot
-	// keep up.
+	// Overload is the fraction of the work that is refused because the processor cannot keep up,
+	// late and costly requests first.
 	Overload float64 `json:"overload"`
 	// Regions lists those whose endpoints may get the request; nil means all.
 	Regions []string `json:"regions"`
