--- a/internal/entry/rotation.go
+++ b/internal/entry/rotation.go
@@ -57,7 +57,7 @@
 	}
 	i.logger.Warn(name, append(i.callerFields(), zap.String("cause", string(cause)), zap.Duration("for", hold),
 		zap.Float64("share", l.Share), zap.Float64("demand", l.Demand), zap.Float64("limit", l.Limit),
-		zap.Float64("rate", l.Rate), zap.Duration("cost", l.Cost), zap.Duration("lag", i.lagMeter.Lag()))...)
+		zap.Float64("rate", l.Rate), zap.Float64("cost", l.Cost.Seconds()*1000), zap.Duration("lag", i.lagMeter.Lag()))...)
 }
 
 func (i *Instance) callerFields() []zap.Field {
