overload: learn what the processor gives while it lags

The settings alone say too much there, as they do beside neighbors that take processor time: what is in use while the processor lags is the limit.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -19,6 +19,7 @@
 		"processor_share":       load.Share,
 		"processor_demand":      load.Demand,
 		"processor_limit":       load.Limit,
+		"processor_ceiling":     load.Ceiling,
 		"lag_milliseconds":      float64(i.lagMeter.Lag().Milliseconds()),
 		"log_lines_dropped":     float64(i.Log.DroppedLines()),
 		"body_bytes":            float64(i.handler.Backlog.Bodies()),
--- a/internal/entry/rotation.go
+++ b/internal/entry/rotation.go
@@ -39,7 +39,7 @@
 		return
 	}
 	arrived, refused := i.handler.Shedder.Counts()
-	i.capacity.Update(overload.Usage{Processor: used, Arrived: arrived, Refused: refused}, now)
+	i.capacity.Update(overload.Usage{Processor: used, Arrived: arrived, Refused: refused, Lagging: i.lagMeter.RejectFraction() > 0}, now)
 }
 
 func (i *Instance) overloadChanged(overloaded bool, lag time.Duration) {
@@ -56,7 +56,7 @@
 		name = event.Withdrawn
 	}
 	i.logger.Warn(name, append(i.callerFields(), zap.String("cause", string(cause)), zap.Duration("for", hold),
-		zap.Float64("share", l.Share), zap.Float64("demand", l.Demand), zap.Float64("limit", l.Limit),
+		zap.Float64("share", l.Share), zap.Float64("demand", l.Demand), zap.Float64("limit", l.Limit), zap.Float64("ceiling", l.Ceiling),
 		zap.Float64("rate", l.Rate), zap.Float64("cost", l.Cost.Seconds()*1000), zap.Duration("lag", i.lagMeter.Lag()))...)
 }
 
--- a/internal/overload/capacity_test.go
+++ b/internal/overload/capacity_test.go
@@ -38,3 +38,28 @@
 	require.InDelta(t, 120, l.Rate, 5)
 	require.Zero(t, (&overload.Capacity{}).Load(time.Second).Limit, "nothing is said of a processor that is not known")
 }
+
+// Load: neighbors on the machine take half of the processor, so that callers overload an instance at 0.5 of what it
+// may use. It knows so as long as they may still be there, and takes a moment's stop for nothing.
+func TestCapacityLearnsWhatTheProcessorGives(t *testing.T) {
+	const step, cores = 200 * time.Millisecond, 0.8
+	c, now, used := &overload.Capacity{Cores: cores}, time.Unix(0, 0), overload.Usage{}
+	update := func(share float64, lagging bool, span time.Duration) overload.Load {
+		for range span / step {
+			now = now.Add(step)
+			used.Processor += time.Duration(share * cores * float64(step))
+			used.Lagging = lagging
+			c.Update(used, now)
+		}
+		return c.Load(time.Second)
+	}
+	update(0.3, false, 5*time.Second)
+	require.EqualValues(t, 1, update(0.3, true, 400*time.Millisecond).Ceiling)
+	l := update(0.5, true, 6*time.Second)
+	require.InDelta(t, 0.5, l.Ceiling, 0.03)
+	require.InDelta(t, 1, l.Demand, 0.05)
+	require.Greater(t, l.Demand, l.Limit)
+	l = update(0.47, false, 5*time.Second)
+	require.Less(t, l.Demand, l.Limit)
+	require.Greater(t, update(0.5, false, 2*time.Minute).Ceiling, 0.9)
+}
