overload: callers that keep connections do not bring their load back; refused ones retry in time elsewhere

Now responses state 2 s of idle time from the first overload on until there was none for 15 s, and an instance that is overloaded again stays out for 9, then 27 and 30 s. A refused caller whose target leaves the time comes back within it, where the load balancer sends retries to other instances.

--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -73,6 +73,16 @@
 	return max(unavailable, 0) + time.Duration(jitter*float64(returnSpread))
 }
 
+// MoveDelay returns the delay after which a rejected caller should retry that reaches an instance with room
+// after the given time. If it can still be answered within its target latency there, because slack is left of
+// it, the caller retries early enough. Jitter is a random number from 0 to 1, which spreads the callers.
+func MoveDelay(elsewhere, slack time.Duration, jitter float64) time.Duration {
+	if slack <= elsewhere {
+		return ReturnDelay(elsewhere, jitter)
+	}
+	return elsewhere + time.Duration(jitter*float64(slack-elsewhere)/2)
+}
+
 // Bound is what sets the longest wait of a request.
 type Bound string
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -88,6 +88,8 @@
 	// Cores is how much of a processor the process may use; zero means not known. Larger
 	// instances do more of the work that instances do for each other.
 	Cores float64
+	// RetriesMove is set if the load balancer sends a caller that retries to another instance.
+	RetriesMove bool
 	// MaxFiles is how many files the process may open; zero means no bound.
 	MaxFiles int
 	// Lag returns the scheduling lag of the process, with which a signal to stop arrives; nil
@@ -226,9 +228,10 @@
 			i.logger.Warn(event.InvalidData, zap.String("key", key), zap.Error(fault))
 		},
 	}
-	i.idleConns = &idleConns{MoveCaller: i.relief.MoveCaller, MaxConns: i.maxCallerConns(), IdleTimeout: func() time.Duration { return i.handler.IdleTimeout() }}
+	i.idleConns = &idleConns{MoveCaller: i.relief.MoveCaller, MaxConns: i.maxCallerConns(), IdleTimeout: i.idleTimeout}
 	i.lagMeter = &overload.Meter{OnChange: i.overloadChanged}
 	i.capacity.Cores = i.Cores
+	i.relief.RetriesMove = i.RetriesMove
 	i.rotation.Spread, i.rotation.OnChange = rand.Float64(), i.rotationChanged
 	if i.Lag == nil {
 		i.Lag = i.lagMeter.Lag
--- a/internal/entry/rotation.go
+++ b/internal/entry/rotation.go
@@ -30,6 +30,16 @@
 	i.relief.Update(i.withdrawn(), lagging || !load.HasRoom(), i.idleConns.openCount(), others, now)
 }
 
+// idleTimeout returns how long callers may leave their connections idle: as long as the configuration says, or
+// minIdle while those that come back may overload the instance.
+func (i *Instance) idleTimeout() time.Duration {
+	limit := i.handler.IdleTimeout()
+	if i.rotation.Unsteady(time.Now()) {
+		return min(limit, minIdle)
+	}
+	return limit
+}
+
 // measureUsage updates the estimate of the processor that the instance needs. Without a measurement the lag
 // alone decides.
 func (i *Instance) measureUsage(now time.Time) {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -64,8 +64,10 @@
 		}
 	}
 	if reason == fleet.ReasonCPUOverload && c.h.Relief != nil {
-		if elsewhere, ok := c.h.Relief.Elsewhere(time.Now()); ok {
-			return min(admission.ReturnDelay(elsewhere, rand.Float64()), admission.RetryDelay(c.timeLeft(), 0))
+		now := time.Now()
+		if elsewhere, ok := c.h.Relief.Elsewhere(now); ok {
+			slack, _ := c.slack(now)
+			return min(admission.MoveDelay(elsewhere, slack, rand.Float64()), admission.RetryDelay(c.timeLeft(), 0))
 		}
 	}
 	return admission.RetryDelay(c.timeLeft(), rand.Float64())
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -24,22 +24,25 @@
 	}
 	fraction := c.h.Overload.RejectFraction()
 	d := overload.Demand{Cost: c.processorWork()}
+	// The answer takes about the lag on its way, as the request did.
 	d.Late = fraction > 0 && c.late(now, c.h.Overload.Lag())
 	return c.h.Shedder.Refuse(d, fraction, rand.Float64(), now)
 }
 
-// late reports whether the request can no longer be answered within its target latency, or within
-// its time limit if it has none: its answer takes about the lag on its way, as the request did.
+// late reports whether the request can no longer be answered within its target latency.
 func (c *call) late(now time.Time, lag time.Duration) bool {
+	slack, ok := c.slack(now)
+	return ok && slack < lag || c.h.RetryDetector.IsPastTarget(c.route.Name, c.attrs.Timeout, c.route.TargetLatency())
+}
+
+// slack returns how much is left of the request's target latency, or of its time limit if it has none, beside the
+// time that endpoints are expected to take. It returns false if the request has neither.
+func (c *call) slack(now time.Time) (time.Duration, bool) {
 	target := c.route.TargetLatency()
 	if target == 0 {
 		target = c.timeLimit()
 	}
-	if target == 0 {
-		return false
-	}
-	return now.Sub(c.arrived)+lag+c.h.answerTimes.expected(c.route.Name) > target ||
-		c.h.RetryDetector.IsPastTarget(c.route.Name, c.attrs.Timeout, c.route.TargetLatency())
+	return target - now.Sub(c.arrived) - c.h.answerTimes.expected(c.route.Name), target > 0
 }
 
 // processorWork returns the processor time that the request takes, as a multiple of that for one without a
--- a/internal/overload/relief.go
+++ b/internal/overload/relief.go
@@ -26,6 +26,10 @@
 // connect to instances that are not overloaded. Meanwhile it is out of the load balancer's rotation. The
 // zero value is ready to use. It is safe for concurrent use.
 type Relief struct {
+	// RetriesMove is set if the load balancer sends a caller that retries to another instance at
+	// once. It is set before the first Update.
+	RetriesMove bool
+
 	mu      sync.Mutex
 	out     bool
 	since   time.Time // when it left the rotation
@@ -59,11 +63,14 @@
 	return r.out && r.excess && r.others && now.Sub(r.since) >= noticeTime
 }
 
-// Elsewhere returns after which time callers that connect again reach other instances that have room. It
-// returns false if they may reach this one.
+// Elsewhere returns after which time a caller that is refused reaches another instance that has room if it
+// retries. It returns false if it may reach this one.
 func (r *Relief) Elsewhere(now time.Time) (time.Duration, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.RetriesMove {
+		return 0, r.others
+	}
 	return max(noticeTime-now.Sub(r.since), 0), r.out && r.others
 }
 
--- a/internal/overload/relief_test.go
+++ b/internal/overload/relief_test.go
@@ -61,3 +61,28 @@
 		})
 	}
 }
+
+// Load: requests are refused on an overloaded instance. Their callers are told to retry once they reach another.
+func TestRefusedCallersRetryElsewhere(t *testing.T) {
+	left := time.Unix(0, 0)
+	for _, c := range []struct {
+		retriesMove, out, others bool
+		wait                     time.Duration
+		ok                       bool
+	}{
+		{false, true, true, 1200 * time.Millisecond, true},
+		{false, false, true, 0, false},
+		{false, true, false, 0, false},
+		{true, true, true, 0, true},
+		{true, false, true, 0, true},
+		{true, true, false, 0, false},
+	} {
+		r := &overload.Relief{RetriesMove: c.retriesMove}
+		r.Update(c.out, true, 10, c.others, left)
+		wait, ok := r.Elsewhere(left.Add(time.Second))
+		require.Equal(t, c.ok, ok, "%+v", c)
+		if ok {
+			require.Equal(t, c.wait, wait, "%+v", c)
+		}
+	}
+}
--- a/internal/overload/rotation.go
+++ b/internal/overload/rotation.go
@@ -18,11 +18,14 @@
 	// crowdedTime is how long an instance whose lag is low does not leave after it learned that
 	// its callers would have nowhere to go.
 	crowdedTime = 10 * time.Second
-	// minHold and maxHold bound how long an instance stays out of the rotation: it doubles each
-	// time that it has to leave again within relapseFactor times the last hold.
-	minHold       = recoveryPeriod
-	maxHold       = 24 * time.Second
-	relapseFactor = 2
+	// minHold and maxHold bound how long an instance stays out of the rotation: holdFactor times
+	// as long each time that it has to leave again within relapseTime of its return, or within
+	// twice the last hold. An overload lasts for some three seconds until callers are moved: with
+	// maxHold it takes a tenth of the time at most.
+	minHold     = recoveryPeriod
+	maxHold     = 30 * time.Second
+	holdFactor  = 3
+	relapseTime = 15 * time.Second
 )
 
 // RotationCause is why an instance leaves the load balancer's rotation or returns to it.
@@ -90,14 +93,20 @@
 
 // leave takes the instance out of the rotation. The caller holds the lock.
 func (r *Rotation) leave(cause RotationCause, l Load, now time.Time) {
-	if r.hold > 0 && now.Sub(r.since) < relapseFactor*r.hold {
-		r.hold = min(2*r.hold, maxHold)
+	if r.mayRelapse(now) {
+		r.hold = min(holdFactor*r.hold, maxHold)
 	} else {
 		r.hold = minHold
 	}
 	r.change(true, cause, l, now)
 }
 
+// mayRelapse reports whether the instance has returned so lately that its former callers may overload it
+// again. The caller holds the lock.
+func (r *Rotation) mayRelapse(now time.Time) bool {
+	return r.hold > 0 && now.Sub(r.since) < max(relapseTime, 2*r.hold)
+}
+
 // updateOut decides on the return. The caller holds the lock.
 func (r *Rotation) updateOut(l Load, lagging, others bool, now time.Time) {
 	out := now.Sub(r.since)
@@ -129,3 +138,11 @@
 	defer r.mu.Unlock()
 	return r.out, r.since
 }
+
+// Unsteady reports whether the instance takes no new callers, or has returned lately: connections that
+// callers keep open would bring their load back at once.
+func (r *Rotation) Unsteady(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.out || r.mayRelapse(now)
+}
--- a/internal/overload/rotation_test.go
+++ b/internal/overload/rotation_test.go
@@ -29,11 +29,14 @@
 
 // Load: one customer's callers need 1.4 times the processor of a small instance, and find it again two seconds
 // after each of its returns; they are gone two seconds after it left. It leaves before its processor lags (a
-// second after they came back), and is overloaded five times in a minute instead of each seven seconds.
+// second after they came back), and does so four times in a minute at most instead of each seven seconds. Until it has
+// not done so for long, callers are not to keep idle connections.
 func TestInstanceStaysOutLongerAfterEachRelapse(t *testing.T) {
 	changed := time.Duration(0)
 	wasOut, lagged := false, 0
-	left, returned := rotationPlay(&overload.Rotation{}, func(at time.Duration, out bool) (overload.Load, bool, bool) {
+	r := &overload.Rotation{}
+	left, returned := rotationPlay(r, func(at time.Duration, out bool) (overload.Load, bool, bool) {
+		require.Equal(t, at > 2600*time.Millisecond, r.Unsteady(time.Unix(0, 0).Add(at)))
 		if out != wasOut {
 			changed, wasOut = at, out
 		}
@@ -49,7 +52,7 @@
 	})
 	require.Zero(t, lagged)
 	require.GreaterOrEqual(t, len(left), 3)
-	require.LessOrEqual(t, len(left), 5)
+	require.LessOrEqual(t, len(left), 4)
 	for i := 1; i < len(returned); i++ {
 		require.Greater(t, returned[i]-left[i], returned[i-1]-left[i-1])
 	}
@@ -79,7 +82,7 @@
 			load: func(at time.Duration, _ bool) (overload.Load, bool, bool) {
 				return map[bool]overload.Load{true: busy, false: calm}[at < 2*time.Second], false, true
 			},
-			left: []time.Duration{600 * time.Millisecond}, returned: []time.Duration{24600 * time.Millisecond},
+			left: []time.Duration{600 * time.Millisecond}, returned: []time.Duration{30600 * time.Millisecond},
 		},
 		// Load: a lag of one and a half seconds, from a neighbor on the machine.
 		"lag": {
