--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -75,12 +75,12 @@
 
 // MoveDelay returns the delay after which a rejected caller should retry that reaches an instance with room
 // after the given time. If it can still be answered within its target latency there, because slack is left of
-// it, it retries early enough; otherwise as RetryDelay says, but not before that time unless it can't wait.
-func MoveDelay(elsewhere, slack, remaining time.Duration, jitter float64) time.Duration {
-	if slack > elsewhere {
-		return elsewhere + time.Duration(jitter*float64(slack-elsewhere)/2)
+// it, the caller retries early enough. Jitter is a random number from 0 to 1, which spreads the callers.
+func MoveDelay(elsewhere, slack time.Duration, jitter float64) time.Duration {
+	if slack <= elsewhere {
+		return ReturnDelay(elsewhere, jitter)
 	}
-	return min(max(elsewhere, RetryDelay(remaining, jitter)), RetryDelay(remaining, 0))
+	return elsewhere + time.Duration(jitter*float64(slack-elsewhere)/2)
 }
 
 // Bound is what sets the longest wait of a request.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -67,7 +67,7 @@
 		now := time.Now()
 		if elsewhere, ok := c.h.Relief.Elsewhere(now); ok {
 			slack, _ := c.slack(now)
-			return admission.MoveDelay(elsewhere, slack, c.timeLeft(), rand.Float64())
+			return min(admission.MoveDelay(elsewhere, slack, rand.Float64()), admission.RetryDelay(c.timeLeft(), 0))
 		}
 	}
 	return admission.RetryDelay(c.timeLeft(), rand.Float64())
