--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -63,6 +63,13 @@
 			return admission.ReturnDelay(at.Sub(now), rand.Float64())
 		}
 	}
+	if reason == fleet.ReasonCPUOverload && c.h.Relief != nil {
+		now := time.Now()
+		if elsewhere, ok := c.h.Relief.Elsewhere(now); ok {
+			slack, _ := c.slack(now)
+			return min(admission.MoveDelay(elsewhere, slack, rand.Float64()), admission.RetryDelay(c.timeLeft(), 0))
+		}
+	}
 	return admission.RetryDelay(c.timeLeft(), rand.Float64())
 }
 
