--- a/internal/overload/relief_test.go
+++ b/internal/overload/relief_test.go
@@ -23,7 +23,7 @@
 		if callers > capacity {
 			overloadedUntil = at
 		}
-		r.Update(overloaded, callers, 25, 2, now.Add(at))
+		r.Update(overloaded, overloaded, callers, overload.OthersHaveRoom(25, 2), now.Add(at))
 		for range callers {
 			if r.MoveCaller(now.Add(at)) {
 				callers--
@@ -55,9 +55,34 @@
 			r := &overload.Relief{}
 			for i := range 100 {
 				now := time.Unix(0, 0).Add(time.Duration(i) * 100 * time.Millisecond)
-				r.Update(c.overloaded, 100, c.live, c.others, now)
+				r.Update(c.overloaded, c.overloaded, 100, overload.OthersHaveRoom(c.live, c.others), now)
 				require.False(t, r.MoveCaller(now))
 			}
 		})
 	}
 }
+
+// Load: requests are refused on an overloaded instance. Their callers are told to retry once they reach another.
+func TestRefusedCallersRetryElsewhere(t *testing.T) {
+	left := time.Unix(0, 0)
+	for _, c := range []struct {
+		retriesMove, out, others bool
+		wait                     time.Duration
+		ok                       bool
+	}{
+		{false, true, true, 1200 * time.Millisecond, true},
+		{false, false, true, 0, false},
+		{false, true, false, 0, false},
+		{true, true, true, 0, true},
+		{true, false, true, 0, true},
+		{true, true, false, 0, false},
+	} {
+		r := &overload.Relief{RetriesMove: c.retriesMove}
+		r.Update(c.out, true, 10, c.others, left)
+		wait, ok := r.Elsewhere(left.Add(time.Second))
+		require.Equal(t, c.ok, ok, "%+v", c)
+		if ok {
+			require.Equal(t, c.wait, wait, "%+v", c)
+		}
+	}
+}
