--- a/internal/router/places.go
+++ b/internal/router/places.go
@@ -38,13 +38,11 @@
 	}
 	changes = append(changes, r.places.evacuations.Retain(kept)...)
 	for _, c := range changes {
-		change := "taken back"
+		change := "emptied"
 		if !c.Emptied {
+			change = "taken back"
 			r.endpoints.MarkDomainCold(c.Domain, time.Now())
 		}
-		if c.Emptied {
-			change = "emptied"
-		}
 		r.trail.Add(audit.Entry{
 			Type: audit.EventEvacuation, Subject: "failure domain " + c.Domain, Change: change,
 			Cause: fmt.Sprintf("configuration version %d, %s, at most %d ms ago", o.Version, o.Cause, time.Since(o.Since).Milliseconds()),
