--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -161,6 +161,17 @@
 	return l.usage[customer].Served / l.fairShare
 }
 
+// Standing returns the usage of a customer over all instances, and the fair share of customers whose demand exceeds it, in
+// tokens per second; zero means that nothing is served.
+func (l *Ledger) Standing(customer string, now time.Time) (u Usage, fairShare float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.refreshedAt) > fairShareTTL {
+		l.refresh(now)
+	}
+	return l.usage[customer], l.fairShare
+}
+
 // refresh recomputes the usage over all instances and the max-min fair share: a customer
 // that demands less than the fair share gets all of its demand, the others get the fair
 // share. The caller holds the lock.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -50,6 +50,9 @@
 	// Refusals is logged at most once a second for each service while requests are refused
 	// because they would wait too long.
 	Refusals = "refusals"
+	// Shortfall is logged at most once a second for each of the customers that lack most, while
+	// requests are refused.
+	Shortfall = "shortfall"
 	// Panic is logged with the stack when an unexpected error ended a background task
 	// of the instance.
 	Panic = "panic"
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -164,6 +164,9 @@
 // "left" if the caller disconnected.
 func (c *call) recordEnd(status int, ending, reason string) {
 	c.countEnd(status, ending, reason)
+	if ending == "own" && status == http.StatusServiceUnavailable && c.customer != "" {
+		c.h.shortfalls.record(c, fleet.Reason(reason), time.Now())
+	}
 	level := zap.InfoLevel
 	if ending == "answer" && status < http.StatusInternalServerError || reason == string(fleet.ReasonQueueFull) {
 		level = zap.DebugLevel
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,7 @@
 	stopping    atomic.Pointer[ShutdownTimes]
 	bodyReads   bodyReads
 	refusals    refusalLog
+	shortfalls  shortfallLog
 	ending      endSignal
 	answerTimes answerTimes
 }
