peer: in a large fleet an instance asks only the source of its records at short intervals

Cause: class of costs that every instance has for what it says to others. All 14 neighbors exchanged messages every 156 ms, in a fleet at rest too, while records come from one of them, and the others' news (crashes, departures of endpoints) is rare. Each message also asked of all peers whether they are live. Change: an instance asks its source every 156 ms, and tells neighbors at that interval what they lack of crashes and departures. Other neighbors exchange messages every 0.5 s; silence is noticed after 1.5 s as before. The ages that messages state select the source: the time of the last message differs by the interval now, and made it change back and forth. Live peers are found once in 50 ms. Ruled out: the interval alone, since a source that sends by itself learns late who wants records (one instance was 4.8 s behind).

--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -94,6 +94,8 @@
 	livePeers, neighborCount int
 	neighborsAt              time.Time
 	source                   *peer // neighbor that sends the records of feeds; nil if none does
+	// alive is what was last found of which peers are live.
+	alive aliveState
 	// starts grants the starts at cold endpoints of which this instance was the home by all of
 	// views. heardPeers is set once it has heard a peer.
 	starts     warmup.Home
@@ -129,9 +131,11 @@
 	ownDigest      uint64           // its Member.digest
 	neighbor       bool             // messages are exchanged with it at short intervals
 	neighborSince  time.Time
-	dataAt         time.Time // when its data of the endpoints' feed was current, by its last message
-	overloaded     bool      // its processor does not keep up, by its last message
-	wantsRecords   bool      // it gets the records of feeds from this instance
+	dataAt         time.Time     // when its data of the endpoints' feed was current, by its last message
+	dataAge        time.Duration // how old that data was then
+	overloaded     bool          // its processor does not keep up, by its last message
+	alive          bool          // it was live when that was last checked
+	wantsRecords   bool          // it gets the records of feeds from this instance
 }
 
 func (x *Exchange) init() {
@@ -178,6 +182,7 @@
 // setStart sets the start of a peer. State exchanged with another start at its address is
 // obsolete.
 func (x *Exchange) setStart(p *peer, m Member) {
+	x.alive.at = time.Time{}
 	p.Member, p.sequence, p.cacheFillsSent, p.ringHash, p.ownDigest = m, 0, 0, hashID(m.Name), m.digest()
 	p.departuresNext, p.hasDepartures = 0, false
 	clear(p.positions)
@@ -246,6 +251,7 @@
 		}
 		if silence > lostPeerTTL && now.Sub(p.lastAnnounced) > lostPeerTTL {
 			delete(x.peers, address)
+			x.alive.at = time.Time{}
 			if x.links != nil {
 				x.links.Forget(address)
 			}
@@ -262,15 +268,18 @@
 
 // due reports whether a message to a peer is due. One instance of each pair sends
 // messages and the other responds; both send while they receive nothing from each
-// other.
+// other. The caller holds the lock.
 func (x *Exchange) due(p *peer, now time.Time) bool {
 	if p.inFlight {
 		return false
 	}
-	interval := x.interval(p)
 	if now.Sub(p.lastReceived) > x.silenceLimit(p, now) {
 		return now.Sub(p.lastSent) >= retryInterval
 	}
+	if x.sparse && p.neighbor {
+		return x.dueToNeighbor(p, now)
+	}
+	interval := x.interval(p)
 	if x.Self.Address > p.Address {
 		return now.Sub(p.lastReceived) >= 4*interval && now.Sub(p.lastSent) >= interval
 	}
@@ -339,9 +348,10 @@
 
 // liveMembers returns the live peers. The caller holds the lock.
 func (x *Exchange) liveMembers(now time.Time) []Member {
+	x.refreshAlive(now)
 	members := make([]Member, 0, len(x.peers)+1)
 	for _, p := range x.peers {
-		if x.live(p, now) {
+		if p.alive {
 			members = append(members, p.Member)
 		}
 	}
@@ -351,13 +361,8 @@
 // liveDigest returns a digest of the live peers and of this instance that does not depend on their
 // order. The caller holds the lock.
 func (x *Exchange) liveDigest(now time.Time) uint64 {
-	digest := x.Self.digest()
-	for _, p := range x.peers {
-		if x.live(p, now) {
-			digest ^= p.ownDigest
-		}
-	}
-	return digest
+	x.refreshAlive(now)
+	return x.alive.digest ^ x.Self.digest()
 }
 
 // errUnexpected is the error of a message that ended with a panic.
@@ -416,6 +421,9 @@
 	if p.lost || p.lastReceived.IsZero() {
 		x.Logger.Info(event.DependencyRecovered, zap.String("peer", m.From.Name), zap.String("address", m.From.Address))
 	}
+	if !p.alive {
+		x.alive.at = time.Time{}
+	}
 	transit := p.maxTransit(m, now)
 	p.sequence, p.lastReceived, p.lost = m.Sequence, now, false
 	if p.Cores != m.From.Cores {
@@ -462,14 +470,8 @@
 func (x *Exchange) Rank(now time.Time) int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	rank := 0
-	own := hashID(x.Self.Name)
-	for _, p := range x.peers {
-		if x.live(p, now) && p.ringHash < own {
-			rank++
-		}
-	}
-	return rank
+	x.refreshAlive(now)
+	return x.alive.rank
 }
 
 // OverloadedInDomain returns how many instances of this failure domain are live, this one
@@ -477,9 +479,10 @@
 func (x *Exchange) OverloadedInDomain(now time.Time) (overloaded, live int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.refreshAlive(now)
 	live = 1
 	for _, p := range x.peers {
-		if p.Domain != x.Self.Domain || !x.live(p, now) {
+		if p.Domain != x.Self.Domain || !p.alive {
 			continue
 		}
 		live++
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -68,7 +68,8 @@
 		x.mu.Lock()
 		p.positions[name] = position.Next
 		if name == sourceFeed {
-			p.dataAt = now.Add(-time.Duration(position.Age) * time.Millisecond)
+			p.dataAge = time.Duration(position.Age) * time.Millisecond
+			p.dataAt = now.Add(-p.dataAge)
 		}
 		x.mu.Unlock()
 	}
--- a/internal/peer/ring.go
+++ b/internal/peer/ring.go
@@ -15,6 +15,11 @@
 	// messages to those that are no neighbors, so that their rate does not grow with
 	// the fleet.
 	backgroundInterval = 30 * time.Millisecond
+	// neighborInterval is the interval of messages to neighbors from which this instance gets no records,
+	// to which it sends none, and to which it has no news: three of them fit in silenceTimeout.
+	neighborInterval = 500 * time.Millisecond
+	// aliveTTL is how long it is not checked which peers have become silent.
+	aliveTTL = 50 * time.Millisecond
 	// silentIntervals is after how many such intervals without a message a peer that is
 	// no neighbor counts as silent.
 	silentIntervals = 2.5
@@ -22,7 +27,7 @@
 	// neighbor.
 	maxBackgroundFills = 32
 	// sourceMargin is by how much the data of another neighbor must be more recent than
-	// that of the current source of feeds for it to become the source.
+	// that of the current source of feeds for it to become the source: about the time between two messages of that.
 	sourceMargin = 200 * time.Millisecond
 )
 
@@ -35,9 +40,11 @@
 		return
 	}
 	x.neighborsAt = now
+	x.refreshAlive(now)
+	x.alive.at = time.Time{} // the time after which a peer is silent depends on the neighbors
 	var ring []*peer
 	for _, p := range x.peers {
-		if x.live(p, now) {
+		if p.alive {
 			ring = append(ring, p)
 		}
 	}
@@ -91,13 +98,37 @@
 
 // countLive returns the number of live peers. The caller holds the lock.
 func (x *Exchange) countLive(now time.Time) int {
-	n := 0
+	x.refreshAlive(now)
+	return x.alive.count
+}
+
+// aliveState is what was last found of which peers are live.
+type aliveState struct {
+	at     time.Time // when it was found; zero means that it has to be found anew
+	count  int
+	rank   int    // of this instance, see Rank
+	digest uint64 // of the live peers, does not depend on their order
+}
+
+// refreshAlive finds out which peers are live, unless it did so less than aliveTTL ago and none was
+// heard since that was not live. The caller holds the lock.
+func (x *Exchange) refreshAlive(now time.Time) {
+	if age := now.Sub(x.alive.at); !x.alive.at.IsZero() && age >= 0 && age < aliveTTL {
+		return
+	}
+	x.alive = aliveState{at: now}
+	own := hashID(x.Self.Name)
 	for _, p := range x.peers {
-		if x.live(p, now) {
-			n++
+		p.alive = x.live(p, now)
+		if !p.alive {
+			continue
+		}
+		x.alive.count++
+		x.alive.digest ^= p.ownDigest
+		if p.ringHash < own {
+			x.alive.rank++
 		}
 	}
-	return n
 }
 
 // silenceLimit returns the time without a message from a peer after which it is no longer
@@ -113,34 +144,63 @@
 	return background
 }
 
-// interval returns the interval of messages to a live peer. The caller holds the lock.
+// interval returns the interval of messages to a live peer that is no neighbor in a large fleet. The caller
+// holds the lock.
 func (x *Exchange) interval(p *peer) time.Duration {
 	if !x.sparse {
 		return sendInterval + time.Duration(len(x.peers))*sendIntervalPerPeer
 	}
-	if p.neighbor {
-		return sendInterval + time.Duration(x.neighborCount)*sendIntervalPerPeer
-	}
 	return time.Duration(x.livePeers) * backgroundInterval
 }
 
+// dueToNeighbor reports whether a message to a live neighbor in a large fleet is due. An instance asks the one from
+// which it gets the records, and tells its news, at short intervals. To the others it sends if nothing else passes
+// between them. The caller holds the lock.
+func (x *Exchange) dueToNeighbor(p *peer, now time.Time) bool {
+	sent, received := now.Sub(p.lastSent), now.Sub(p.lastReceived)
+	if sent < sendInterval+time.Duration(x.neighborCount)*sendIntervalPerPeer {
+		return false
+	}
+	if p == x.source || x.hasNews(p) {
+		return true
+	}
+	if x.Self.Address > p.Address {
+		return received >= 2*neighborInterval && sent >= neighborInterval
+	}
+	return received >= neighborInterval && sent >= neighborInterval
+}
+
+// hasNews reports whether a peer lacks crashes or departures of endpoints. The caller holds the lock.
+func (x *Exchange) hasNews(p *peer) bool {
+	return p.departuresNext < x.Balancer.DepartureCount() || x.Crashes != nil && x.Crashes.Pending(p.Address)
+}
+
 // selectSource selects the neighbor from which this instance gets the records of the feeds in
 // a large fleet: the one with the most recent data, so that records spread along a tree whose
 // root is the instance that reads the platform. The caller holds the lock.
 func (x *Exchange) selectSource(now time.Time) {
-	if x.source != nil && (!x.source.neighbor || !x.live(x.source, now)) {
+	x.refreshAlive(now)
+	if x.source != nil && (!x.source.neighbor || !x.source.alive) {
 		x.source = nil
 	}
 	for _, p := range x.peers {
-		if !p.neighbor || !x.live(p, now) || p.dataAt.IsZero() {
+		if !p.neighbor || !p.alive || p.dataAt.IsZero() {
 			continue
 		}
-		if x.source == nil || p.dataAt.Sub(x.source.dataAt) > sourceMargin {
+		if x.source == nil || x.isBetterSource(p, now) {
 			x.source = p
 		}
 	}
 }
 
+// isBetterSource reports whether a neighbor has more recent data than the source. Messages come at different
+// intervals, so that the ages in them are compared; while nobody has new data, the source remains. The
+// caller holds the lock.
+func (x *Exchange) isBetterSource(p *peer, now time.Time) bool {
+	age := max(x.source.dataAge, now.Sub(x.source.dataAt)-2*sourceMargin)
+	return p.dataAt.After(x.source.dataAt) && p.dataAge+sourceMargin < age
+}
+
 // Sparse reports whether this instance exchanges messages with some of the others only, so
 // that it knows little of the requests that they send.
 func (x *Exchange) Sparse() bool {
--- a/internal/peer/ring_test.go
+++ b/internal/peer/ring_test.go
@@ -251,6 +251,14 @@
 	return messages / scale, bytes / scale
 }
 
+// maxIdleRate returns how many messages a second an instance of n may begin while nothing happens: it asks one neighbor
+// for records every sendInterval, and one of each pair sends every 0.5 s to a neighbor and every 30 ms times n to another
+// instance.
+func maxIdleRate(n int) float64 {
+	neighbors := 2 * math.Ceil(math.Log2(float64(n)))
+	return 10 + neighbors/2/0.5 + 0.5/0.03
+}
+
 // Hundreds of instances: what one sends to the others grows no faster than the logarithm of
 // their number, and yet all know each other, records reach all of them within two seconds, and
 // killed instances are noticed.
@@ -268,6 +276,7 @@
 
 			}
 			rates[n], sizes[n] = f.rate(3 * time.Second)
+			require.LessOrEqual(t, rates[n], maxIdleRate(n))
 			for i, feed := range f.feeds {
 				lag := f.feeds[0].Position(time.Now()).Next - feed.Position(time.Now()).Next
 				require.Less(t, lag, int64(200), "%d is behind by that many records of 10 ms", i)
--- a/internal/placement/departure.go
+++ b/internal/placement/departure.go
@@ -40,6 +40,13 @@
 	l.list = append(l.list, d)
 }
 
+// DepartureCount returns the number up to which the list of departures goes, see DeparturesSince.
+func (b *Balancer) DepartureCount() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.departures.dropped + len(b.departures.list)
+}
+
 // DeparturesSince returns the departures that another instance lacks, without the first after
 // ones, and the number up to which the list goes. If more is set, a further call from that number
 // on returns more. Those that this instance learned from others are included if learned is set.
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -105,6 +105,13 @@
 	return data, delivered
 }
 
+// Pending reports whether there are reports that the peer has not received.
+func (l *List) Pending(peer string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.outbox.delivery(peer).delivered < l.outbox.removed+len(l.outbox.reports)
+}
+
 // recordDelivery records that a peer has received the reports up to a position.
 func (l *List) recordDelivery(d *delivery, position int) {
 	l.mu.Lock()
