overload: late requests of customers that lack are refused before their others

Cause, by reading: requests of customers that lack were refused at random, also those that had waited past their target, so that the instance worked on late requests while those in time became late.

--- a/internal/overload/shed.go
+++ b/internal/overload/shed.go
@@ -26,16 +26,22 @@
 	Cost float64
 }
 
-// classes is the number of classes of requests: one for customers that lack, those of cost, and those of cost
-// for late requests.
-const classes = 1 + 2*costClasses
+const (
+	// lackingClasses is the number of classes for customers that lack: requests in time and late ones.
+	lackingClasses = 2
+	// classes is the number of all classes: those, and those of cost, for requests in time and late ones.
+	classes = lackingClasses + 2*costClasses
+)
 
 // class returns the position of the request in the order in which requests are refused, last first.
 func (d Demand) class() int {
-	if d.Lacking {
+	switch {
+	case d.Lacking && d.Late:
+		return 1
+	case d.Lacking:
 		return 0
 	}
-	class := 1 + min(bits.Len64(uint64(max(d.Cost, 1)))-1, costClasses-1)
+	class := lackingClasses + min(bits.Len64(uint64(max(d.Cost, 1)))-1, costClasses-1)
 	if d.Late {
 		class += costClasses
 	}
@@ -44,8 +50,8 @@
 
 // Shedder decides which requests are refused while the processor cannot serve all: first those that would be
 // late anyway, then the dearest, so that as much is served in time as there is processor time for. Those of
-// customers that lack come last, whatever they cost: a customer whose requests all come late or are dear would get
-// nothing. The zero value is ready to use. It is safe for concurrent use.
+// customers that lack come last, again the late ones first, whatever they cost: a customer whose requests are all dear, or late
+// since they were refused before, would get nothing. The zero value is ready to use. It is safe for concurrent use.
 type Shedder struct {
 	mu      sync.Mutex
 	mix     [classes]float64 // decayed cost of the requests that arrived, by class
--- a/internal/overload/shed_test.go
+++ b/internal/overload/shed_test.go
@@ -50,17 +50,18 @@
 	}
 }
 
-// Load: as above, and a customer that lacks sends dear and late requests. They are refused last.
+// Load: as above, and a customer that lacks sends dear requests, half of them late. They are refused last, the late ones
+// first: beside a processor that is far behind, those that are answered would all be late otherwise.
 func TestCustomersThatLackAreRefusedLast(t *testing.T) {
-	for _, c := range []struct{ fraction, lacking, others float64 }{{0.5, 0, 0.83}, {0.8, 0.5, 1}} {
+	for _, c := range []struct{ fraction, others, late, inTime float64 }{{0.5, 0.83, 0, 0}, {0.7, 1, 0.5, 0}, {0.9, 1, 1, 0.5}} {
 		rng := rand.New(rand.NewPCG(1, 2))
 		s := &overload.Shedder{}
-		var asked, refused [2]float64
-		for i := range 4000 {
+		var asked, refused [3]float64
+		for i := range 8000 {
 			kind, d := 0, overload.Demand{Cost: 1}
 			if i%10 == 0 {
 				// Four tenths of the work.
-				kind, d = 1, overload.Demand{Cost: 6, Late: true, Lacking: true}
+				kind, d = 1+i/10%2, overload.Demand{Cost: 6, Late: i/10%2 == 0, Lacking: true}
 			}
 			asked[kind]++
 			if s.Refuse(d, c.fraction, rng.Float64(), time.Unix(0, int64(i)*int64(5*time.Millisecond))) {
@@ -68,6 +69,7 @@
 			}
 		}
 		require.InDelta(t, c.others, refused[0]/asked[0], 0.1)
-		require.InDelta(t, c.lacking, refused[1]/asked[1], 0.1)
+		require.InDelta(t, c.late, refused[1]/asked[1], 0.1)
+		require.InDelta(t, c.inTime, refused[2]/asked[2], 0.1)
 	}
 }
