admission: usage is reported in whole tokens a second

Cause: each message to an instance that is no neighbor carries the usage of all customers of the sender, whose numbers had 17 digits. TestUsageIsReportedInWholeTokens failed before; 60 customers take 2.0 instead of 3.6 kB (worked out).

--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -122,11 +122,16 @@
 	d.add(tokens, now)
 }
 
-// LocalUsage returns the usage at this instance, by customer.
+// LocalUsage returns the usage at this instance, by customer, in whole tokens per second: it is the largest part of
+// the messages between instances.
 func (l *Ledger) LocalUsage(now time.Time) map[string]Usage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.localUsage(now)
+	usage := l.localUsage(now)
+	for customer, u := range usage {
+		usage[customer] = Usage{Demand: math.Round(u.Demand), Served: math.Round(u.Served), TurnedAway: math.Round(u.TurnedAway)}
+	}
+	return usage
 }
 
 func (l *Ledger) localUsage(now time.Time) map[string]Usage {
--- a/internal/admission/ledger_test.go
+++ b/internal/admission/ledger_test.go
@@ -1,7 +1,9 @@
 package admission_test
 
 import (
+	"encoding/json"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -236,3 +238,23 @@
 		require.False(t, l.Lacks("c", later))
 	}
 }
+
+// Every instance sends its usage to every other one. Digits below one token a second were most of it.
+func TestUsageIsReportedInWholeTokens(t *testing.T) {
+	l := &admission.Ledger{}
+	for i := range 60 {
+		customer := fmt.Sprint("customer", i)
+		l.RecordDemand(customer, 12_345+float64(i), start)
+		l.RecordServed(customer, 10_111+float64(i), start)
+	}
+	usage := l.LocalUsage(start.Add(777 * time.Millisecond))
+	require.Len(t, usage, 60)
+	for customer, u := range usage {
+		require.Equal(t, math.Trunc(u.Demand), u.Demand, customer)
+		require.Equal(t, math.Trunc(u.Served), u.Served, customer)
+	}
+	data, err := json.Marshal(usage)
+	require.NoError(t, err)
+	const perCustomer = len(`"customer59":{"a":4190,"s":3432},`)
+	require.LessOrEqual(t, len(data), 60*perCustomer+len("{}"))
+}
