peer: of two neighbors with the same news one waits for the other's message

Cause: both instances of a pair sent their news at the same time, so that up to four copies passed between them instead of two.

--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -131,6 +131,7 @@
 	ownDigest      uint64           // its Member.digest
 	neighbor       bool             // messages are exchanged with it at short intervals
 	neighborSince  time.Time
+	newsSince      time.Time     // since when it lacks crashes or departures; zero if it was not found to lack any
 	dataAt         time.Time     // when its data of the endpoints' feed was current, by its last message
 	dataAge        time.Duration // how old that data was then
 	overloaded     bool          // its processor does not keep up, by its last message
--- a/internal/peer/ring.go
+++ b/internal/peer/ring.go
@@ -158,13 +158,25 @@
 // between them. The caller holds the lock.
 func (x *Exchange) dueToNeighbor(p *peer, now time.Time) bool {
 	sent, received := now.Sub(p.lastSent), now.Sub(p.lastReceived)
-	if sent < sendInterval+time.Duration(x.neighborCount)*sendIntervalPerPeer {
+	interval := sendInterval + time.Duration(x.neighborCount)*sendIntervalPerPeer
+	if sent < interval {
 		return false
 	}
-	if p == x.source || x.hasNews(p) {
+	responds := x.Self.Address > p.Address
+	switch {
+	case !x.hasNews(p):
+		p.newsSince = time.Time{}
+	case p.newsSince.IsZero():
+		p.newsSince = now
+	}
+	// Both may have the same news: one of them waits for the other's message.
+	if !p.newsSince.IsZero() && (!responds || now.Sub(p.newsSince) >= interval) {
+		return true
+	}
+	if p == x.source {
 		return true
 	}
-	if x.Self.Address > p.Address {
+	if responds {
 		return received >= 2*neighborInterval && sent >= neighborInterval
 	}
 	return received >= neighborInterval && sent >= neighborInterval
