overload: customers that lack go last in the order of late, then dear requests

Cause, by reading: where nearly all requests are of one customer that lacks, their order was random, so that more of them were refused, each with its connection, and more streams let in. Change: the order of late, then dear requests holds within each group of customers: those that get what they are due, less than 0.7 of it, less than 0.55. Satisfaction takes the place of a yes or no.

--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -99,15 +99,15 @@
 	add(&l.turnedAway, customer, tokens, now)
 }
 
-// lackingFraction is the fraction of what it is due up to which a customer lacks. It leaves room above half, which
-// is where callers notice that others are served in their place.
-const lackingFraction = 0.7
-
-// Lacks reports whether a customer is served much less than it is due: what it requests or the fair share, whichever is
-// less.
-func (l *Ledger) Lacks(customer string, now time.Time) bool {
+// Satisfaction returns what a customer is served as a fraction of what it is due: what it requests or the fair share,
+// whichever is less. Without a request it is 1.
+func (l *Ledger) Satisfaction(customer string, now time.Time) float64 {
 	u, fairShare := l.Standing(customer, now)
-	return u.Served < lackingFraction*min(u.Demand+u.TurnedAway, fairShare)
+	due := min(u.Demand+u.TurnedAway, fairShare)
+	if due <= 0 {
+		return 1
+	}
+	return u.Served / due
 }
 
 func add(rates *map[string]*decayingRate, customer string, tokens float64, now time.Time) {
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -27,7 +27,7 @@
 	if fraction > 0 {
 		// The answer takes about the lag on its way, as the request did.
 		d.Late = c.late(now, c.h.Overload.Lag())
-		d.Lacking = c.h.Ledger.Lacks(c.customer, now)
+		d.Satisfaction = c.h.Ledger.Satisfaction(c.customer, now)
 	}
 	if !c.h.Shedder.Refuse(d, fraction, rand.Float64(), now) {
 		return false
--- a/internal/overload/shed.go
+++ b/internal/overload/shed.go
@@ -18,8 +18,8 @@
 
 // Demand is what a request asks of the processor.
 type Demand struct {
-	// Lacking is set if the request's customer gets too little of its fair share.
-	Lacking bool
+	// Satisfaction is what the request's customer is served, as a fraction of what it is due.
+	Satisfaction float64
 	// Late is set if the request can no longer be answered within its target latency.
 	Late bool
 	// Cost is the work that it takes, as a multiple of the least of any request.
@@ -27,31 +27,35 @@
 }
 
 const (
-	// lackingClasses is the number of classes for customers that lack: requests in time and late ones.
-	lackingClasses = 2
-	// classes is the number of all classes: those, and those of cost, for requests in time and late ones.
-	classes = lackingClasses + 2*costClasses
+	// Customers with less than lackingSatisfaction lack, with less than halfSatisfaction they lack so much that
+	// callers notice: they get about half of what they are due.
+	lackingSatisfaction = 0.7
+	halfSatisfaction    = 0.55
+	// groups is the number of groups of customers by their satisfaction, each with classes of cost for requests in
+	// time and for late ones.
+	groups  = 3
+	classes = groups * 2 * costClasses
 )
 
 // class returns the position of the request in the order in which requests are refused, last first.
 func (d Demand) class() int {
-	switch {
-	case d.Lacking && d.Late:
-		return 1
-	case d.Lacking:
-		return 0
-	}
-	class := lackingClasses + min(bits.Len64(uint64(max(d.Cost, 1)))-1, costClasses-1)
+	class := min(bits.Len64(uint64(max(d.Cost, 1)))-1, costClasses-1)
 	if d.Late {
 		class += costClasses
 	}
+	switch {
+	case d.Satisfaction >= lackingSatisfaction:
+		class += 2 * 2 * costClasses
+	case d.Satisfaction >= halfSatisfaction:
+		class += 2 * costClasses
+	}
 	return class
 }
 
 // Shedder decides which requests are refused while the processor cannot serve all: first those that would be
-// late anyway, then the dearest, so that as much is served in time as there is processor time for. Those of
-// customers that lack come last, again the late ones first, whatever they cost: a customer whose requests are all dear, or late
-// since they were refused before, would get nothing. The zero value is ready to use. It is safe for concurrent use.
+// late anyway, then the dearest, so that as much is served in time as there is processor time for. Requests of
+// customers that lack come after those of all others: a customer whose requests are dear, or late since they were
+// refused before, would get nothing beside others. The zero value is ready to use. It is safe for concurrent use.
 type Shedder struct {
 	mu      sync.Mutex
 	mix     [classes]float64 // decayed cost of the requests that arrived, by class
