gateway: requests before an overload count in their customers' classes

Seen in the review: at the beginning of an overload 76 of 120 requests were refused where 20 were due (TestOverloadBeginsWithTheFractionThatIsDue failed before). Cause: since the satisfaction of a customer was worked out only while the processor lagged, so that all earlier requests stood in the class that is refused last, and nearly all new ones were refused until their class had as much. Change: it is worked out for each request.

--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -23,12 +23,9 @@
 		return false
 	}
 	fraction := c.h.Overload.RejectFraction()
-	d := overload.Demand{Cost: c.processorWork()}
-	if fraction > 0 {
-		// The answer takes about the lag on its way, as the request did.
-		d.Late = c.late(now, c.h.Overload.Lag())
-		d.Satisfaction = c.h.Ledger.Satisfaction(c.customer, now)
-	}
+	d := overload.Demand{Satisfaction: c.h.Ledger.Satisfaction(c.customer, now), Cost: c.processorWork()}
+	// The answer takes about the lag on its way, as the request did.
+	d.Late = fraction > 0 && c.late(now, c.h.Overload.Lag())
 	if !c.h.Shedder.Refuse(d, fraction, rand.Float64(), now) {
 		return false
 	}
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -109,3 +109,35 @@
 		}
 	})
 }
+
+// Load: an instance that served all requests for seconds begins to lag, so that a sixth of the work has to be refused. From
+// the first moment on no more than that is refused: the mix of requests before counts in the classes of those after.
+func TestOverloadBeginsWithTheFractionThatIsDue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(time.Minute)
+		config := unaryConfig()
+		config.Customers = []arrangement.Customer{{Name: "c", Keys: []string{"k"}}}
+		g := newTestGateway(t, config)
+		g.addCounted("i-1", serveWell)
+		g.handler.Overload = &overload.Meter{}
+		refused := 0
+		for i := range 360 {
+			if i >= 240 {
+				g.handler.Overload.Record(60 * time.Millisecond)
+			}
+			r, err := http.NewRequest(http.MethodPost, "http://h/", strings.NewReader("q"))
+			require.NoError(t, err)
+			r.Header.Set("Key", "k")
+			r.Header.Set("Wait", "9000")
+			r.Header.Set("Input", "1000")
+			resp, err := g.client.Do(r)
+			require.NoError(t, err)
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				refused++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.InDelta(t, 120.0/6, refused, 12)
+	})
+}
--- a/internal/peer/ring.go
+++ b/internal/peer/ring.go
@@ -144,7 +144,7 @@
 	return background
 }
 
-// interval returns the interval of messages to a live peer that is no neighbor in a large fleet. The caller
+// interval returns the interval of messages to a live peer, except to neighbors in a large fleet. The caller
 // holds the lock.
 func (x *Exchange) interval(p *peer) time.Duration {
 	if !x.sparse {
