entry: a planned stop waits for requests whose handler has not been called yet

Cause: between the end of its headers and the call of its handler a request counted neither as being received nor as active, so that the stop ended when it looked in between. Change: a connection is busy from the first byte of a request until its response has been written.

--- a/internal/entry/idle.go
+++ b/internal/entry/idle.go
@@ -43,7 +43,7 @@
 	mu        sync.Mutex
 	open      int
 	idleSince map[*callerConn]time.Time
-	receiving int // connections from which the headers of a request are being read
+	busy      int // connections from which a request is being read or answered
 }
 
 // callerConn is a connection of a caller. While it is idle, its server waits in Read for the
@@ -58,9 +58,9 @@
 	waiting atomic.Bool
 	// expired is set while Read is to fail unless a request has arrived.
 	expired atomic.Bool
-	// receiving is set while the headers of a request are being read. It is guarded by
-	// conns.mu.
-	receiving bool
+	// busy is set from the first byte of a request until its response has been written: the
+	// server calls the handler some time after it has read the headers. It is guarded by conns.mu.
+	busy bool
 }
 
 // lastReadTimeout is how long Read waits, before it fails on an expired connection, for a
@@ -170,8 +170,10 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	delete(i.idleSince, c)
-	c.receiving = true
-	i.receiving++
+	if !c.busy {
+		c.busy = true
+		i.busy++
+	}
 	c.resume()
 }
 
@@ -209,20 +211,22 @@
 	case http.StateNew:
 		i.open++
 		return
+	case http.StateActive:
+		c.resume()
+		delete(i.idleSince, c)
+		return
 	case http.StateIdle:
 		if i.idleSince == nil {
 			i.idleSince = map[*callerConn]time.Time{}
 		}
 		i.idleSince[c] = time.Now()
 		c.waiting.Store(true)
-		return
-	case http.StateActive:
-		c.resume()
+	default:
+		delete(i.idleSince, c)
 	}
-	delete(i.idleSince, c)
-	if c.receiving {
-		c.receiving = false
-		i.receiving--
+	if c.busy {
+		c.busy = false
+		i.busy--
 	}
 }
 
@@ -283,9 +287,9 @@
 	return i.open
 }
 
-// receivingCount returns from how many connections the headers of a request are being read.
-func (i *idleConns) receivingCount() int {
+// busyCount returns from how many connections a request is being read or answered.
+func (i *idleConns) busyCount() int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.receiving
+	return i.busy
 }
--- a/internal/entry/idle_test.go
+++ b/internal/entry/idle_test.go
@@ -94,11 +94,13 @@
 		}
 		require.NoError(t, err)
 		require.Equal(t, 16, n)
-		require.Equal(t, 1, i.receivingCount())
+		require.Equal(t, 1, i.busyCount())
 		require.Empty(t, i.idleSince)
 		require.Zero(t, conn.deadline)
 		i.track(c, http.StateActive)
-		require.Zero(t, i.receivingCount())
+		require.Equal(t, 1, i.busyCount(), "its handler has not been called yet")
+		i.track(c, http.StateIdle)
+		require.Zero(t, i.busyCount())
 	}
 }
 
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -31,7 +31,7 @@
 		}
 		if time.Since(start) >= drainDelay {
 			i.idleConns.closeIdle()
-			if i.handler.Active() == 0 && i.idleConns.receivingCount() == 0 && i.handler.Backlog.Unread() == 0 {
+			if i.idleConns.busyCount() == 0 && i.handler.Active() == 0 && i.handler.Backlog.Unread() == 0 {
 				break
 			}
 		}
