overload: what a customer sent counts in the group that it is in now

Cause: when a large customer began to lack, its work of the last seconds still stood in the group of those that get what they are due, which is refused first. The instance took it for work still to come, and refused too little of what came. Change: the mix of requests is kept by customer and moves with it.

--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -23,7 +23,7 @@
 		return false
 	}
 	fraction := c.h.Overload.RejectFraction()
-	d := overload.Demand{Satisfaction: c.h.Ledger.Satisfaction(c.customer, now), Cost: c.processorWork()}
+	d := overload.Demand{Customer: c.customer, Satisfaction: c.h.Ledger.Satisfaction(c.customer, now), Cost: c.processorWork()}
 	// The answer takes about the lag on its way, as the request did.
 	d.Late = fraction > 0 && c.late(now, c.h.Overload.Lag())
 	if !c.h.Shedder.Refuse(d, fraction, rand.Float64(), now) {
--- a/internal/overload/shed_test.go
+++ b/internal/overload/shed_test.go
@@ -58,7 +58,8 @@
 		{0.4, 0.88, 0, 0, 0}, {0.545, 1, 0.5, 0, 0}, {0.727, 1, 1, 0.5, 0}, {0.91, 1, 1, 1, 0.5},
 	} {
 		kinds := []overload.Demand{
-			{Cost: 1, Satisfaction: 1}, {Cost: 6, Late: true, Satisfaction: 0.6}, {Cost: 6, Satisfaction: 0.6}, {Cost: 3, Late: true, Satisfaction: 0.3},
+			{Customer: "a", Cost: 1, Satisfaction: 1}, {Customer: "b", Cost: 6, Late: true, Satisfaction: 0.6},
+			{Customer: "b", Cost: 6, Satisfaction: 0.6}, {Customer: "c", Cost: 3, Late: true, Satisfaction: 0.3},
 		}
 		rng := rand.New(rand.NewPCG(1, 2))
 		s := &overload.Shedder{}
@@ -76,3 +77,28 @@
 		}
 	}
 }
+
+// Load: nearly all requests are of one customer, who gets what it is due at one moment and lacks at the next, as its usage
+// becomes known. What is refused of the work stays what the lag asks for: too little of it lets the instance fall seconds behind.
+func TestFractionHoldsWhenACustomerBeginsToLack(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	s := &overload.Shedder{}
+	refused := 0
+	const window = 100
+	for i := range 3000 {
+		d := overload.Demand{Customer: "large", Cost: 2, Satisfaction: 1}
+		if i/250%2 == 1 {
+			d.Satisfaction = 0.3
+		}
+		if i%20 == 0 {
+			d = overload.Demand{Customer: "small", Cost: 2, Satisfaction: 0.9}
+		}
+		if s.Refuse(d, 0.6, rng.Float64(), time.Unix(0, int64(i)*int64(2*time.Millisecond))) {
+			refused++
+		}
+		if i%window == window-1 {
+			require.InDelta(t, 0.6*window, refused, 20, "requests up to %d", i)
+			refused = 0
+		}
+	}
+}
