--- a/internal/overload/shed_test.go
+++ b/internal/overload/shed_test.go
@@ -58,8 +58,10 @@
 		{0.4, 0.88, 0, 0, 0}, {0.545, 1, 0.5, 0, 0}, {0.727, 1, 1, 0.5, 0}, {0.91, 1, 1, 1, 0.5},
 	} {
 		kinds := []overload.Demand{
-			{Customer: "a", Cost: 1, Satisfaction: 1}, {Customer: "b", Cost: 6, Late: true, Satisfaction: 0.6},
-			{Customer: "b", Cost: 6, Satisfaction: 0.6}, {Customer: "c", Cost: 3, Late: true, Satisfaction: 0.3},
+			{Customer: "a", Cost: 1, Satisfaction: 1},
+			{Customer: "b", Cost: 6, Late: true, Satisfaction: 0.6},
+			{Customer: "b", Cost: 6, Satisfaction: 0.6},
+			{Customer: "c", Cost: 3, Late: true, Satisfaction: 0.3},
 		}
 		rng := rand.New(rand.NewPCG(1, 2))
 		s := &overload.Shedder{}
