--- a/review/bed2/instance.go
+++ b/review/bed2/instance.go
@@ -1,6 +1,7 @@
 package bed2
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -27,13 +28,25 @@
 	done     chan struct{}
 }
 
-// FreeAddress returns a loopback address on which nothing listens.
+// Ports of instances are below those that the kernel gives to connections, so that none is taken before its use.
+const (
+	firstPort = 20000
+	ports     = 12000
+)
+
+var lastPort = os.Getpid() * 97
+
+// FreeAddress returns a loopback address on which nothing listens, a different one at each call. It is not safe for
+// concurrent use.
 func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range ports {
+		lastPort++
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+lastPort%ports))
+		if l, err := net.Listen("tcp", address); err == nil {
+			return address, l.Close()
+		}
 	}
-	return l.Addr().String(), l.Close()
+	return "", errors.New("no port is free")
 }
 
 // NewInstances returns n instances in two zones that know each other.
