--- a/review/bed2/server.go
+++ b/review/bed2/server.go
@@ -77,11 +77,3 @@
 	close(s.stop)
 	_ = s.http.Close()
 }
-
-// MoveTo makes the server write its record to another store from now on.
-func (s *Server) MoveTo(other *Store) {
-	s.mu.Lock()
-	s.Store = other
-	s.mu.Unlock()
-	s.Beat()
-}
--- a/review/bed2/store.go
+++ b/review/bed2/store.go
@@ -53,24 +53,6 @@
 	return time.Now()
 }
 
-// Copy returns another store that holds the same records, as after a move of the store.
-func (s *Store) Copy() (*Store, error) {
-	other, err := StartStore()
-	if err != nil {
-		return nil, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	other.mu.Lock()
-	defer other.mu.Unlock()
-	for name, t := range s.topics {
-		for n, key := range t.keys {
-			other.topic(name).add(key, t.values[n])
-		}
-	}
-	return other, nil
-}
-
 func (s *Store) topic(name string) *topic {
 	t := s.topics[name]
 	if t == nil {
