connection: reads report a reset that a write has been told of

Seen: an endpoint answered a long upload at once with a 200 without a length, sent part of the body and reset the connection. The caller got the part as a complete response, on the paths of serve and of run.

Cause: Linux reports a reset once, to whichever call on the socket comes first. If that is the write of the upload, the next read returns the end of the stream, which is also the end of a body without a length. Not the cause: closing by the gateway (reads then return net.ErrClosed) and the queries of queued bytes, which consume no error.

A write that consumed the reset has recorded it before the read can see its effect. EPIPE is not recorded: the kernel uses it for a reset after the peer's FIN, and then the body is complete.

--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -18,13 +18,18 @@
 	"github.com/greengagestep/greengagestep/pkg/arrangement"
 )
 
+// bodyConfig has one route, whose requests run once, for bodies of up to a number of bytes.
+func bodyConfig(maxBodyBytes int64) arrangement.Config {
+	return arrangement.Config{
+		Routes: []arrangement.Route{{Name: "r", Path: "/", Targets: []arrangement.Target{{Service: "portal", Weight: 1}}, Repeat: arrangement.RepeatNever, Attempts: 1}},
+		Limits: arrangement.Limits{MaxBodyBytes: maxBodyBytes},
+	}
+}
+
 // bodyGateway is a gateway with room for a number of bytes of bodies, and an endpoint that takes a
 // second for each request.
 func bodyGateway(t *testing.T, maxBytes, maxBodyBytes int64) *testGateway {
-	g := newTestGateway(t, arrangement.Config{
-		Routes: []arrangement.Route{{Name: "r", Path: "/", Targets: []arrangement.Target{{Service: "portal", Weight: 1}}, Repeat: arrangement.RepeatNever, Attempts: 1}},
-		Limits: arrangement.Limits{MaxBodyBytes: maxBodyBytes},
-	})
+	g := newTestGateway(t, bodyConfig(maxBodyBytes))
 	g.handler.Backlog.MaxBytes = maxBytes
 	g.addEndpoint("i-1", func(r *http.Request, body string, w io.Writer) bool {
 		time.Sleep(time.Second)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -20,6 +20,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/greengagestep/greengagestep/internal/connection"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
@@ -320,7 +321,7 @@
 // close the kernel would go on sending what the endpoint has not acknowledged, so that a request
 // could reach it long after it was given up.
 func (c *conn) abort() {
-	if t, ok := c.netConn.(*net.TCPConn); ok {
+	if t, ok := c.netConn.(interface{ SetLinger(seconds int) error }); ok {
 		// An error means that the connection is closed already.
 		_ = t.SetLinger(0)
 	}
@@ -394,7 +395,7 @@
 	if p.OnDial != nil {
 		p.OnDial(address)
 	}
-	n, err := dial(ctx, "tcp", address)
+	n, err := connection.ReportReset(dial)(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
