head: a status below 100 and a protocol switch are no response

Seen: an endpoint sent a response with status 000; the caller got what followed as its response, status 200.

Cause: net/http accepts any three characters that strconv.Atoi takes for a number of 0 or more: 000, -00, +20. The gateway took each status below 200 for an informational one, skipped the head and read the body as the next response. 101 was skipped like that, too, although no request asks for a switch. On the path of run, net/http does not skip them; the status was passed on as it was (101), or made the server's WriteHeader panic (below 100, by reading).

Fix: head.Check rejects them before anything in the head is used. The pool of the gateway asks it for each head; head.Transport asks it for requests to endpoints on the path of run, load reports, orders and messages between its instances. Status 100, 102 to 199 are skipped as before, statuses from 200 on are unchanged.

--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/greengagestep/greengagestep/internal/connection"
+	"github.com/greengagestep/greengagestep/internal/head"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
@@ -196,7 +197,7 @@
 		}
 		req.Body = opaqueBody{req.Body}
 	}
-	resp, err := p.RoundTrip(req)
+	resp, err := (&head.Transport{RoundTripper: p}).RoundTrip(req)
 	if err == nil {
 		return resp, nil
 	}
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -16,6 +16,7 @@
 	"github.com/greengagestep/greengagestep/internal/audit"
 	"github.com/greengagestep/greengagestep/internal/connection"
 	"github.com/greengagestep/greengagestep/internal/endpoint"
+	"github.com/greengagestep/greengagestep/internal/head"
 	"github.com/greengagestep/greengagestep/internal/member"
 	"github.com/greengagestep/greengagestep/internal/scheduler"
 )
@@ -178,9 +179,9 @@
 		}
 		return countingConn{conn, bytesWritten}, nil
 	}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: &head.Transport{RoundTripper: &http.Transport{
 		DialContext: countingDial, DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute,
-	}}
+	}}}
 }
 
 // countingConn counts the bytes written to a connection.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/greengagestep/greengagestep/internal/connection"
+	"github.com/greengagestep/greengagestep/internal/head"
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
@@ -242,6 +243,9 @@
 		if err != nil {
 			return err
 		}
+		if err := head.Check(resp); err != nil {
+			return err
+		}
 		attrs := a.pool.HeaderCodec.DecodeResponse(resp.StatusCode, resp.Header)
 		if r.OnHead != nil {
 			r.OnHead(attrs)
