--- a/internal/head/scanner.go
+++ b/internal/head/scanner.go
@@ -5,9 +5,9 @@
 	"strings"
 )
 
-// Scanner checks the lines of one head, and of the informational ones before it, as its bytes arrive: net/http skips fields with a space in their name, joins lines
-// that begin with a blank to the value before, and ends a head at an empty line that ends with LF alone. The zero value is
-// ready for the first byte. It is not safe for concurrent use.
+// Scanner checks the lines of one head, and of the informational ones before it, as its bytes arrive. net/http skips fields with a
+// space in their name, joins lines that begin with a blank to the value before, and ends a head at an empty line that ends with LF
+// alone. The zero value is ready for the first byte. It is not safe for concurrent use.
 type Scanner struct {
 	err    error
 	ended  bool
