--- a/review/bed3/bed.go
+++ b/review/bed3/bed.go
@@ -39,6 +39,9 @@
 	TenantHeader     string `json:"tenantHeader"`
 	NotRunHeader     string `json:"notRunHeader"`
 	LoadHeader       string `json:"loadHeader"`
+	PrefixHeader     string `json:"prefixHeader"`
+	UsageHeader      string `json:"usageHeader"`
+	ModelHeader      string `json:"modelHeader"`
 }
 
 // bed is one run: the processes of the system and the stand-ins beside them.
@@ -348,11 +351,11 @@
 }
 
 // book sends a booking to a process, over a connection of its own.
-func (b *bed) book(f *front, key string) answer {
+func (b *bed) book(f *front, path, key string) answer {
 	a := answer{id: fmt.Sprintf("%016x", b.nextID.Add(1))}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.Front+"/booking/7", strings.NewReader("cord"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.Front+path, strings.NewReader("cord"))
 	if err != nil {
 		a.err = err
 		return a
--- a/review/bed3/drill.go
+++ b/review/bed3/drill.go
@@ -107,7 +107,7 @@
 			defer wait.Done()
 			for range 20 {
 				for _, key := range []string{"key-one", "key-two"} {
-					a := b.book(f, key)
+					a := b.book(f, "/booking/7", key)
 					old := slices.Contains(a.ranAt, "portal-a") || key == "key-two" && len(a.ranAt) > 0
 					mu.Lock()
 					total++
--- a/review/bed3/main.go
+++ b/review/bed3/main.go
@@ -12,6 +12,8 @@
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(b *bed, trouble bool) (broken bool, err error){
 	"drill": playDrill,
+	"part":  playPart,
+	"again": playAgain,
 }
 
 func main() {
