--- a/review/bed3/bed.go
+++ b/review/bed3/bed.go
@@ -56,6 +56,7 @@
 	fronts  []*front
 	servers []*server
 	nextID  atomic.Int64
+	work    time.Duration // of a server on a request
 
 	mu   sync.Mutex
 	runs map[string][]string // services that ran a request, by its ID
@@ -71,7 +72,7 @@
 
 // newBed reads the data files and starts the store.
 func newBed(data, record string) (*bed, error) {
-	b := &bed{data: data, start: time.Now(), runs: map[string][]string{}}
+	b := &bed{data: data, start: time.Now(), runs: map[string][]string{}, work: 15 * time.Millisecond}
 	text, err := os.ReadFile(filepath.Join(data, "names.json"))
 	if err != nil {
 		return nil, err
@@ -332,7 +333,7 @@
 	s.bed.mu.Lock()
 	s.bed.runs[id] = append(s.bed.runs[id], s.Service)
 	s.bed.mu.Unlock()
-	time.Sleep(15 * time.Millisecond)
+	time.Sleep(s.bed.work)
 	s.mu.Lock()
 	s.running--
 	s.mu.Unlock()
--- a/review/bed3/main.go
+++ b/review/bed3/main.go
@@ -11,9 +11,11 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(b *bed, trouble bool) (broken bool, err error){
-	"drill": playDrill,
-	"part":  playPart,
-	"again": playAgain,
+	"drill":   playDrill,
+	"part":    playPart,
+	"again":   playAgain,
+	"foreign": playForeign,
+	"ghost":   playGhost,
 }
 
 func main() {
