--- a/review/bed3/part.go
+++ b/review/bed3/part.go
@@ -177,11 +177,16 @@
 	return lateDeadly > maxLateDeadly || lost
 }
 
-// chat sends a streaming request over a connection of its own and reads the answer.
+// chat sends a streaming request over a connection of its own and reads the answer. All bodies differ but those
+// of the request that comes again.
 func (b *bed) chat(f *front, path, id, prefix string, tokens int) (status, events int, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.Front+path, strings.NewReader("prompt"))
+	body := "prompt"
+	if path != deadlyPath {
+		body += " " + id
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.Front+path, strings.NewReader(body))
 	if err != nil {
 		return 0, 0, err
 	}
