--- a/review/bed3/engine.go
+++ b/review/bed3/engine.go
@@ -12,8 +12,9 @@
 )
 
 // engine is a server that some requests crash when it begins to answer them: those with the part deadly in
-// their prompts and those of the path deadlyPath. It is back after downTime under its ID, with its counts
-// anew. It answers with a stream, or with one body if plain is set.
+// their prompts and those whose path begins with deadlyPath. It is back after downTime under its ID, with its
+// counts anew; with a downTime of zero it is gone for good. It answers with a stream, or with one body if plain
+// is set.
 type engine struct {
 	bed         *bed
 	ID, Address string
@@ -102,6 +103,9 @@
 	}
 	e.mu.Unlock()
 	e.onCrash(e.ID)
+	if e.downTime == 0 {
+		return
+	}
 	time.AfterFunc(e.downTime, func() {
 		if err := e.start(); err != nil {
 			e.bed.log("engine %s cannot start again: %v", e.ID, err)
@@ -175,7 +179,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	deadly := e.deadlyPath != "" && r.URL.Path == e.deadlyPath
+	deadly := e.deadlyPath != "" && strings.HasPrefix(r.URL.Path, e.deadlyPath)
 	parts := strings.Split(r.Header.Get(n.PrefixHeader), ",")
 	for _, part := range parts[:max(len(parts)-1, 0)] {
 		name, _, _ := strings.Cut(part, ":")
--- a/review/bed3/main.go
+++ b/review/bed3/main.go
@@ -14,6 +14,7 @@
 	"drill":   playDrill,
 	"part":    playPart,
 	"again":   playAgain,
+	"many":    playMany,
 	"foreign": playForeign,
 	"ghost":   playGhost,
 }
--- a/review/bed3/part.go
+++ b/review/bed3/part.go
@@ -178,12 +178,12 @@
 }
 
 // chat sends a streaming request over a connection of its own and reads the answer. All bodies differ but those
-// of the request that comes again.
+// of requests that come again, which are the same for a path.
 func (b *bed) chat(f *front, path, id, prefix string, tokens int) (status, events int, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
 	defer cancel()
 	body := "prompt"
-	if path != deadlyPath {
+	if !strings.HasPrefix(path, deadlyPath) {
 		body += " " + id
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.Front+path, strings.NewReader(body))
