--- a/review/bed3/bed.go
+++ b/review/bed3/bed.go
@@ -58,8 +58,17 @@
 	nextID  atomic.Int64
 	work    time.Duration // of a server on a request
 
-	mu   sync.Mutex
-	runs map[string][]string // services that ran a request, by its ID
+	mu     sync.Mutex
+	runs   map[string][]string // services that ran a request, by its ID
+	failed error               // why the case could not run as it should
+}
+
+// fail records that the case cannot run as it should.
+func (b *bed) fail(err error) {
+	b.log("%v", err)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.failed = err
 }
 
 // log writes a line to the record.
@@ -70,6 +79,13 @@
 	fmt.Fprintf(b.record, format+"\n", args...)
 }
 
+// failure returns why the case could not run as it should, nil if it could.
+func (b *bed) failure() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.failed
+}
+
 // newBed reads the data files and starts the store.
 func newBed(data, record string) (*bed, error) {
 	b := &bed{data: data, start: time.Now(), runs: map[string][]string{}, work: 15 * time.Millisecond}
--- a/review/bed3/engine.go
+++ b/review/bed3/engine.go
@@ -108,7 +108,7 @@
 	}
 	time.AfterFunc(e.downTime, func() {
 		if err := e.start(); err != nil {
-			e.bed.log("engine %s cannot start again: %v", e.ID, err)
+			e.bed.fail(fmt.Errorf("engine %s cannot start again: %w", e.ID, err))
 			return
 		}
 		e.beat()
--- a/review/bed3/main.go
+++ b/review/bed3/main.go
@@ -35,6 +35,9 @@
 	}
 	defer b.close()
 	broken, err := run(b, os.Getenv("TROUBLE") != "0")
+	if err == nil {
+		err = b.failure()
+	}
 	for _, f := range b.fronts {
 		if keep := os.Getenv("KEEP_LOGS"); keep != "" {
 			text, _ := os.ReadFile(filepath.Join(b.dir, f.Name+".log"))
--- a/review/bed3/many.go
+++ b/review/bed3/many.go
@@ -132,7 +132,7 @@
 		time.AfterFunc(entryExpiry, func() { _, _ = b.store.put(b.names.ServersTopic, name, "") })
 		time.AfterFunc(engineDown, func() {
 			if err := r.addEngine(ctx, b, zone, trouble); err != nil {
-				b.log("no engine in place of %s: %v", name, err)
+				b.fail(fmt.Errorf("no engine in place of %s: %w", name, err))
 			}
 		})
 	}
