--- a/review/bed3/engine.go
+++ b/review/bed3/engine.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -22,7 +23,8 @@
 	deadly      string
 	deadlyPath  string
 	plain       bool
-	events      int // of each stream
+	events      int           // of each stream
+	firstTime   time.Duration // from a request to the first event
 	Service     string
 	downTime    time.Duration
 	onArrival   func(id string, deadly bool)
@@ -187,7 +189,7 @@
 	}
 	e.onArrival(id, deadly)
 	select {
-	case <-time.After(40 * time.Millisecond):
+	case <-time.After(cmp.Or(e.firstTime, 40*time.Millisecond)):
 	case <-r.Context().Done():
 		return
 	}
--- a/review/bed3/main.go
+++ b/review/bed3/main.go
@@ -15,6 +15,7 @@
 	"part":    playPart,
 	"again":   playAgain,
 	"many":    playMany,
+	"long":    playLong,
 	"foreign": playForeign,
 	"ghost":   playGhost,
 }
--- a/review/bed3/part.go
+++ b/review/bed3/part.go
@@ -180,7 +180,13 @@
 // chat sends a streaming request over a connection of its own and reads the answer. All bodies differ but those
 // of requests that come again, which are the same for a path.
 func (b *bed) chat(f *front, path, id, prefix string, tokens int) (status, events int, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
+	const deadline = 12 * time.Second
+	return b.chatWithin(deadline, deadline, f, path, id, prefix, tokens)
+}
+
+// chatWithin does so with a deadline that it names, and reads the answer for patience.
+func (b *bed) chatWithin(deadline, patience time.Duration, f *front, path, id, prefix string, tokens int) (status, events int, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	body := "prompt"
 	if !strings.HasPrefix(path, deadlyPath) {
@@ -193,7 +199,7 @@
 	req.Host = "portal.example"
 	req.Header.Set("Authorization", "Bearer key-one")
 	req.Header.Set(b.names.RequestHeader, id)
-	req.Header.Set(b.names.DeadlineHeader, "12000")
+	req.Header.Set(b.names.DeadlineHeader, strconv.FormatInt(deadline.Milliseconds(), 10))
 	req.Header.Set(b.names.ModelHeader, "m")
 	req.Header.Set(b.names.UsageHeader, fmt.Sprintf("%d,80", tokens))
 	req.Header.Set(b.names.PrefixHeader, prefix)
