--- a/review/bed3/many.go
+++ b/review/bed3/many.go
@@ -86,7 +86,7 @@
 	return r.judgeRepeats(b), nil
 }
 
-// playLong does so with fewer of them and with prompts of many parts, as long conversations have.
+// playLong does so with more sound requests and with prompts of many parts, as long conversations have.
 func playLong(b *bed, trouble bool) (bool, error) {
 	r := &manyRun{manyOptions: manyOptions{
 		config: "tags.tmpl", deadly: longDeadly, soundPerS: longSoundS, parts: longParts, tokens: longTokens, events: longEvents,
