watch: a platform that was restored is read anew

What callers saw: after a drill of the store no instance used an acknowledged configuration.

Cause: a feed was followed by offset alone. After a restoration the records that are written again get offsets below the one that a follower has read up to, so that they are never read, and instances took each other's equal offsets for a proof of current data. No code read Store-Era.

Fix: a place in a feed is (epoch, offset), in reads, in followers and in what instances relay. A response or a message of another epoch makes the follower read all records; a long read in progress ends; a response of an epoch that has ended since the read began is dropped. Offsets of different epochs are never compared. Instances that learn of the epoch from each other spread their reads over 2 ms for each of them. A store that states no epoch works as before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -256,10 +256,12 @@
 	i.operators = &watch.Follower[watch.OperatorRecord]{
 		Name: "operators", Feed: i.Operators, Wait: operatorsWait, MaxRecent: configurationsKept, Timeout: feedTimeout, MaxAge: i.maxAge(operatorsMaxAge, operatorsWait),
 		OnBatch: i.applyOperatorRecords, OnUnreachable: i.logUnreachable("operators"), OnReachable: i.logReachable("operators"),
+		OnRestored: i.platformRestored("operators"), Spread: i.spread,
 	}
 	i.endpoints = &watch.Follower[fleet.EndpointInfo]{
 		Name: "endpoints", Feed: i.Endpoints, Timeout: feedTimeout, MaxAge: i.maxAge(endpointsMaxAge, 0),
-		OnBatch: i.tracker.Apply, OnUnreachable: i.logUnreachable("endpoints"), OnReachable: i.logReachable("endpoints"),
+		OnBatch: i.applyEndpointRecords, OnUnreachable: i.logUnreachable("endpoints"), OnReachable: i.logReachable("endpoints"),
+		OnRestored: i.platformRestored("endpoints"), Spread: i.spread,
 		ExpiryTime: i.expiryTime(), OnRecovery: i.platformRecovered,
 	}
 	now := time.Now()
@@ -420,7 +422,7 @@
 
 func (i *Instance) removeExpired(context.Context) {
 	now := time.Now()
-	if p := i.endpoints.Position(now); p.Next > 0 {
+	if p := i.endpoints.Position(now); p.Known() {
 		dataAt := now.Add(-time.Duration(p.Age) * time.Millisecond)
 		i.tracker.RemoveExpired(now, dataAt)
 		i.tracker.ResolveDisputes(dataAt)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -80,23 +80,23 @@
 	f.records = slices.DeleteFunc(f.records, func(r fleet.KeyedRecord[T]) bool { return slices.Contains(keys, r.Key) })
 }
 
-func (f *fakeFeed[T]) Newest(context.Context) ([]fleet.KeyedRecord[T], int64, error) {
+func (f *fakeFeed[T]) Newest(context.Context) ([]fleet.KeyedRecord[T], fleet.Cursor, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return append([]fleet.KeyedRecord[T](nil), f.records...), int64(len(f.records)) + 1, nil
+	return append([]fleet.KeyedRecord[T](nil), f.records...), fleet.Cursor{Offset: int64(len(f.records)) + 1}, nil
 }
 
-func (f *fakeFeed[T]) Changes(ctx context.Context, from int64, wait time.Duration) ([]fleet.KeyedRecord[T], int64, error) {
+func (f *fakeFeed[T]) Changes(ctx context.Context, from fleet.Cursor, wait time.Duration) ([]fleet.KeyedRecord[T], fleet.Cursor, error) {
 	f.mu.Lock()
 	if f.trimmed {
 		f.trimmed = false
 		f.mu.Unlock()
-		return nil, 0, fleet.ErrTrimmed
+		return nil, fleet.Cursor{}, fleet.ErrTrimmed
 	}
-	records, down := append([]fleet.KeyedRecord[T](nil), f.records[from-1:]...), f.down
+	records, down := append([]fleet.KeyedRecord[T](nil), f.records[from.Offset-1:]...), f.down
 	f.mu.Unlock()
 	if down {
-		return nil, 0, errPlatformDown
+		return nil, fleet.Cursor{}, errPlatformDown
 	}
 	if len(records) == 0 && wait > 0 {
 		select {
@@ -104,7 +104,7 @@
 		case <-ctx.Done():
 		}
 	}
-	return records, from + int64(len(records)), nil
+	return records, fleet.Cursor{Offset: from.Offset + int64(len(records))}, nil
 }
 
 // fakeStore is a fleet.WriteOnceValue and a fleet.KeyValueStore that stays empty.
--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -34,6 +34,7 @@
 // applyOperatorRecords applies a batch of the operators' feed. The instance serves from its first
 // configuration on, so the emptied failure domains of the batch come first.
 func (i *Instance) applyOperatorRecords(b watch.Batch[watch.OperatorRecord]) {
+	logSnapshot(i, i.operators.Name, b)
 	i.applyEvacuations(b)
 	for _, r := range b.Records {
 		if r.Err != nil {
@@ -54,6 +55,12 @@
 	}
 }
 
+// applyEndpointRecords applies a batch of the endpoints' feed.
+func (i *Instance) applyEndpointRecords(b watch.Batch[fleet.EndpointInfo]) {
+	logSnapshot(i, i.endpoints.Name, b)
+	i.tracker.Apply(b)
+}
+
 // startups returns the services whose endpoints are cold after their start.
 func (i *Instance) startups(config arrangement.Config) map[string]placement.Startup {
 	startups := map[string]placement.Startup{}
--- /dev/null
+++ b/internal/entry/restore.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/greengagestep/greengagestep/internal/event"
+	"github.com/greengagestep/greengagestep/internal/gauge"
+	"github.com/greengagestep/greengagestep/internal/watch"
+)
+
+// snapshotSpread is added, for each other instance, to the time over which instances that learn
+// from each other that the platform was restored read all records: 500 reads of a feed a second.
+const snapshotSpread = 2 * time.Millisecond
+
+// platformRestored returns a function that is called when a feed shows that the platform was
+// restored from an older copy. A restored platform affects all feeds.
+func (i *Instance) platformRestored(feed string) func(from, to int64) {
+	return func(from, to int64) {
+		i.handler.Metrics.Count(gauge.Name("platform_restores_total", "feed", feed))
+		i.logger.Warn(event.Restored, zap.String("feed", feed), zap.Int64("from", from), zap.Int64("to", to))
+		i.operators.NoteEpoch(to)
+		i.endpoints.NoteEpoch(to)
+	}
+}
+
+// spread returns the time over which the instances that reach each other read all records.
+func (i *Instance) spread() time.Duration {
+	return time.Duration(i.peers.Peers(time.Now())) * snapshotSpread
+}
+
+// logSnapshot logs that all records of a feed were read anew after the platform was restored.
+func logSnapshot[T any](i *Instance, feed string, b watch.Batch[T]) {
+	if !b.Restored {
+		return
+	}
+	i.logger.Info(event.Resynchronized, zap.String("feed", feed), zap.Int64("epoch", b.Next.Epoch), zap.Int64("next", b.Next.Offset),
+		zap.Int("records", len(b.Records)), zap.Bool("relayed", b.Relayed))
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -20,6 +20,10 @@
 	// PlatformRecovered is logged when the platform is reachable again after an outage
 	// in which records may have expired.
 	PlatformRecovered = "recovered"
+	// Restored is logged when the platform is found to have been restored from an older copy of
+	// its records, Resynchronized once all records of a feed have been read anew.
+	Restored       = "restored"
+	Resynchronized = "resynced"
 	// Configuration is logged when a configuration version is applied.
 	Configuration = "configuration"
 	// Evacuation is logged when operators have emptied a failure domain or taken it back.
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -21,6 +21,7 @@
 	"github.com/greengagestep/greengagestep/internal/service"
 	"github.com/greengagestep/greengagestep/internal/warmup"
 	"github.com/greengagestep/greengagestep/internal/watch"
+	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
 const (
@@ -120,17 +121,17 @@
 	inFlight       bool          // a message to it awaits its response
 	sent           int           // messages sent to it
 	lost           bool
-	lastAnnounced  time.Time        // when its address was last given to addPeer
-	cacheFillsSent int64            // number of the last cache fill reported to it
-	departuresNext int              // position after the departures that it has received
-	hasDepartures  bool             // it has received all departures once since its start
-	positions      map[string]int64 // first offset of each feed that it has not read, by name
-	reserveAfter   time.Time        // earliest time of the next reservation request to it
-	lastErr        error            // of the last message sent to it
-	membersDigest  uint64           // of the live instances that it knows
-	ringHash       uint32           // position on the ring
-	ownDigest      uint64           // its Member.digest
-	neighbor       bool             // messages are exchanged with it at short intervals
+	lastAnnounced  time.Time               // when its address was last given to addPeer
+	cacheFillsSent int64                   // number of the last cache fill reported to it
+	departuresNext int                     // position after the departures that it has received
+	hasDepartures  bool                    // it has received all departures once since its start
+	cursors        map[string]fleet.Cursor // up to where it has read each feed, by name
+	reserveAfter   time.Time               // earliest time of the next reservation request to it
+	lastErr        error                   // of the last message sent to it
+	membersDigest  uint64                  // of the live instances that it knows
+	ringHash       uint32                  // position on the ring
+	ownDigest      uint64                  // its Member.digest
+	neighbor       bool                    // messages are exchanged with it at short intervals
 	neighborSince  time.Time
 	newsSince      time.Time     // since when it lacks crashes or departures; zero if it was not found to lack any
 	dataAt         time.Time     // when its data of the endpoints' feed was current, by its last message
@@ -170,7 +171,7 @@
 	}
 	p := x.peers[m.Address]
 	if p == nil {
-		p = &peer{Member: m, knownSince: now, lastAnnounced: now, positions: map[string]int64{}, ringHash: hashID(m.Name), ownDigest: m.digest()}
+		p = &peer{Member: m, knownSince: now, lastAnnounced: now, cursors: map[string]fleet.Cursor{}, ringHash: hashID(m.Name), ownDigest: m.digest()}
 		x.peers[m.Address] = p
 	}
 	// A live peer says itself when it has restarted: others may still know its earlier start.
@@ -187,7 +188,7 @@
 	x.alive.at = time.Time{}
 	p.Member, p.sequence, p.cacheFillsSent, p.ringHash, p.ownDigest = m, 0, 0, hashID(m.Name), m.digest()
 	p.departuresNext, p.hasDepartures = 0, false
-	clear(p.positions)
+	clear(p.cursors)
 	if x.Crashes != nil {
 		x.Crashes.Restarted(p.Address)
 	}
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -12,6 +12,7 @@
 	"github.com/greengagestep/greengagestep/internal/event"
 	"github.com/greengagestep/greengagestep/internal/service"
 	"github.com/greengagestep/greengagestep/internal/watch"
+	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
 const (
@@ -37,11 +38,11 @@
 	}
 	feeds := make(map[string]json.RawMessage, len(x.Feeds))
 	for name, f := range x.Feeds {
-		position := int64(0)
+		from := fleet.Cursor{}
 		if to != nil && (!x.sparse || to.wantsRecords) {
-			position = to.positions[name]
+			from = to.cursors[name]
 		}
-		data, err := f.EncodeUpdate(position, x.sparse, now)
+		data, err := f.EncodeUpdate(from, x.sparse, now)
 		if err != nil {
 			x.Logger.Warn(event.InvalidData, zap.String("feed", name), zap.Error(err))
 			continue
@@ -66,7 +67,7 @@
 			continue
 		}
 		x.mu.Lock()
-		p.positions[name] = position.Next
+		p.cursors[name] = position.Cursor()
 		if name == sourceFeed {
 			p.dataAge = time.Duration(position.Age) * time.Millisecond
 			p.dataAt = now.Add(-p.dataAge)
@@ -81,11 +82,11 @@
 		if !f.Unreachable() {
 			continue
 		}
-		own := f.Position(now).Next
+		own := f.Position(now).Cursor()
 		x.mu.Lock()
 		address := ""
 		for _, p := range x.peers {
-			if x.live(p, now) && p.positions[name] > own {
+			if x.live(p, now) && own.Before(p.cursors[name]) {
 				address = p.Address
 			}
 		}
@@ -120,7 +121,7 @@
 		x.Logger.Warn(event.InvalidData, zap.String("feed", name), zap.String("address", address), zap.Error(err))
 		return
 	}
-	x.Logger.Info(event.ReadFromPeer, zap.String("feed", name), zap.String("address", address), zap.Int64("next", f.Position(time.Now()).Next))
+	x.Logger.Info(event.ReadFromPeer, zap.String("feed", name), zap.String("address", address), zap.Int64("epoch", f.Position(now).Epoch), zap.Int64("next", f.Position(now).Next))
 }
 
 // maxSnapshotBytes bounds the size of a snapshot.
--- a/internal/peer/ring_test.go
+++ b/internal/peer/ring_test.go
@@ -132,11 +132,11 @@
 // silentFeed is a feed that cannot be read.
 type silentFeed struct{}
 
-func (silentFeed) Newest(context.Context) ([]fleet.KeyedRecord[string], int64, error) {
-	return nil, 1, nil
+func (silentFeed) Newest(context.Context) ([]fleet.KeyedRecord[string], fleet.Cursor, error) {
+	return nil, fleet.Cursor{Offset: 1}, nil
 }
 
-func (silentFeed) Changes(_ context.Context, from int64, _ time.Duration) ([]fleet.KeyedRecord[string], int64, error) {
+func (silentFeed) Changes(_ context.Context, from fleet.Cursor, _ time.Duration) ([]fleet.KeyedRecord[string], fleet.Cursor, error) {
 	return nil, from, nil
 }
 
@@ -145,18 +145,18 @@
 
 func (c countingFeed) end() int64 { return 1 + time.Since(c.start).Milliseconds()/10 }
 
-func (c countingFeed) Newest(context.Context) ([]fleet.KeyedRecord[string], int64, error) {
-	return nil, c.end(), nil
+func (c countingFeed) Newest(context.Context) ([]fleet.KeyedRecord[string], fleet.Cursor, error) {
+	return nil, fleet.Cursor{Offset: c.end()}, nil
 }
 
-func (c countingFeed) Changes(_ context.Context, from int64, _ time.Duration) ([]fleet.KeyedRecord[string], int64, error) {
+func (c countingFeed) Changes(_ context.Context, from fleet.Cursor, _ time.Duration) ([]fleet.KeyedRecord[string], fleet.Cursor, error) {
 	var records []fleet.KeyedRecord[string]
 	next := c.end()
-	for n := from; n < next; n++ {
+	for n := from.Offset; n < next; n++ {
 		value := fmt.Sprint(n)
 		records = append(records, fleet.KeyedRecord[string]{Key: "k", Value: &value})
 	}
-	return records, next, nil
+	return records, fleet.Cursor{Offset: next}, nil
 }
 
 // newFleetInMemory starts n members of which the first reads the feed. All know the first three.
--- a/internal/peer/transit_test.go
+++ b/internal/peer/transit_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/greengagestep/greengagestep/internal/watch"
+	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
 // transitRecorder is a feed that records how long updates were on their way.
@@ -18,7 +19,7 @@
 	transit time.Duration
 }
 
-func (r *transitRecorder) EncodeUpdate(int64, bool, time.Time) (json.RawMessage, error) {
+func (r *transitRecorder) EncodeUpdate(fleet.Cursor, bool, time.Time) (json.RawMessage, error) {
 	return json.RawMessage("{}"), nil
 }
 
--- a/internal/watch/follow.go
+++ b/internal/watch/follow.go
@@ -1,6 +1,6 @@
 // Package watch follows the records that operators and endpoints write. It reads a feed
 // continuously, starts again from the newest records if the feed has trimmed records that
-// were not read yet, takes over records that other instances have already read, and reports
+// were not read yet or the platform was restored from an older copy, takes over records that other instances have already read, and reports
 // when the platform becomes unreachable and when it is reachable again.
 package watch
 
@@ -43,12 +43,20 @@
 	Since time.Time
 	// Relayed is set when the records came from another instance.
 	Relayed bool
+	// Next is up to where the feed had been read then.
+	Next fleet.Cursor
+	// Restored is set on a snapshot of another epoch than the records before it: the platform
+	// was restored from an older copy, in which records that were read may be missing and
+	// ones that were replaced or removed may be back, until their writers write them again.
+	Restored bool
 }
 
 // Position is how far an instance has read a feed and how recent that knowledge is.
 type Position struct {
-	// Next is the first offset that has not been read; zero means that nothing has
-	// been read.
+	// Epoch is the epoch of Next; zero means not known.
+	Epoch int64 `json:"e,omitempty"`
+	// Next is the first offset that has not been read. Zero means that nothing has
+	// been read if Epoch is zero, too.
 	Next int64 `json:"n"`
 	// Age is how long ago the platform was last known to have no record at or beyond
 	// Next, in milliseconds.
@@ -63,6 +71,12 @@
 	ResponsiveAge int64 `json:"u,omitempty"`
 }
 
+// Cursor returns up to where the feed has been read.
+func (p Position) Cursor() fleet.Cursor { return fleet.Cursor{Epoch: p.Epoch, Offset: p.Next} }
+
+// Known reports whether the feed has been read.
+func (p Position) Known() bool { return p.Cursor() != fleet.Cursor{} }
+
 const (
 	// defaultTimeout bounds a call beyond the time that the call may wait for a record:
 	// the platform responds within milliseconds.
@@ -115,19 +129,28 @@
 	// instance shows that the platform responded before; relayed is set then. Nil is
 	// allowed.
 	OnRecovery func(at time.Time, relayed bool)
+	// OnRestored is called when the platform is found to be in another epoch, before all records
+	// are read anew. The follower's lock is not held. Nil is allowed.
+	OnRestored func(from, to int64)
+	// Spread returns the time over which instances spread their reads of all records when they
+	// learn of a new epoch other than by a read of the feed; nil means zero.
+	Spread func() time.Duration
 
 	mu               sync.Mutex
-	next             int64
+	cursor           fleet.Cursor
 	initialized      bool
-	confirmedAt      time.Time           // when the platform was last known to have no record at or beyond next
-	readerID         uint32              // identifies this follower's own reads; zero until the first one
-	confirmedBy      Position            // identifies the read behind confirmedAt
-	reads            map[uint32]readSeqs // the newest known reads by reader ID
-	recent           []Record[T]         // the records before next, oldest first
-	relayedAt        time.Time           // when another instance sent the newest of them
+	epoch            int64                   // newest known epoch, whose records may not have been read yet; zero means not known
+	readNewestAt     time.Time               // when the records of a newer epoch than the cursor's are read
+	cancelRead       context.CancelCauseFunc // ends the read in progress; nil before the first one
+	confirmedAt      time.Time               // when the platform was last known to have no record at or beyond the cursor
+	readerID         uint32                  // identifies this follower's own reads; zero until the first one
+	confirmedBy      Position                // identifies the read behind confirmedAt
+	reads            map[uint32]readSeqs     // the newest known reads by reader ID
+	recent           []Record[T]             // the records before the cursor, oldest first
+	relayedAt        time.Time               // when another instance sent the newest of them
 	latest           map[string]*Encoded[T]
-	aheadSince       time.Time // since when another instance has been ahead
-	aheadNext        int64     // the offset that it had read up to
+	aheadSince       time.Time    // since when another instance has been ahead
+	ahead            fleet.Cursor // up to where it had read
 	retryDelay       time.Duration
 	retryAt          time.Time
 	unreachableSince time.Time // zero while the platform responds
@@ -181,6 +204,9 @@
 	if !f.initialized || f.MaxAge == nil {
 		return 0
 	}
+	if f.outOfDate() {
+		return f.readNewestAt.Sub(now)
+	}
 	return maxAge - now.Sub(f.confirmedAt)
 }
 
@@ -190,44 +216,27 @@
 	if timeout == 0 {
 		timeout = defaultTimeout
 	}
+	readCtx, cancelRead := context.WithCancelCause(ctx)
+	defer cancelRead(nil)
 	f.mu.Lock()
-	initialized, from := f.initialized, f.next
+	f.cancelRead = cancelRead
+	all, from, knownEpoch := !f.initialized || f.outOfDate(), f.cursor, f.epoch
 	f.mu.Unlock()
-	if !initialized {
-		ctx, cancel := context.WithTimeout(ctx, timeout)
-		defer cancel()
-		start := time.Now()
-		records, next, err := f.Feed.Newest(ctx)
-		if err != nil {
-			return err
-		}
-		f.platformResponded(time.Now())
-		f.mu.Lock()
-		f.reset(records, next, f.nextRead(), start)
-		f.mu.Unlock()
-		return nil
+	if !all {
+		timeout += f.Wait
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout+f.Wait)
+	readCtx, cancel := context.WithTimeout(readCtx, timeout)
 	defer cancel()
-	start := time.Now()
-	records, next, err := f.Feed.Changes(ctx, from, f.Wait)
-	if errors.Is(err, fleet.ErrTrimmed) {
-		f.mu.Lock()
-		f.initialized = false
-		f.mu.Unlock()
-		return nil
-	}
-	if err != nil {
-		return err
+	var err error
+	if all {
+		err = f.readNewest(readCtx, knownEpoch)
+	} else {
+		err = f.readChanges(readCtx, from, knownEpoch)
 	}
-	if len(records) == 0 {
-		start = time.Now()
+	if err != nil && errors.Is(context.Cause(readCtx), errRestored) {
+		return nil
 	}
-	f.platformResponded(time.Now())
-	f.mu.Lock()
-	f.advance(records, from, next, f.nextRead(), start)
-	f.mu.Unlock()
-	return nil
+	return err
 }
 
 // maxReaders bounds the reader IDs that are remembered: each start of an instance adds one.
@@ -241,7 +250,7 @@
 	return Position{ReaderID: f.readerID, ReadSeq: f.reads[f.readerID].confirmed + 1}
 }
 
-// confirm records that a read found nothing beyond next. Each read counts only once. The
+// confirm records that a read found nothing beyond the cursor. Each read counts only once. The
 // lock is held.
 func (f *Follower[T]) confirm(read Position, at time.Time) {
 	seqs := f.reads[read.ReaderID]
@@ -264,9 +273,13 @@
 }
 
 // reset replaces all known records with the newest ones. The lock is held.
-func (f *Follower[T]) reset(records []fleet.KeyedRecord[T], next int64, read Position, at time.Time) {
+func (f *Follower[T]) reset(records []fleet.KeyedRecord[T], next fleet.Cursor, read Position, at time.Time) {
 	since := f.confirmedAt
-	f.initialized, f.next, f.confirmedAt = true, next, time.Time{}
+	restored := next.Epoch != f.cursor.Epoch && f.cursor != fleet.Cursor{}
+	if restored {
+		f.aheadSince, f.ahead = time.Time{}, fleet.Cursor{}
+	}
+	f.initialized, f.cursor, f.epoch, f.confirmedAt = true, next, next.Epoch, time.Time{}
 	f.confirm(read, at)
 	old := f.latest
 	f.recent, f.latest = nil, map[string]*Encoded[T]{}
@@ -277,18 +290,18 @@
 	}
 	f.retain(records)
 	f.recent = nil
-	f.OnBatch(Batch[T]{Records: records, Snapshot: true, At: time.Now(), Since: since, Relayed: read.ReaderID != f.readerID})
+	f.OnBatch(Batch[T]{Records: records, Snapshot: true, At: time.Now(), Since: since, Relayed: read.ReaderID != f.readerID, Next: next, Restored: restored})
 }
 
-// advance adds the records between two offsets. The lock is held.
-func (f *Follower[T]) advance(records []fleet.KeyedRecord[T], from, next int64, read Position, at time.Time) {
-	if !f.initialized || from != f.next {
+// advance adds the records between two offsets of an epoch. The lock is held.
+func (f *Follower[T]) advance(records []fleet.KeyedRecord[T], from, next fleet.Cursor, read Position, at time.Time) {
+	if !f.initialized || from != f.cursor {
 		return
 	}
 	since := f.confirmedAt
-	f.next = next
+	f.cursor = next
 	f.confirm(read, at)
-	if next-from == int64(len(records)) {
+	if next.Offset-from.Offset == int64(len(records)) {
 		f.retain(records)
 	} else {
 		// The feed filtered out some records, so offsets cannot be computed from the
@@ -297,7 +310,7 @@
 		f.recent = nil
 	}
 	if len(records) > 0 {
-		f.OnBatch(Batch[T]{Records: records, At: time.Now(), Since: since, Relayed: read.ReaderID != f.readerID})
+		f.OnBatch(Batch[T]{Records: records, At: time.Now(), Since: since, Relayed: read.ReaderID != f.readerID, Next: next})
 	}
 }
 
@@ -367,7 +380,7 @@
 	if !f.initialized {
 		return Position{}
 	}
-	p := Position{Next: f.next, Age: now.Sub(f.confirmedAt).Milliseconds(), ReaderID: f.confirmedBy.ReaderID, ReadSeq: f.confirmedBy.ReadSeq}
+	p := Position{Epoch: f.cursor.Epoch, Next: f.cursor.Offset, Age: now.Sub(f.confirmedAt).Milliseconds(), ReaderID: f.confirmedBy.ReaderID, ReadSeq: f.confirmedBy.ReadSeq}
 	if !f.responsiveSince.IsZero() {
 		p.ResponsiveAge = max(now.Sub(f.responsiveSince).Milliseconds(), 1)
 	}
@@ -399,22 +412,22 @@
 // from one other only.
 const relayDelay = 300 * time.Millisecond
 
-// UpdateFrom returns the records that are missing in an instance that has read up to an
-// offset, as far as they are still kept. Records that came from another instance less than
-// relayDelay ago are included only if relay is set.
-func (f *Follower[T]) UpdateFrom(offset int64, relay bool, now time.Time) Update[T] {
+// UpdateFrom returns the records that are missing in an instance that has read up to a
+// cursor of the same epoch, as far as they are still kept. Records that came from another
+// instance less than relayDelay ago are included only if relay is set.
+func (f *Follower[T]) UpdateFrom(from fleet.Cursor, relay bool, now time.Time) Update[T] {
 	u := Update[T]{Position: f.Position(now)}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	missing := f.next - offset
-	if !f.initialized || missing <= 0 || offset <= 0 || missing > int64(len(f.recent)) || !relay && now.Sub(f.relayedAt) < relayDelay {
+	missing := f.cursor.Offset - from.Offset
+	if !f.initialized || from.Epoch != f.cursor.Epoch || from == (fleet.Cursor{}) || missing <= 0 || missing > int64(len(f.recent)) || !relay && now.Sub(f.relayedAt) < relayDelay {
 		return u
 	}
 	records := f.recent[len(f.recent)-int(missing):]
 	if encodedSize(records) > maxUpdateBytes {
 		return u
 	}
-	u.Next, u.From, u.Records = f.next, offset, slices.Clone(records)
+	u.Epoch, u.Next, u.From, u.Records = f.cursor.Epoch, f.cursor.Offset, from.Offset, slices.Clone(records)
 	return u
 }
 
@@ -431,11 +444,24 @@
 }
 
 // Apply processes an update from another instance that was on its way for transit at most. It
-// reports whether this follower is still behind the other instance afterwards.
+// reports whether this follower is still behind the other instance afterwards. Only a snapshot of
+// another epoch can be used; the offsets in other updates have a meaning in their own epoch only.
 func (f *Follower[T]) Apply(u Update[T], now time.Time, transit time.Duration) (behind bool) {
-	if u.Next == 0 {
+	if !u.Known() {
 		return false
 	}
+	behind, from := f.apply(u, now, transit)
+	if u.Snapshot {
+		f.restored(from, max(from, u.Epoch))
+	} else {
+		f.NoteEpoch(u.Epoch)
+	}
+	return behind
+}
+
+// apply does so, but for noting the epoch of the update. It returns the newest epoch that was known
+// before.
+func (f *Follower[T]) apply(u Update[T], now time.Time, transit time.Duration) (behind bool, knownEpoch int64) {
 	at := now.Add(-time.Duration(u.Age) * time.Millisecond)
 	if transit > maxTransit {
 		// The message says nothing of the time since it was sent.
@@ -448,18 +474,20 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.heard(u.Position, at, now)
+	knownEpoch = f.epoch
+	from, next := fleet.Cursor{Epoch: u.Epoch, Offset: u.From}, u.Cursor()
 	switch {
-	case u.Snapshot && (u.Next > f.next || !f.initialized && u.Next == f.next):
-		f.reset(records, u.Next, u.Position, at)
-	case f.initialized && u.From == f.next && len(records) > 0:
+	case u.Snapshot && u.Epoch >= f.epoch && (f.cursor.Before(next) || !f.initialized && next == f.cursor):
+		f.reset(records, next, u.Position, at)
+	case f.initialized && from == f.cursor && len(records) > 0:
 		f.relayedAt = now
-		f.advance(records, u.From, u.Next, u.Position, at)
-	case f.initialized && u.Next == f.next && f.aheadNext <= f.next:
+		f.advance(records, from, next, u.Position, at)
+	case f.initialized && next == f.cursor && !f.cursor.Before(f.ahead):
 		// If other instances are known to be ahead, an instance at the same offset
 		// does not show that the data is current.
 		f.confirm(u.Position, at)
 	}
-	return u.Next > f.next
+	return f.cursor.Before(next), knownEpoch
 }
 
 // ReadNow makes the follower read the feed at once.
--- a/internal/watch/follow_test.go
+++ b/internal/watch/follow_test.go
@@ -33,12 +33,12 @@
 	f.records = append(f.records, fleet.KeyedRecord[int]{Key: key, Value: &value})
 }
 
-func (f *fakeFeed) Newest(context.Context) ([]fleet.KeyedRecord[int], int64, error) {
+func (f *fakeFeed) Newest(context.Context) ([]fleet.KeyedRecord[int], fleet.Cursor, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
 	if f.unreachable {
-		return nil, 0, errors.New("down")
+		return nil, fleet.Cursor{}, errors.New("down")
 	}
 	newest := map[string]fleet.KeyedRecord[int]{}
 	for _, r := range f.records {
@@ -52,19 +52,19 @@
 }
 
 // next starts at one, because offset zero means that nothing was read.
-func (f *fakeFeed) next() int64 { return int64(len(f.records)) + 1 }
+func (f *fakeFeed) next() fleet.Cursor { return fleet.Cursor{Offset: int64(len(f.records)) + 1} }
 
-func (f *fakeFeed) Changes(_ context.Context, from int64, _ time.Duration) ([]fleet.KeyedRecord[int], int64, error) {
+func (f *fakeFeed) Changes(_ context.Context, from fleet.Cursor, _ time.Duration) ([]fleet.KeyedRecord[int], fleet.Cursor, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
 	if f.unreachable {
-		return nil, 0, errors.New("down")
+		return nil, fleet.Cursor{}, errors.New("down")
 	}
-	if from < f.oldest {
-		return nil, 0, fleet.ErrTrimmed
+	if from.Offset < f.oldest {
+		return nil, fleet.Cursor{}, fleet.ErrTrimmed
 	}
-	return append([]fleet.KeyedRecord[int](nil), f.records[from-1:]...), f.next(), nil
+	return append([]fleet.KeyedRecord[int](nil), f.records[from.Offset-1:]...), f.next(), nil
 }
 
 // testFollower follows a feed and records the values that it receives.
@@ -75,7 +75,7 @@
 	received []int
 }
 
-func newFollower(f *fakeFeed, maxAge time.Duration) *testFollower {
+func newFollower(f fleet.Feed[int], maxAge time.Duration) *testFollower {
 	r := &testFollower{values: map[string]int{}}
 	r.Follower = &watch.Follower[int]{Name: "test", Feed: f, MaxAge: func() time.Duration { return maxAge }, OnBatch: func(b watch.Batch[int]) {
 		r.mu.Lock()
@@ -118,7 +118,7 @@
 		require.Equal(t, 2, r.value("a"))
 		f.mu.Lock()
 		f.records = append(f.records, fleet.KeyedRecord[int]{Key: "a", Value: new(int)})
-		f.oldest = f.next()
+		f.oldest = f.next().Offset
 		f.mu.Unlock()
 		time.Sleep(400 * time.Millisecond)
 		require.Equal(t, 0, r.value("a"), "after a trim the newest records are read")
@@ -139,7 +139,7 @@
 			for {
 				select {
 				case <-time.After(100 * time.Millisecond):
-					second.Apply(first.UpdateFrom(second.Position(time.Now()).Next, false, time.Now()), time.Now(), 0)
+					second.Apply(first.UpdateFrom(second.Position(time.Now()).Cursor(), false, time.Now()), time.Now(), 0)
 				case <-stop:
 					return
 				}
@@ -178,7 +178,7 @@
 			go func() {
 				for ctx.Err() == nil {
 					for _, to := range followers {
-						update := from.UpdateFrom(to.Position(time.Now()).Next, false, time.Now())
+						update := from.UpdateFrom(to.Position(time.Now()).Cursor(), false, time.Now())
 						time.AfterFunc(transit, func() { to.Apply(update, time.Now(), 0) })
 					}
 					time.Sleep(interval)
@@ -234,12 +234,12 @@
 	f.write("a", 2)
 	require.NoError(t, direct.ReadOnce(t.Context()))
 	now := time.Now()
-	offset := third.Position(now).Next
-	relayed.Apply(direct.UpdateFrom(offset, false, now), now, 0)
+	from := third.Position(now).Cursor()
+	relayed.Apply(direct.UpdateFrom(from, false, now), now, 0)
 	require.Equal(t, 2, relayed.value("a"))
-	require.Empty(t, relayed.UpdateFrom(offset, false, now).Records)
-	require.NotEmpty(t, relayed.UpdateFrom(offset, false, now.Add(400*time.Millisecond)).Records, "the instance that read the record may be gone")
-	require.NotEmpty(t, direct.UpdateFrom(offset, false, now).Records)
+	require.Empty(t, relayed.UpdateFrom(from, false, now).Records)
+	require.NotEmpty(t, relayed.UpdateFrom(from, false, now.Add(400*time.Millisecond)).Records, "the instance that read the record may be gone")
+	require.NotEmpty(t, direct.UpdateFrom(from, false, now).Records)
 }
 
 // countingValue counts its encodings.
@@ -309,7 +309,7 @@
 		f.write("a", 2)
 		require.NoError(t, direct.ReadOnce(t.Context()))
 		now := time.Now()
-		relayed.Apply(direct.UpdateFrom(relayed.Position(now).Next, false, now), now, 0)
+		relayed.Apply(direct.UpdateFrom(relayed.Position(now).Cursor(), false, now), now, 0)
 		require.Equal(t, []string{"reads back", "reads batch", "told back", "told batch"}, order)
 	})
 }
@@ -337,7 +337,7 @@
 		time.Sleep(expiryTime/2 + 200*time.Millisecond)
 		require.NoError(t, direct.ReadOnce(t.Context()))
 		now := time.Now()
-		direct.Apply(other.UpdateFrom(direct.Position(now).Next, false, now), now, 0)
+		direct.Apply(other.UpdateFrom(direct.Position(now).Cursor(), false, now), now, 0)
 		require.True(t, recoveredAt.After(lastResponse), recoveredAt.Sub(lastResponse))
 	})
 }
@@ -359,7 +359,7 @@
 		for _, r := range []*testFollower{local, other} {
 			require.NoError(t, r.ReadOnce(t.Context()))
 		}
-		message, err := other.EncodeUpdate(local.Position(time.Now()).Next, false, time.Now())
+		message, err := other.EncodeUpdate(local.Position(time.Now()).Cursor(), false, time.Now())
 		require.NoError(t, err)
 		const transit = expiryTime - 100*time.Millisecond
 		time.Sleep(transit)
@@ -383,7 +383,7 @@
 	require.NoError(t, local.ReadOnce(t.Context()))
 	older, err := peer.EncodeSnapshot(time.Now())
 	require.NoError(t, err)
-	f.oldest = f.next() + 1
+	f.oldest = f.next().Offset + 1
 	require.NoError(t, local.ReadOnce(t.Context()), "the feed was trimmed")
 	f.unreachable = true
 	require.Error(t, local.ReadOnce(t.Context()))
@@ -417,7 +417,7 @@
 		require.Equal(t, 2, isolated.value("b"))
 		f.write("b", 3)
 		time.Sleep(300 * time.Millisecond)
-		data, err = connected.EncodeUpdate(isolated.Position(time.Now()).Next, false, time.Now())
+		data, err = connected.EncodeUpdate(isolated.Position(time.Now()).Cursor(), false, time.Now())
 		require.NoError(t, err)
 		_, err = isolated.Receive(data, false, time.Now(), 0)
 		require.NoError(t, err)
@@ -428,12 +428,12 @@
 // operatorFeed is a feed of operators' records that only a peer can read.
 type operatorFeed struct{}
 
-func (operatorFeed) Newest(context.Context) ([]fleet.KeyedRecord[watch.OperatorRecord], int64, error) {
-	return nil, 0, errors.New("down")
+func (operatorFeed) Newest(context.Context) ([]fleet.KeyedRecord[watch.OperatorRecord], fleet.Cursor, error) {
+	return nil, fleet.Cursor{}, errors.New("down")
 }
 
-func (operatorFeed) Changes(context.Context, int64, time.Duration) ([]fleet.KeyedRecord[watch.OperatorRecord], int64, error) {
-	return nil, 0, errors.New("down")
+func (operatorFeed) Changes(context.Context, fleet.Cursor, time.Duration) ([]fleet.KeyedRecord[watch.OperatorRecord], fleet.Cursor, error) {
+	return nil, fleet.Cursor{}, errors.New("down")
 }
 
 // An instance that cannot reach the platform learns both kinds of operators' records from a peer, as
@@ -482,7 +482,7 @@
 			case 2:
 				require.NoError(t, local.ReadOnce(ctx))
 			case 3:
-				data, err := peer.EncodeUpdate(local.Position(time.Now()).Next, false, time.Now())
+				data, err := peer.EncodeUpdate(local.Position(time.Now()).Cursor(), false, time.Now())
 				require.NoError(t, err)
 				messages = append(messages, data)
 			case 4:
@@ -577,7 +577,7 @@
 		require.NoError(t, peer.ReadOnce(ctx))
 		log.records = append(log.records, fleet.KeyedRecord[fleet.EndpointInfo]{Key: "e1", Err: errors.New("incomplete")})
 		require.NoError(t, reader.ReadOnce(ctx))
-		data, err := reader.EncodeUpdate(peer.Position(time.Now()).Next, true, time.Now())
+		data, err := reader.EncodeUpdate(peer.Position(time.Now()).Cursor(), true, time.Now())
 		require.NoError(t, err)
 		_, err = peer.Receive(data, true, time.Now(), 0)
 		require.NoError(t, err)
--- a/internal/watch/outage_test.go
+++ b/internal/watch/outage_test.go
@@ -53,9 +53,9 @@
 	return nil
 }
 
-func (f endpointFeed) Newest(ctx context.Context) ([]fleet.KeyedRecord[fleet.EndpointInfo], int64, error) {
+func (f endpointFeed) Newest(ctx context.Context) ([]fleet.KeyedRecord[fleet.EndpointInfo], fleet.Cursor, error) {
 	if err := f.call(ctx); err != nil {
-		return nil, 0, err
+		return nil, fleet.Cursor{}, err
 	}
 	f.log.mu.Lock()
 	defer f.log.mu.Unlock()
@@ -72,16 +72,16 @@
 	return list, f.log.next(), nil
 }
 
-func (f endpointFeed) Changes(ctx context.Context, from int64, _ time.Duration) ([]fleet.KeyedRecord[fleet.EndpointInfo], int64, error) {
+func (f endpointFeed) Changes(ctx context.Context, from fleet.Cursor, _ time.Duration) ([]fleet.KeyedRecord[fleet.EndpointInfo], fleet.Cursor, error) {
 	if err := f.call(ctx); err != nil {
-		return nil, 0, err
+		return nil, fleet.Cursor{}, err
 	}
 	f.log.mu.Lock()
 	defer f.log.mu.Unlock()
-	return slices.Clone(f.log.records[from-1:]), f.log.next(), nil
+	return slices.Clone(f.log.records[from.Offset-1:]), f.log.next(), nil
 }
 
-func (l *endpointLog) next() int64 { return int64(len(l.records)) + 1 }
+func (l *endpointLog) next() fleet.Cursor { return fleet.Cursor{Offset: int64(len(l.records)) + 1} }
 
 func (l *endpointLog) append(id string, info *fleet.EndpointInfo) {
 	l.mu.Lock()
@@ -127,7 +127,7 @@
 	go func() { _ = i.follower.Serve(ctx) }()
 	go every(ctx, removeInterval, func() {
 		now := time.Now()
-		if p := i.follower.Position(now); p.Next > 0 {
+		if p := i.follower.Position(now); p.Known() {
 			i.tracker.RemoveExpired(now, now.Add(-time.Duration(p.Age)*time.Millisecond))
 		}
 	})
@@ -164,7 +164,7 @@
 }
 
 func (s *outageFleet) send(from, to *outageInstance) {
-	data, err := from.follower.EncodeUpdate(to.follower.Position(time.Now()).Next, true, time.Now())
+	data, err := from.follower.EncodeUpdate(to.follower.Position(time.Now()).Cursor(), true, time.Now())
 	if err != nil {
 		panic(err)
 	}
--- a/internal/watch/relay.go
+++ b/internal/watch/relay.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"time"
+
+	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
 // Relay is the part of a Follower that the exchange between instances uses.
@@ -13,9 +15,9 @@
 	// Unreachable reports whether the platform does not respond.
 	Unreachable() bool
 	// EncodeUpdate encodes the records that are missing in an instance that has read
-	// up to an offset. Relay is set if records that have just come from another
+	// up to a cursor. Relay is set if records that have just come from another
 	// instance are passed on at once.
-	EncodeUpdate(offset int64, relay bool, now time.Time) (json.RawMessage, error)
+	EncodeUpdate(from fleet.Cursor, relay bool, now time.Time) (json.RawMessage, error)
 	// EncodeSnapshot encodes the newest record of every key.
 	EncodeSnapshot(now time.Time) (json.RawMessage, error)
 	// Receive decodes and applies an update from another instance, and returns the
@@ -26,8 +28,8 @@
 }
 
 // EncodeUpdate implements Relay.
-func (f *Follower[T]) EncodeUpdate(offset int64, relay bool, now time.Time) (json.RawMessage, error) {
-	return json.Marshal(f.UpdateFrom(offset, relay, now))
+func (f *Follower[T]) EncodeUpdate(from fleet.Cursor, relay bool, now time.Time) (json.RawMessage, error) {
+	return json.Marshal(f.UpdateFrom(from, relay, now))
 }
 
 // EncodeSnapshot implements Relay.
@@ -46,7 +48,7 @@
 	if relay {
 		timeout = relayedAheadTimeout
 	}
-	if f.Apply(u, now, transit) && f.behindTooLong(u.Next, timeout, now) {
+	if f.Apply(u, now, transit) && f.behindTooLong(u.Cursor(), timeout, now) {
 		f.ReadNow()
 	}
 	return u.Position, nil
@@ -54,11 +56,11 @@
 
 // behindTooLong reports whether another instance has been ahead for longer than a
 // timeout. The records that it has read usually follow with its next message.
-func (f *Follower[T]) behindTooLong(next int64, timeout time.Duration, now time.Time) bool {
+func (f *Follower[T]) behindTooLong(next fleet.Cursor, timeout time.Duration, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.aheadSince.IsZero() || f.next >= f.aheadNext {
-		f.aheadSince, f.aheadNext = now, next
+	if f.aheadSince.IsZero() || !f.cursor.Before(f.ahead) {
+		f.aheadSince, f.ahead = now, next
 		return false
 	}
 	return now.Sub(f.aheadSince) > timeout
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -103,7 +103,7 @@
 }
 
 // ErrTrimmed is returned by Log.Read and Feed.Changes for an offset whose record was
-// removed by retention.
+// removed by retention, and by Feed.Changes for one that the platform has not given out.
 var ErrTrimmed = errors.New("fleet: the record at this offset was removed by retention")
 
 // Record is one record of a log stream.
