quarantine: any part of a long prompt may be the cause

What callers saw: a part that crashes endpoints, ahead of 63 others in its prompts, was never quarantined.

Cause: of the signatures of a request only the last 64 were kept as evidence, sent to peers and taken from them. The other parts are cleared by answers to sound requests, so that no rule was found.

Fix: a suspect is kept with all of its signatures or not at all. What bounds the memory forgets the least suspect requests of a crash (32,768 signatures) or the oldest crash (262,144); messages to peers and the record in the storage are bounded by the number of signatures. A request has no more than its header of 16 KiB can hold.

So that this does not cost processor time, signatures that were cleared after a crash are dropped from what is searched for rules, only signatures of several crashes are searched, and signatures of the same requests are tried once.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/greengagestep/greengagestep/pkg/fleet"
 )
 
@@ -18,15 +21,20 @@
 	// maxCrashes bounds the crashes that are remembered, maxSuspects the suspects of each.
 	maxCrashes  = 64
 	maxSuspects = 32
-	// maxSignatures bounds the signatures of a request that are kept.
-	maxSignatures = 64
+	// maxCrashSignatures bounds the signatures of the suspects of a crash, and
+	// maxEvidenceSignatures those of all crashes. Any signature of a suspect may be the cause,
+	// so a suspect is kept with all of them or not at all.
+	maxCrashSignatures    = 1 << 15
+	maxEvidenceSignatures = 1 << 18
 )
 
 // crash is one crash of an endpoint.
 type crash struct {
 	endpoint string
 	at       time.Time // when the first connection broke
-	suspects []fleet.Suspect
+	suspects []suspect
+	// counts holds, for each signature, how many of the suspects have it.
+	counts map[uint64]int
 	// restored is set while its times are known from the storage only.
 	restored bool
 	// cause is what the suspects that a rule matches have in common; nil while no rule
@@ -34,6 +42,32 @@
 	cause *fleet.Suspect
 }
 
+// suspect is a suspect of a crash.
+type suspect struct {
+	fleet.Suspect
+	// digest identifies the signatures.
+	digest uint64
+	// uncleared holds the signatures, sorted, with which no request was known to be answered since
+	// the crash when this was last checked.
+	uncleared []uint64
+}
+
+// distinct returns the signatures without repetitions, sorted.
+func distinct(signatures []uint64) []uint64 {
+	return slices.Compact(slices.Sorted(slices.Values(signatures)))
+}
+
+// digestOf returns a digest of signatures and their order.
+func digestOf(signatures []uint64) uint64 {
+	d := xxhash.New()
+	var b [8]byte
+	for _, s := range signatures {
+		binary.LittleEndian.PutUint64(b[:], s)
+		_, _ = d.Write(b[:])
+	}
+	return d.Sum64()
+}
+
 // evidence holds the crashes that are remembered. It reads no clock.
 type evidence struct {
 	crashes []*crash // oldest first
@@ -65,7 +99,7 @@
 	c := e.find(s, from)
 	if c == nil {
 		first = true
-		c = &crash{endpoint: s.Endpoint, at: s.Broken, restored: from == sourceStorage}
+		c = &crash{endpoint: s.Endpoint, at: s.Broken, counts: map[uint64]int{}, restored: from == sourceStorage}
 		e.crashes = append(e.crashes, c)
 	}
 	if c.restored && from != sourceStorage {
@@ -76,22 +110,12 @@
 			e.sort()
 		}
 	}
-	if slices.ContainsFunc(c.suspects, func(other fleet.Suspect) bool {
-		return other.Request == s.Request && slices.Equal(other.Signatures, s.Signatures)
-	}) {
+	digest := digestOf(s.Signatures)
+	if slices.ContainsFunc(c.suspects, func(other suspect) bool { return other.Request == s.Request && other.digest == digest }) {
 		return addition{earlier: earlier}
 	}
-	before := slices.Clone(c.suspects)
-	c.suspects = append(c.suspects, s)
-	slices.SortStableFunc(c.suspects, func(a, b fleet.Suspect) int {
-		return cmp.Or(cmp.Compare(suspicion[b.Progress], suspicion[a.Progress]), a.Sent.Compare(b.Sent))
-	})
-	if len(c.suspects) > maxSuspects {
-		least := c.suspects[maxSuspects]
-		c.suspects = c.suspects[:maxSuspects]
-		if least.Request == s.Request {
-			return addition{earlier: earlier}
-		}
+	if !c.add(suspect{Suspect: s, digest: digest, uncleared: distinct(s.Signatures)}) {
+		return addition{earlier: earlier}
 	}
 	if s.Broken.Before(c.at) {
 		c.at = s.Broken
@@ -107,7 +131,7 @@
 	a := addition{added: true, first: first, earlier: earlier}
 	for _, signature := range s.Signatures {
 		at := e.answers[signature]
-		if at.Before(c.at) || slices.ContainsFunc(before, func(other fleet.Suspect) bool { return slices.Contains(other.Signatures, signature) }) {
+		if at.Before(c.at) || c.counts[signature] > 1 {
 			continue
 		}
 		a.cleared = append(a.cleared, signature)
@@ -116,12 +140,56 @@
 		}
 	}
 	e.sort()
-	if len(e.crashes) > maxCrashes {
+	for len(e.crashes) > maxCrashes || len(e.crashes) > 1 && e.size() > maxEvidenceSignatures {
 		e.evict()
 	}
 	return a
 }
 
+// size returns the number of signatures of all suspects.
+func (e *evidence) size() int {
+	n := 0
+	for _, c := range e.crashes {
+		n += c.size()
+	}
+	return n
+}
+
+// size returns the number of signatures of the suspects.
+func (c *crash) size() int {
+	n := 0
+	for _, s := range c.suspects {
+		n += len(s.Signatures)
+	}
+	return n
+}
+
+// add adds a suspect. It reports whether it was kept: if there are too many, the least suspect
+// requests are forgotten.
+func (c *crash) add(s suspect) bool {
+	c.suspects = append(c.suspects, s)
+	for _, signature := range distinct(s.Signatures) {
+		c.counts[signature]++
+	}
+	slices.SortStableFunc(c.suspects, func(a, b suspect) int {
+		return cmp.Or(cmp.Compare(suspicion[b.Progress], suspicion[a.Progress]), a.Sent.Compare(b.Sent))
+	})
+	for len(c.suspects) > maxSuspects || len(c.suspects) > 1 && c.size() > maxCrashSignatures {
+		last := len(c.suspects) - 1
+		least := c.suspects[last]
+		c.suspects = slices.Delete(c.suspects, last, last+1)
+		for _, signature := range distinct(least.Signatures) {
+			if c.counts[signature]--; c.counts[signature] == 0 {
+				delete(c.counts, signature)
+			}
+		}
+		if least.Request == s.Request && least.digest == s.digest {
+			return false
+		}
+	}
+	return true
+}
+
 // sort orders the crashes by their times.
 func (e *evidence) sort() {
 	slices.SortStableFunc(e.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
@@ -163,7 +231,7 @@
 
 // has reports whether the crash has a suspect of the same request.
 func (c *crash) has(s fleet.Suspect) bool {
-	return s.Request != "" && slices.ContainsFunc(c.suspects, func(other fleet.Suspect) bool { return other.Request == s.Request })
+	return s.Request != "" && slices.ContainsFunc(c.suspects, func(other suspect) bool { return other.Request == s.Request })
 }
 
 // sentAfterCrash reports whether the endpoint had already crashed when it was sent the
@@ -183,9 +251,7 @@
 	}
 	e.answers[signature] = at
 	return slices.ContainsFunc(e.crashes, func(c *crash) bool {
-		return before.Before(c.at) && !at.Before(c.at) && slices.ContainsFunc(c.suspects, func(s fleet.Suspect) bool {
-			return slices.Contains(s.Signatures, signature)
-		})
+		return before.Before(c.at) && !at.Before(c.at) && c.counts[signature] > 0
 	})
 }
 
@@ -202,10 +268,8 @@
 func (e *evidence) forgetAnswers() {
 	answers := map[uint64]time.Time{}
 	for _, c := range e.crashes {
-		for _, s := range c.suspects {
-			for _, signature := range s.Signatures {
-				answers[signature] = e.answers[signature]
-			}
+		for signature := range c.counts {
+			answers[signature] = e.answers[signature]
 		}
 	}
 	e.answers = answers
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -14,6 +14,13 @@
 	// one message.
 	maxReports           = 1024
 	maxReportsPerMessage = 64
+	// maxOutboxSignatures bounds the signatures of the reports that are kept for peers,
+	// maxMessageSignatures those of the reports in one message after the first one.
+	maxOutboxSignatures  = 1 << 18
+	maxMessageSignatures = 1 << 13
+	// maxSignatures bounds the signatures of a report: there are more than a request can have,
+	// whose parts take at least four bytes each in a header of up to 16 KiB.
+	maxSignatures = 1 << 13
 )
 
 // report tells peers of a suspect, or of signatures with which requests were answered.
@@ -28,6 +35,7 @@
 // outbox keeps reports for peers, in the order in which they were added.
 type outbox struct {
 	reports []report
+	size    int // number of signatures in them
 	removed int // number of reports removed from the front
 	peers   map[string]*delivery
 }
@@ -57,12 +65,22 @@
 
 func (o *outbox) add(r report) {
 	o.reports = append(o.reports, r)
-	if excess := len(o.reports) - maxReports; excess > 0 {
-		o.reports = slices.Delete(o.reports, 0, excess)
-		o.removed += excess
+	o.size += r.size()
+	excess := max(len(o.reports)-maxReports, 0)
+	for _, old := range o.reports[:excess] {
+		o.size -= old.size()
 	}
+	for excess < len(o.reports)-1 && o.size > maxOutboxSignatures {
+		o.size -= o.reports[excess].size()
+		excess++
+	}
+	o.reports = slices.Delete(o.reports, 0, excess)
+	o.removed += excess
 }
 
+// size returns the number of signatures in the report.
+func (r report) size() int { return len(r.suspect.Signatures) + len(r.answered) }
+
 func (o *outbox) delivery(peer string) *delivery {
 	if o.peers == nil {
 		o.peers = map[string]*delivery{}
@@ -85,13 +103,16 @@
 	position := max(d.delivered, l.outbox.removed)
 	now := time.Now()
 	var unsent []wireReport
+	size := 0
 	for _, r := range l.outbox.reports[position-l.outbox.removed:] {
-		if len(unsent) == maxReportsPerMessage {
+		send := (r.own || relay || d.behind) && now.Sub(r.at) < crashRetention
+		if send && len(unsent) > 0 && (len(unsent) == maxReportsPerMessage || size+r.size() > maxMessageSignatures) {
 			break
 		}
 		position++
-		if (r.own || relay || d.behind) && now.Sub(r.at) < crashRetention {
+		if send {
 			unsent = append(unsent, r.encode(now))
+			size += r.size()
 		}
 	}
 	delivered = func() { l.recordDelivery(d, position) }
--- a/internal/quarantine/explain.go
+++ b/internal/quarantine/explain.go
@@ -26,18 +26,34 @@
 	request    string    // ID of a request that it had
 }
 
-// matches reports whether a request with the given signatures is quarantined.
-func (r rule) matches(signatures []uint64) bool {
-	return !slices.ContainsFunc(r.signatures, func(s uint64) bool { return !slices.Contains(signatures, s) })
+// matches reports whether a request with the given signatures, which are sorted, is quarantined.
+func (r rule) matches(sorted []uint64) bool {
+	return !slices.ContainsFunc(r.signatures, func(s uint64) bool {
+		_, found := slices.BinarySearch(sorted, s)
+		return !found
+	})
 }
 
 func (r rule) equal(other rule) bool { return slices.Equal(r.signatures, other.signatures) }
 
 // openCrash is a crash that no rule explains yet, with the suspects that may have caused it.
-// Their signatures are those with which no request was answered since.
 type openCrash struct {
 	crash    *crash
-	suspects []fleet.Suspect
+	suspects []openSuspect
+}
+
+// openSuspect is a suspect with signatures with which no request was answered since the crash.
+type openSuspect struct {
+	*suspect
+	// recurring holds those of them that suspects of several crashes have, sorted. Only these
+	// can be in a rule.
+	recurring []uint64
+}
+
+// has reports whether the suspect has a recurring signature.
+func (s openSuspect) has(signature uint64) bool {
+	_, found := slices.BinarySearch(s.recurring, signature)
+	return found
 }
 
 // explain returns the causes of the crashes: again and again the one that explains most of
@@ -65,39 +81,72 @@
 	for _, c := range e.crashes {
 		c.cause = nil
 		open := openCrash{crash: c}
-		for _, s := range c.suspects {
+		for i := range c.suspects {
+			s := &c.suspects[i]
 			if s.Sent.After(c.at) {
 				continue
 			}
-			s.Signatures = slices.DeleteFunc(slices.Clone(s.Signatures), func(signature uint64) bool {
+			// An answer since the crash stays one: later answers replace it, and the time of
+			// a crash is corrected to an earlier one only.
+			s.uncleared = slices.DeleteFunc(s.uncleared, func(signature uint64) bool {
 				return !e.answers[signature].Before(c.at)
 			})
-			if len(s.Signatures) > 0 {
-				open.suspects = append(open.suspects, s)
+			if len(s.uncleared) > 0 {
+				open.suspects = append(open.suspects, openSuspect{suspect: s})
 			}
 		}
 		if len(open.suspects) > 0 {
 			crashes = append(crashes, open)
 		}
 	}
+	setRecurring(crashes)
 	return crashes
 }
 
+// setRecurring sets the recurring signatures of all suspects.
+func setRecurring(crashes []openCrash) {
+	// lastCrash is one more than the index of the last crash with a signature, negative if there
+	// are several.
+	lastCrash := map[uint64]int{}
+	for n, c := range crashes {
+		for _, s := range c.suspects {
+			for _, signature := range s.uncleared {
+				if last := lastCrash[signature]; last == 0 {
+					lastCrash[signature] = n + 1
+				} else if last != n+1 {
+					lastCrash[signature] = -1
+				}
+			}
+		}
+	}
+	for _, c := range crashes {
+		for i := range c.suspects {
+			s := &c.suspects[i]
+			for _, signature := range s.uncleared {
+				if lastCrash[signature] < 0 {
+					s.recurring = append(s.recurring, signature)
+				}
+			}
+		}
+	}
+}
+
 // cause returns what the suspects that a rule matches have in common, as one suspect with the
 // progress of the most suspect one; nil if there are none.
 func (c openCrash) cause(r rule) *fleet.Suspect {
 	var cause *fleet.Suspect
 	for _, s := range c.suspects {
-		if !r.matches(s.Signatures) {
+		if !r.matches(s.recurring) {
 			continue
 		}
 		if cause == nil {
-			s.Signatures = slices.Clone(s.Signatures)
-			s.Broken = c.crash.at
-			cause = &s
+			first := s.Suspect
+			first.Signatures = slices.Clone(s.uncleared)
+			first.Broken = c.crash.at
+			cause = &first
 			continue
 		}
-		cause.Signatures = slices.DeleteFunc(cause.Signatures, func(other uint64) bool { return !slices.Contains(s.Signatures, other) })
+		cause.Signatures = intersect(cause.Signatures, s.uncleared)
 		if s.Sent.After(cause.Sent) {
 			cause.Sent = s.Sent
 		}
@@ -105,6 +154,14 @@
 	return cause
 }
 
+// intersect returns the elements of a that are also in b. Both are sorted; a is overwritten.
+func intersect(a, b []uint64) []uint64 {
+	return slices.DeleteFunc(a, func(s uint64) bool {
+		_, found := slices.BinarySearch(b, s)
+		return !found
+	})
+}
+
 // candidate is a signature that may be the cause of crashes.
 type candidate struct {
 	signature uint64
@@ -112,30 +169,56 @@
 	suspicion int       // sum over these crashes
 	lastCrash time.Time // of these crashes
 	answered  bool      // requests with it were answered before
+	// occurrences is a digest of the suspects that have it.
+	occurrences uint64
+	// worst is the suspicion of the most suspect request with it, and sent when the last one was
+	// sent, of the suspects of crash number crash.
+	crash, worst int
+	sent         time.Time
+}
+
+// settle counts the last crash whose suspects have the signature. Requests that were in progress
+// at the same time count once: an outage of several endpoints at once says little about what they
+// all had.
+func (k *candidate) settle(crashes []openCrash) {
+	if k.crashes > 0 && k.sent.Before(k.lastCrash) {
+		return
+	}
+	k.crashes++
+	k.suspicion += k.worst
+	k.lastCrash = crashes[k.crash].crash.at
 }
 
 // candidates returns the signatures that explain the most crashes, none if no signature
 // explains enough.
 func (e *evidence) candidates(crashes []openCrash) []*candidate {
 	candidates := map[uint64]*candidate{}
-	for _, c := range crashes {
-		for signature, s := range worstSuspects(c) {
-			k := candidates[signature]
-			if k == nil {
-				k = &candidate{signature: signature, answered: !e.answers[signature].IsZero()}
-				candidates[signature] = k
-			}
-			// Requests that were in progress at the same time count once: an outage of
-			// several endpoints at once says little about what they all had.
-			if k.crashes == 0 || !s.Sent.Before(k.lastCrash) {
-				k.crashes++
-				k.suspicion += suspicion[s.Progress]
-				k.lastCrash = c.crash.at
+	number := uint64(0)
+	for n, c := range crashes {
+		for _, s := range c.suspects {
+			number++
+			digest := mix(number)
+			for _, signature := range s.recurring {
+				k := candidates[signature]
+				switch {
+				case k == nil:
+					k = &candidate{signature: signature, answered: !e.answers[signature].IsZero(), crash: n}
+					candidates[signature] = k
+				case k.crash != n:
+					k.settle(crashes)
+					k.crash, k.worst, k.sent = n, 0, time.Time{}
+				}
+				k.occurrences += digest
+				k.worst = max(k.worst, suspicion[s.Progress])
+				if s.Sent.After(k.sent) {
+					k.sent = s.Sent
+				}
 			}
 		}
 	}
 	var most []*candidate
 	for _, k := range candidates {
+		k.settle(crashes)
 		if k.crashes < k.crashesNeeded() || len(most) > 0 && k.crashes < most[0].crashes {
 			continue
 		}
@@ -147,6 +230,14 @@
 	return most
 }
 
+// mix returns a hash of a number, the finalizer of splitmix64.
+func mix(n uint64) uint64 {
+	n *= 0x9e3779b97f4a7c15
+	n = (n ^ n>>30) * 0xbf58476d1ce4e5b9
+	n = (n ^ n>>27) * 0x94d049bb133111eb
+	return n ^ n>>31
+}
+
 // crashesNeeded returns how many crashes the candidate must explain.
 func (k *candidate) crashesNeeded() int {
 	if k.answered {
@@ -155,29 +246,6 @@
 	return crashesToQuarantine
 }
 
-// worstSuspects returns, for each signature, the suspect with it that was sent last, with the
-// progress of the most suspect one.
-func worstSuspects(c openCrash) map[uint64]fleet.Suspect {
-	worst := map[uint64]fleet.Suspect{}
-	for _, s := range c.suspects {
-		for _, signature := range s.Signatures {
-			w, known := worst[signature]
-			if !known {
-				worst[signature] = s
-				continue
-			}
-			if suspicion[s.Progress] > suspicion[w.Progress] {
-				w.Progress = s.Progress
-			}
-			if s.Sent.After(w.Sent) {
-				w.Sent = s.Sent
-			}
-			worst[signature] = w
-		}
-	}
-	return worst
-}
-
 // likeliest returns the rule for one of the candidates, which explain equally many crashes: the
 // one whose requests are the most suspect, and rather one with which no request was ever
 // answered. If that rule covers the one for another candidate, which quarantines fewer
@@ -191,7 +259,13 @@
 		)
 	})
 	best := newRule(candidates[0].signature, crashes)
+	// Signatures that the same suspects have give the same rule.
+	seen := map[uint64]bool{candidates[0].occurrences: true}
 	for _, k := range candidates[1:] {
+		if seen[k.occurrences] {
+			continue
+		}
+		seen[k.occurrences] = true
 		if r := newRule(k.signature, crashes); len(r.signatures) > len(best.signatures) && best.matches(r.signatures) {
 			best = r
 		}
@@ -207,14 +281,14 @@
 	for _, c := range crashes {
 		explained := false
 		for _, s := range c.suspects {
-			if !slices.Contains(s.Signatures, signature) {
+			if !s.has(signature) {
 				continue
 			}
 			if r.signatures == nil {
-				r.signatures = slices.Clone(s.Signatures)
+				r.signatures = slices.Clone(s.recurring)
 				r.first = c.crash.at
 			}
-			r.signatures = slices.DeleteFunc(r.signatures, func(other uint64) bool { return !slices.Contains(s.Signatures, other) })
+			r.signatures = intersect(r.signatures, s.recurring)
 			explained = true
 			r.last, r.endpoint, r.request = c.crash.at, c.crash.endpoint, s.Request
 		}
@@ -222,8 +296,6 @@
 			r.crashes++
 		}
 	}
-	slices.Sort(r.signatures)
-	r.signatures = slices.Compact(r.signatures)
 	return r
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -68,7 +68,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.review(time.Now())
-	return slices.ContainsFunc(l.rules, func(r rule) bool { return r.matches(signatures) })
+	if len(l.rules) == 0 {
+		return false
+	}
+	sorted := slices.Sorted(slices.Values(signatures))
+	return slices.ContainsFunc(l.rules, func(r rule) bool { return r.matches(sorted) })
 }
 
 // Size returns how many rules are in force.
@@ -98,7 +102,7 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	var cleared []uint64
-	for _, s := range mostSpecific(signatures) {
+	for _, s := range signatures {
 		l.answered.Add(s, now)
 		if l.evidence.answer(s, now) {
 			cleared = append(cleared, s)
@@ -114,17 +118,11 @@
 func (l *List) Crashed(s fleet.Suspect) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s.Signatures = mostSpecific(s.Signatures)
 	now := time.Now()
 	l.addSuspect(s, sourceOwn, now)
 	l.review(now)
 }
 
-// mostSpecific returns the last signatures, as many as are kept.
-func mostSpecific(signatures []uint64) []uint64 {
-	return signatures[max(0, len(signatures)-maxSignatures):]
-}
-
 // source is from where a suspect is known.
 type source string
 
@@ -210,7 +208,7 @@
 // notify tells the requests in progress that a new rule matches.
 func (l *List) notify(r rule) {
 	for w := range l.watchers {
-		if r.matches(w.signatures) {
+		if r.matches(slices.Sorted(slices.Values(w.signatures))) {
 			delete(l.watchers, w)
 			w.quarantined()
 		}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -117,10 +117,22 @@
 	}
 }
 
+// signatures returns the signatures of names. NAME*N stands for N names that begin with NAME.
 func signatures(names []string) []uint64 {
 	var list []uint64
 	for _, name := range names {
-		list = append(list, xxhash.Sum64String(name))
+		prefix, count, repeated := strings.Cut(name, "*")
+		if !repeated {
+			list = append(list, xxhash.Sum64String(name))
+			continue
+		}
+		n, err := strconv.Atoi(count)
+		if err != nil {
+			panic(err)
+		}
+		for k := range n {
+			list = append(list, xxhash.Sum64String(prefix+strconv.Itoa(k)))
+		}
 	}
 	return list
 }
@@ -328,6 +340,32 @@
 	})
 }
 
+// The same for requests whose prompts have many parts, all of which but one are shared by all
+// requests. No request is answered.
+func BenchmarkCrashLongPrompts(b *testing.B) {
+	l := quarantine.New(&audit.Trail{})
+	now := time.Now()
+	var parts []uint64
+	for n := range 70 {
+		parts = append(parts, uint64(n))
+	}
+	crash := func(endpoint, request int) {
+		l.Crashed(fleet.Suspect{
+			Endpoint: strconv.Itoa(endpoint), Request: strconv.Itoa(request), Signatures: append(parts[:70:70], uint64(1000+endpoint*100+request)),
+			Progress: fleet.ProgressWaiting, Sent: now.Add(-time.Second), Broken: now.Add(time.Duration(endpoint-1064) * time.Second / 10),
+		})
+	}
+	for endpoint := range 64 {
+		for request := range 32 {
+			crash(endpoint, request)
+		}
+	}
+	b.ResetTimer()
+	for n := range b.N {
+		crash(1000+n%64, n)
+	}
+}
+
 // The cost of one more crash for an instance that remembers as many crashes as it can, each
 // with as many suspects as it keeps.
 func BenchmarkCrash(b *testing.B) {
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -30,6 +30,9 @@
 	storeInterval      = 100 * time.Millisecond
 	// rankInterval is how often an instance that does not write checks its rank.
 	rankInterval = 2 * time.Second
+	// maxRecordSignatures bounds the signatures in the record, of up to 20 digits each: the
+	// platform takes records of 256 KiB.
+	maxRecordSignatures = 1 << 13
 )
 
 // Store keeps the crashes that the rules of a quarantine explain on the platform, so that the
@@ -127,9 +130,15 @@
 	return a.Endpoint == b.Endpoint && a.Request == b.Request && slices.Equal(a.Signatures, b.Signatures)
 }
 
+// encodeRecord encodes the newest causes, as many as a record can hold.
 func encodeRecord(causes []fleet.Suspect, now time.Time) []byte {
 	record := wireRecord{Written: now.UnixMilli(), Crashes: []wireReport{}}
-	for _, c := range causes {
+	first, size := len(causes), 0
+	for first > 0 && size+len(causes[first-1].Signatures) <= maxRecordSignatures {
+		first--
+		size += len(causes[first].Signatures)
+	}
+	for _, c := range causes[first:] {
 		record.Crashes = append(record.Crashes, report{suspect: c, at: c.Broken}.encode(now))
 	}
 	data, err := json.Marshal(record)
