watch: endpoints that a copy lacks may write their records again

What callers would see: after a drill of the store, endpoints that had come since the copy was made were dropped at once, although they serve, and the load went to the others until the next heartbeat (1.2 s).

A restoration is announced by the epoch, not by such an outage: the store may be away for a moment only.

Evidence: scripts restore/added and restore/empty; both failed before, at the first check after the return ("has a e2", "has a e1").

Fix: the grace begins also when records of a copy have been read.

--- a/internal/watch/endpoint_tracker.go
+++ b/internal/watch/endpoint_tracker.go
@@ -10,7 +10,7 @@
 
 const (
 	// recoveryGrace is how long an endpoint whose record expired during an outage of the
-	// platform has to write it again.
+	// platform, or is not in the copy that the platform was restored from, has to write it again.
 	recoveryGrace = 2 * time.Second
 	// maxReadPause is the longest pause between two reads in which endpoints count as having
 	// reached the platform. A longer one does not count as a part of recoveryGrace.
@@ -39,6 +39,7 @@
 
 	mu          sync.Mutex
 	recoveredAt time.Time // when the last outage of the platform ended; zero means that there was none
+	restoredAt  time.Time // when records of a copy were last read; zero means never
 	// missing holds endpoints without a record that are kept until the grace has passed.
 	missing map[string]bool
 	// dataAt is until when records had been read at the last call of RemoveExpired.
@@ -79,6 +80,9 @@
 	if t.known == nil {
 		t.known, t.missing = map[string]bool{}, map[string]bool{}
 	}
+	if b.Restored {
+		t.restoredAt = b.At
+	}
 	listed := map[string]bool{}
 	for _, r := range b.Records {
 		listed[r.Key] = true
@@ -137,7 +141,7 @@
 }
 
 // drop removes an endpoint whose record is missing. If the record may have expired only because
-// of an outage of the platform, the endpoint gets recoveryGrace to write it again first.
+// of an outage of the platform, or was lost when that was restored from a copy, the endpoint gets recoveryGrace to write it again first.
 func (t *EndpointTracker) drop(id string, now time.Time, cause string) {
 	t.order.remove(id, now)
 	switch {
@@ -152,14 +156,18 @@
 	}
 }
 
-// graceEnd returns until when missing records may be written again; it is long past if there
-// was no outage. Long pauses between reads do not count.
+// graceEnd returns until when missing records may be written again; it is long past if the platform
+// was neither out of reach nor restored. Long pauses between reads do not count.
 func (t *EndpointTracker) graceEnd() time.Time {
-	end := t.recoveredAt.Add(recoveryGrace)
+	start := t.recoveredAt
+	if t.restoredAt.After(start) {
+		start = t.restoredAt
+	}
+	end := start.Add(recoveryGrace)
 	for _, p := range t.pauses {
 		from := p.from
-		if from.Before(t.recoveredAt) {
-			from = t.recoveredAt
+		if from.Before(start) {
+			from = start
 		}
 		if length := p.to.Sub(from); length > maxReadPause && from.Before(end) {
 			end = end.Add(length)
--- a/internal/watch/outage_test.go
+++ b/internal/watch/outage_test.go
@@ -34,6 +34,10 @@
 	down    bool
 	hanging bool // calls get no response
 	refused map[string]bool
+	epoch   int64 // zero means that the platform does not state it
+	copied  int   // number of records in the copy of the topic
+	// sequences holds the last sequence of each endpoint; nil while records have none.
+	sequences map[string]int64
 }
 
 var errPlatformDown = errors.New("platform does not respond")
@@ -78,14 +82,23 @@
 	}
 	f.log.mu.Lock()
 	defer f.log.mu.Unlock()
+	if from.Offset > f.log.next().Offset {
+		return nil, f.log.next(), fleet.ErrTrimmed
+	}
 	return slices.Clone(f.log.records[from.Offset-1:]), f.log.next(), nil
 }
 
-func (l *endpointLog) next() fleet.Cursor { return fleet.Cursor{Offset: int64(len(l.records)) + 1} }
+func (l *endpointLog) next() fleet.Cursor {
+	return fleet.Cursor{Epoch: l.epoch, Offset: int64(len(l.records)) + 1}
+}
 
 func (l *endpointLog) append(id string, info *fleet.EndpointInfo) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.sequences != nil && info != nil {
+		l.sequences[id]++
+		info.Born, info.Sequence = 1, l.sequences[id]
+	}
 	l.records = append(l.records, fleet.KeyedRecord[fleet.EndpointInfo]{Key: id, Value: info})
 }
 
@@ -190,15 +203,38 @@
 	}
 }
 
-func (s *outageFleet) listed(name, endpoint string) bool {
+// endpoint returns what an instance holds of an endpoint, nil if it does not hold it.
+func (s *outageFleet) endpoint(name, id string) *placement.Endpoint {
 	for _, i := range s.instances {
-		if i.name == name {
-			return slices.ContainsFunc(i.balancer.Endpoints(), func(e placement.Endpoint) bool { return e.ID == endpoint })
+		if i.name != name {
+			continue
+		}
+		for _, e := range i.balancer.Endpoints() {
+			if e.ID == id {
+				return &e
+			}
 		}
+		return nil
 	}
 	panic("no instance " + name)
 }
 
+// change carries out a command of a script that concerns the platform's records as a whole.
+func (l *endpointLog) change(command string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch command {
+	case "epoch":
+		l.epoch = 1
+	case "sequences":
+		l.sequences = map[string]int64{}
+	case "copy":
+		l.copied = len(l.records)
+	case "restore":
+		l.records, l.epoch = l.records[:l.copied:l.copied], l.epoch+1
+	}
+}
+
 // run executes one line of a script:
 //
 //	start NAME...        starts instances
@@ -208,8 +244,14 @@
 //	refuse NAME..., serve NAME...  the platform alone is out of reach for instances; it is not
 //	down, up             the platform fails all calls; it responds again
 //	hang                 the platform gives no response to any call until it is up
+//	epoch                the platform states its epoch
+//	sequences            records state a sequence
+//	drain ENDPOINT...    endpoints write that they leave
+//	copy                 the platform makes a copy of its records
+//	restore              the platform is restored from the copy
 //	wait DURATION
-//	has NAME ENDPOINT, lacks NAME ENDPOINT   whether an instance may send requests to an endpoint
+//	has NAME ENDPOINT, lacks NAME ENDPOINT   whether an instance holds an endpoint for requests
+//	leaving NAME ENDPOINT                    an instance holds it, and that it leaves
 func (s *outageFleet) run(ctx context.Context, t *testing.T, line string) {
 	words := strings.Fields(line)
 	args := words[1:]
@@ -227,6 +269,14 @@
 		for _, id := range args {
 			s.log.append(id, nil)
 		}
+	case "drain":
+		for _, id := range args {
+			info := endpointInfo(id + ":80")
+			info.Leaving = true
+			s.log.append(id, info)
+		}
+	case "epoch", "sequences", "copy", "restore":
+		s.log.change(words[0])
 	case "cut", "join":
 		s.set(s.log.refused, args, words[0] == "cut")
 		s.mu.Lock()
@@ -245,7 +295,11 @@
 		require.NoError(t, err)
 		time.Sleep(d)
 	case "has", "lacks":
-		require.Equal(t, words[0] == "has", s.listed(args[0], args[1]), line)
+		require.Equal(t, words[0] == "has", s.endpoint(args[0], args[1]) != nil, line)
+	case "leaving":
+		e := s.endpoint(args[0], args[1])
+		require.NotNil(t, e, line)
+		require.True(t, e.Leaving, line)
 	default:
 		require.FailNow(t, "unknown command", line)
 	}
@@ -255,7 +309,17 @@
 // records were taken for ones that expired during an outage of the platform, although only
 // single instances had not reached it.
 func TestEndpointsThatLeaveAfterOutageOfInstanceAreRemoved(t *testing.T) {
-	scripts, err := filepath.Glob("testdata/outage/*.txt")
+	runScripts(t, "testdata/outage")
+}
+
+// After the platform had been restored from an older copy, endpoints that had been removed since the
+// copy got requests again, ones that had been added since were removed at once, and a leaving that
+// the copy did not have was forgotten.
+func TestEndpointsOfRestoredPlatform(t *testing.T) { runScripts(t, "testdata/restore") }
+
+// runScripts plays the scripts in a directory.
+func runScripts(t *testing.T, dir string) {
+	scripts, err := filepath.Glob(dir + "/*.txt")
 	require.NoError(t, err)
 	require.NotEmpty(t, scripts)
 	for _, path := range scripts {
