watch: a copy's record does not undo what is known of an endpoint

What callers would see: after a drill of the store, endpoints that had been removed since the copy was made got requests again until their records were removed once more, and one that had said once that it leaves got requests again if its records state no sequence (DRAIN).

The last record of a removed endpoint is in the copy with the same sequence; without sequences nothing tells the copy's record from a new one.

A heartbeat after the return has a larger sequence, or comes as a change, and counts as before.

--- a/internal/watch/endpoint_tracker.go
+++ b/internal/watch/endpoint_tracker.go
@@ -86,7 +86,7 @@
 	listed := map[string]bool{}
 	for _, r := range b.Records {
 		listed[r.Key] = true
-		t.applyRecord(r, b.At)
+		t.applyRecord(r, b.Restored, b.At)
 	}
 	if b.Snapshot {
 		t.order.removeOthers(listed, b.At)
@@ -99,7 +99,9 @@
 	t.removeExpired(b.At)
 }
 
-func (t *EndpointTracker) applyRecord(r fleet.KeyedRecord[fleet.EndpointInfo], now time.Time) {
+// applyRecord processes a record. If the platform was restored from a copy, the record may be older
+// than what it said before.
+func (t *EndpointTracker) applyRecord(r fleet.KeyedRecord[fleet.EndpointInfo], restored bool, now time.Time) {
 	switch {
 	case r.Err != nil:
 		if t.OnInvalid != nil {
@@ -107,6 +109,8 @@
 		}
 	case r.Value == nil:
 		t.drop(r.Key, now, "record removed")
+	case restored && t.order.isOutdatedCopy(r.Key, *r.Value, !t.known[r.Key]):
+		t.ignored(r.Key, *r.Value, RecordOutdated)
 	default:
 		if age := t.order.add(r.Key, *r.Value, now); age != RecordCurrent {
 			t.ignored(r.Key, *r.Value, age)
--- a/internal/watch/incarnation.go
+++ b/internal/watch/incarnation.go
@@ -39,6 +39,7 @@
 type incarnations struct {
 	born     int64 // start of the current incarnation; zero means unknown
 	sequence int64 // largest of its records; zero means that they have none
+	leaving  bool  // its last record said that it leaves
 	// replaced holds the starts that another one has replaced, oldest first.
 	replaced []int64
 	// listed is set while the ID has a record.
@@ -116,10 +117,21 @@
 		}
 		h.born, h.sequence = e.Born, 0
 	}
-	h.sequence = max(h.sequence, e.Sequence)
+	h.sequence, h.leaving = max(h.sequence, e.Sequence), e.Leaving
 	h.listed, h.disputed = true, nil
 }
 
+// isOutdatedCopy reports whether a record of the copy that the platform was restored from is older than
+// what it said before: that the record was removed, or that the endpoint leaves. A record with a
+// larger sequence was written after the restoration.
+func (o *recordOrder) isOutdatedCopy(id string, e fleet.EndpointInfo, removed bool) bool {
+	h := o.byID[id]
+	if h == nil || e.Born != h.born || e.Sequence > h.sequence {
+		return false
+	}
+	return removed || h.leaving && !e.Leaving
+}
+
 // remove records that the record of an ID was removed.
 func (o *recordOrder) remove(id string, now time.Time) {
 	if h := o.byID[id]; h != nil && (h.listed || h.disputed != nil) {
