peer: the fleet's key survives a restored platform

What would be seen: the platform is restored from a copy without the fleet's key. An instance that starts then generates another one; it and the others reject each other's messages for good. Each knows only its own share of the load, and the feeds are read by all of them.

Cause: the key was read once, at the start, and stored by nobody again.

Fix: after a restoration each instance reads the key again, spread over 2 ms for each other instance, until that succeeds. If there is none, the known one is stored, under the condition that the topic is empty, so that one write succeeds. If an instance that started meanwhile was first, all use its key. TestKeyOfRestoredPlatform has both cases.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -122,7 +122,12 @@
 	peers        *peer.Exchange
 	links        *link.Handler
 	stopping     chan struct{}
-	graceNanos   atomic.Int64
+	// epoch is the newest one to which the platform is known to have been restored, zero for none.
+	epoch atomic.Int64
+	// restored receives a value when the platform was restored and what the fleet has stored
+	// there may be gone.
+	restored   chan struct{}
+	graceNanos atomic.Int64
 }
 
 const (
@@ -218,7 +223,7 @@
 		debug.SetMemoryLimit(heapLimit(i.MaxMemoryBytes))
 		debug.SetGCPercent(heapGrowthPercent)
 	}
-	i.stopping = make(chan struct{})
+	i.stopping, i.restored = make(chan struct{}), make(chan struct{}, 1)
 	i.graceNanos.Store(int64(i.Grace))
 	i.balancer = &placement.Balancer{
 		LocalDomain: i.Domain, Regions: i.Regions, HeartbeatInterval: i.heartbeatInterval(),
@@ -356,6 +361,7 @@
 	tree.Add(i.Log)
 	tree.Add(i.lagMeter)
 	tree.Add(i.peers.Key)
+	tree.Add(rewriter{i})
 	tree.Add(i.peers)
 	if i.Quarantine != nil {
 		rank := func() int { return i.peers.Rank(time.Now()) }
--- a/internal/entry/restore.go
+++ b/internal/entry/restore.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,13 +17,47 @@
 const snapshotSpread = 2 * time.Millisecond
 
 // platformRestored returns a function that is called when a feed shows that the platform was
-// restored from an older copy. A restored platform affects all feeds.
+// restored from an older copy. That affects all feeds, and what the fleet itself has stored.
 func (i *Instance) platformRestored(feed string) func(from, to int64) {
 	return func(from, to int64) {
 		i.handler.Metrics.Count(gauge.Name("platform_restores_total", "feed", feed))
 		i.logger.Warn(event.Restored, zap.String("feed", feed), zap.Int64("from", from), zap.Int64("to", to))
 		i.operators.NoteEpoch(to)
 		i.endpoints.NoteEpoch(to)
+		if i.epoch.Swap(to) == to {
+			return
+		}
+		select {
+		case i.restored <- struct{}{}:
+		default:
+			// Another restoration is pending, after which the same is checked.
+		}
+	}
+}
+
+// rewriter checks, after the platform was restored from an older copy, what the fleet itself has
+// stored there. It implements suture.Service.
+type rewriter struct{ *Instance }
+
+// String returns the name of the service in the supervisor's events.
+func (rewriter) String() string { return "rewriter" }
+
+// Serve implements suture.Service.
+func (r rewriter) Serve(ctx context.Context) error {
+	for {
+		select {
+		case <-r.restored:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		select {
+		case <-time.After(time.Duration(rand.Float64() * float64(r.spread()))):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if err := r.peers.Key.Refresh(ctx); err != nil {
+			return err
+		}
 	}
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -24,6 +24,9 @@
 	// its records, Resynchronized once all records of a feed have been read anew.
 	Restored       = "restored"
 	Resynchronized = "resynced"
+	// KeyReplaced is logged when the instance uses another fleet key than before, because the
+	// platform holds another one since it was restored.
+	KeyReplaced = "rekeyed"
 	// Configuration is logged when a configuration version is applied.
 	Configuration = "configuration"
 	// Evacuation is logged when operators have emptied a failure domain or taken it back.
--- a/internal/peer/key.go
+++ b/internal/peer/key.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"crypto/hmac"
 	"crypto/rand"
@@ -41,6 +42,9 @@
 	Logger  *zap.Logger
 
 	macs atomic.Pointer[sync.Pool] // of hash.Hash with the secret; nil while it is unknown
+
+	mu    sync.Mutex
+	value []byte // nil while it is unknown
 }
 
 // String returns the name of the service in the supervisor's events.
@@ -48,14 +52,24 @@
 
 // Serve implements suture.Service. It returns once the key is known.
 func (k *Key) Serve(ctx context.Context) error {
+	if err := k.Refresh(ctx); err != nil {
+		return err
+	}
+	return suture.ErrDoNotRestart
+}
+
+// Refresh reads the key from the platform, until that succeeds or ctx is done. If the platform has
+// none, because it was restored from an older copy, the known key is stored again. A key that
+// another instance has stored meanwhile replaces the known one: instances that start read it.
+func (k *Key) Refresh(ctx context.Context) error {
 	readFailed := false
 	for ctx.Err() == nil {
-		err := k.readOrCreate(ctx)
-		if k.Known() {
+		read, err := k.readOrCreate(ctx)
+		if read {
 			if readFailed {
 				k.Logger.Info(event.DependencyRecovered, zap.String("feed", "key"))
 			}
-			return suture.ErrDoNotRestart
+			return nil
 		}
 		if err != nil && !readFailed {
 			readFailed = true
@@ -69,31 +83,49 @@
 	return ctx.Err()
 }
 
-// readOrCreate reads the key from the platform, or generates and stores one if there is
-// none.
-func (k *Key) readOrCreate(ctx context.Context) error {
+// readOrCreate reads the key from the platform, or stores one if there is none: the known
+// one, or else a new one. It reports whether the platform's key is known then.
+func (k *Key) readOrCreate(ctx context.Context) (read bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, keyTimeout)
 	defer cancel()
 	value, err := k.Storage.Get(ctx)
 	if err != nil {
-		return err
+		return false, err
 	}
 	if len(value) == 0 {
-		newKey := make([]byte, keyBytes)
-		_, _ = rand.Read(newKey) // never fails
-		if err := k.Storage.Create(ctx, newKey); err != nil {
-			return err
+		if err := k.Storage.Create(ctx, k.knownOrNew()); err != nil {
+			return false, err
 		}
 		if value, err = k.Storage.Get(ctx); err != nil || len(value) == 0 {
-			return err
+			return false, err
 		}
 	}
 	k.Set(value)
-	return nil
+	return true, nil
+}
+
+func (k *Key) knownOrNew() []byte {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.value != nil {
+		return k.value
+	}
+	value := make([]byte, keyBytes)
+	_, _ = rand.Read(value) // never fails
+	return value
 }
 
 // Set sets the key.
 func (k *Key) Set(value []byte) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if bytes.Equal(value, k.value) {
+		return
+	}
+	if k.value != nil {
+		k.Logger.Warn(event.KeyReplaced)
+	}
+	k.value = value
 	k.macs.Store(&sync.Pool{New: func() any { return hmac.New(sha256.New, value) }})
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -168,6 +168,34 @@
 	}
 }
 
+// The platform was restored from a copy without the key: it gets the key of the fleet again. If an
+// instance that started meanwhile has stored another one, all use that.
+func TestKeyOfRestoredPlatform(t *testing.T) {
+	c := &memoryValue{}
+	newKey := func() *peer.Key {
+		k := &peer.Key{Storage: c, Logger: zap.NewNop()}
+		_ = k.Serve(t.Context())
+		return k
+	}
+	first, second := newKey(), newKey()
+	before := first.Sign("u", []byte("x"))
+	c.value = nil
+	require.NoError(t, first.Refresh(t.Context()))
+	require.NoError(t, second.Refresh(t.Context()))
+	third := newKey()
+	for _, k := range []*peer.Key{first, second, third} {
+		require.Equal(t, before, k.Sign("u", []byte("x")))
+	}
+	c.value = nil
+	fourth := newKey()
+	require.NotEqual(t, before, fourth.Sign("u", []byte("x")))
+	c.lostResponses = 1
+	for _, k := range []*peer.Key{first, second, third} {
+		require.NoError(t, k.Refresh(t.Context()))
+		require.Equal(t, fourth.Sign("u", []byte("x")), k.Sign("u", []byte("x")))
+	}
+}
+
 func FuzzUnpack(f *testing.F) {
 	f.Add([]byte("1234567"))
 	f.Add([]byte(""))
