quarantine: the stored crashes survive a restored platform

What callers would see: the platform is restored from a copy without the crashes that rules explain, and all instances restart before these change. Requests with a part that crashes endpoints reach endpoints again.

Cause: the record was read once and then written only when it differed from what the instance had last read or written itself, at most a minute later.

Fix: after a restoration the instances that write the record read it again, and write what is missing. The others do so if they come to write it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -110,10 +110,12 @@
 	tracker     *watch.EndpointTracker
 	evacuations *evacuation.Set
 	quarantine  *quarantine.List
-	handler     *gateway.Handler
-	lagMeter    *overload.Meter
-	capacity    overload.Capacity
-	rotation    overload.Rotation
+	// quarantineStore is nil if Quarantine is.
+	quarantineStore *quarantine.Store
+	handler         *gateway.Handler
+	lagMeter        *overload.Meter
+	capacity        overload.Capacity
+	rotation        overload.Rotation
 	// usageFailure guards the log line on a use of the processor that cannot be measured.
 	usageFailure sync.Once
 	relief       overload.Relief
@@ -365,7 +367,8 @@
 	tree.Add(i.peers)
 	if i.Quarantine != nil {
 		rank := func() int { return i.peers.Rank(time.Now()) }
-		tree.Add(&quarantine.Store{List: i.quarantine, Storage: i.Quarantine, Rank: rank, Logger: i.logger})
+		i.quarantineStore = &quarantine.Store{List: i.quarantine, Storage: i.Quarantine, Rank: rank, Logger: i.logger}
+		tree.Add(i.quarantineStore)
 	}
 	tree.Add(&peer.Finder{Directory: i.Directory, Exchange: i.peers, Logger: i.logger})
 	tree.Add(&service.Server{Listener: i.Peers, HTTP: &http.Server{Handler: i.peerMux(), ReadTimeout: headerTimeout, IdleTimeout: peerIdleTimeout}})
--- a/internal/entry/restore.go
+++ b/internal/entry/restore.go
@@ -55,6 +55,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		if r.quarantineStore != nil {
+			r.quarantineStore.Reload()
+		}
 		if err := r.peers.Key.Refresh(ctx); err != nil {
 			return err
 		}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -41,6 +41,7 @@
 //	storage                          from now on, instances keep crashes in a storage
 //	storage up, storage down         it can, or cannot, be reached
 //	storage garbage                  its record is replaced by one that cannot be decoded
+//	storage restored                 its record is gone, and instances know that it was restored
 //	storage clock D                  clocks are set forward by D after its record was written
 //	writes N                         the record was written N times
 //	sleep D
@@ -54,6 +55,7 @@
 	requests  map[string]*request
 	storage   *fakeStorage
 	stops     map[string]context.CancelFunc // of the stores, by instance
+	stores    map[string]*quarantine.Store
 }
 
 // fakeStorage is a fleet.KeyValueStore in memory.
@@ -211,7 +213,7 @@
 
 func (p *play) useStorage(args []string) {
 	if len(args) == 0 {
-		p.storage, p.stops = &fakeStorage{values: map[string][]byte{}}, map[string]context.CancelFunc{}
+		p.storage, p.stops, p.stores = &fakeStorage{values: map[string][]byte{}}, map[string]context.CancelFunc{}, map[string]*quarantine.Store{}
 		for _, name := range p.names {
 			p.runStore(name)
 		}
@@ -219,6 +221,13 @@
 	}
 	p.storage.mu.Lock()
 	defer p.storage.mu.Unlock()
+	if args[0] == "restored" {
+		clear(p.storage.values)
+		for _, s := range p.stores {
+			s.Reload()
+		}
+		return
+	}
 	if args[0] == "clock" {
 		p.setClocks(args[1])
 		return
@@ -260,6 +269,7 @@
 	p.stops[name] = stop
 	rank := slices.Index(p.names, name)
 	s := &quarantine.Store{List: p.instances[name], Storage: p.storage, Rank: func() int { return rank }, Logger: zap.NewNop()}
+	p.stores[name] = s
 	go func() { _ = s.Serve(ctx) }()
 }
 
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -46,6 +47,7 @@
 	Rank   func() int
 	Logger *zap.Logger
 
+	reload  atomic.Bool // the record has to be read again
 	loaded  bool
 	saved   []fleet.Suspect // that the record has, as far as this instance knows
 	savedAt time.Time       // when it was read or last written
@@ -63,6 +65,16 @@
 // String returns the name of the service in the supervisor's events.
 func (s *Store) String() string { return "quarantine store" }
 
+// Reload makes the record be read again and, if it is out of date, written: the platform was restored
+// from an older copy. Only the instances that write the record do so.
+func (s *Store) Reload() {
+	s.reload.Store(true)
+	select {
+	case s.List.updated <- struct{}{}:
+	default:
+	}
+}
+
 // Serve implements suture.Service. It reads the record once and then writes it whenever the
 // crashes that the rules explain have changed.
 func (s *Store) Serve(ctx context.Context) error {
@@ -101,12 +113,15 @@
 func (s *Store) synchronize(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	if s.Rank() <= maxWriterRank && s.reload.CompareAndSwap(true, false) {
+		s.loaded = false
+	}
 	if !s.loaded {
 		values, err := s.Storage.List(ctx)
 		if err != nil {
 			return err
 		}
-		s.loaded, s.savedAt = true, time.Now()
+		s.loaded, s.saved, s.savedAt = true, nil, time.Now()
 		if data := values[crashesKey]; data != nil {
 			if s.saved, err = s.List.restore(data); err != nil {
 				s.Logger.Warn(event.InvalidData, zap.String("key", crashesKey), zap.Error(err))
