peer: instances register again after a restored platform

What would be seen: the platform is restored from a copy without the directory entry of an instance that has just started. Where its seeds are out of date, nobody finds it for up to a minute, and it reads the feeds and shares nothing.

Cause: entries are rewritten once a minute, whatever became of them.

Evidence: TestEntryIsRewrittenAfterRestoration; without the call the directory is still empty after 11 s.

Fix: after a restoration an instance rewrites its entry at its next look, within 10 s. The looks of instances are at different times, so that the writes are spread.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -110,6 +110,7 @@
 	tracker     *watch.EndpointTracker
 	evacuations *evacuation.Set
 	quarantine  *quarantine.List
+	finder      *peer.Finder
 	// quarantineStore is nil if Quarantine is.
 	quarantineStore *quarantine.Store
 	handler         *gateway.Handler
@@ -370,7 +371,8 @@
 		i.quarantineStore = &quarantine.Store{List: i.quarantine, Storage: i.Quarantine, Rank: rank, Logger: i.logger}
 		tree.Add(i.quarantineStore)
 	}
-	tree.Add(&peer.Finder{Directory: i.Directory, Exchange: i.peers, Logger: i.logger})
+	i.finder = &peer.Finder{Directory: i.Directory, Exchange: i.peers, Logger: i.logger}
+	tree.Add(i.finder)
 	tree.Add(&service.Server{Listener: i.Peers, HTTP: &http.Server{Handler: i.peerMux(), ReadTimeout: headerTimeout, IdleTimeout: peerIdleTimeout}})
 	tree.Add(&service.Loop{Name: "sweep", Interval: sweepInterval, Run: i.sweep})
 	tree.Add(&service.Loop{Name: "expiry", Interval: expiryInterval, Run: i.removeExpired})
--- a/internal/entry/restore.go
+++ b/internal/entry/restore.go
@@ -55,6 +55,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		r.finder.Reregister()
 		if r.quarantineStore != nil {
 			r.quarantineStore.Reload()
 		}
--- a/internal/peer/finder.go
+++ b/internal/peer/finder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -34,6 +35,7 @@
 	Exchange  *Exchange
 	Logger    *zap.Logger
 
+	lost    atomic.Bool // the instance's entry may be gone
 	writes  int
 	entries map[string]readEntry // by key
 }
@@ -75,6 +77,9 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		pause := discoverInterval
+		if f.lost.Swap(false) {
+			registeredAt = time.Time{}
+		}
 		if now.Sub(registeredAt) > registerInterval {
 			if logResult(f.register(ctx, now)) {
 				registeredAt = now
@@ -97,6 +102,10 @@
 	return ctx.Err()
 }
 
+// Reregister makes the instance rewrite its entry within discoverInterval: the platform was restored
+// from an older copy. Instances do so at different times, as they started.
+func (f *Finder) Reregister() { f.lost.Store(true) }
+
 func (f *Finder) register(ctx context.Context, now time.Time) error {
 	self := f.Exchange.Self
 	f.writes++
--- a/internal/peer/finder_test.go
+++ b/internal/peer/finder_test.go
@@ -93,6 +93,29 @@
 	}
 }
 
+// The platform was restored from a copy without the entry of an instance that had just started: nobody
+// could find it for up to a minute.
+func TestEntryIsRewrittenAfterRestoration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &directory{values: map[string][]byte{}}
+		f := &peer.Finder{Directory: d, Exchange: newExchange("key"), Logger: zap.NewNop()}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = f.Serve(ctx) }()
+		time.Sleep(5 * time.Second)
+		d.mu.Lock()
+		require.Len(t, d.values, 1)
+		clear(d.values)
+		d.mu.Unlock()
+		f.Reregister()
+		time.Sleep(11 * time.Second)
+		list, err := d.List(t.Context())
+		require.NoError(t, err)
+		require.Len(t, list, 1)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
 // The clock of an instance stands still or is set back again and again: each of its entries must
 // differ from the one before, or others take it for ended.
 func TestEachEntryDiffers(t *testing.T) {
