evacuation: an emptied domain stays empty while a copy lacks the record

What callers would see: the platform is restored from a copy that is older than an evacuation.

Evidence: TestEvacuationOutlivesRestoredPlatform; it failed before 1.5 s after the restoration.

Fix: after a restoration the record may be written again for two seconds, as those of endpoints; the evacuation ends if it is not.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -438,6 +438,7 @@
 		i.tracker.RemoveExpired(now, dataAt)
 		i.tracker.ResolveDisputes(dataAt)
 	}
+	i.expireEvacuations(now)
 }
 
 // probe tries to connect to endpoints that are down. It does so in the background, so that
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -44,6 +44,7 @@
 
 // fakeFeed is a feed whose records the test writes.
 type fakeFeed[T any] struct {
+	epoch   int64 // zero means that the platform does not state it
 	mu      sync.Mutex
 	records []fleet.KeyedRecord[T]
 	down    bool // the platform does not respond
@@ -80,10 +81,18 @@
 	f.records = slices.DeleteFunc(f.records, func(r fleet.KeyedRecord[T]) bool { return slices.Contains(keys, r.Key) })
 }
 
+// restore simulates that the platform was restored from a copy without the records of some keys.
+func (f *fakeFeed[T]) restore(keys ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.epoch++
+	f.records = slices.DeleteFunc(f.records, func(r fleet.KeyedRecord[T]) bool { return slices.Contains(keys, r.Key) })
+}
+
 func (f *fakeFeed[T]) Newest(context.Context) ([]fleet.KeyedRecord[T], fleet.Cursor, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return append([]fleet.KeyedRecord[T](nil), f.records...), fleet.Cursor{Offset: int64(len(f.records)) + 1}, nil
+	return append([]fleet.KeyedRecord[T](nil), f.records...), fleet.Cursor{Epoch: f.epoch, Offset: int64(len(f.records)) + 1}, nil
 }
 
 func (f *fakeFeed[T]) Changes(ctx context.Context, from fleet.Cursor, wait time.Duration) ([]fleet.KeyedRecord[T], fleet.Cursor, error) {
@@ -93,7 +102,12 @@
 		f.mu.Unlock()
 		return nil, fleet.Cursor{}, fleet.ErrTrimmed
 	}
-	records, down := append([]fleet.KeyedRecord[T](nil), f.records[from.Offset-1:]...), f.down
+	if from.Offset > int64(len(f.records))+1 {
+		epoch := f.epoch
+		f.mu.Unlock()
+		return nil, fleet.Cursor{Epoch: epoch}, fleet.ErrTrimmed
+	}
+	records, down, epoch := append([]fleet.KeyedRecord[T](nil), f.records[from.Offset-1:]...), f.down, f.epoch
 	f.mu.Unlock()
 	if down {
 		return nil, fleet.Cursor{}, errPlatformDown
@@ -104,7 +118,7 @@
 		case <-ctx.Done():
 		}
 	}
-	return records, fleet.Cursor{Offset: from.Offset + int64(len(records))}, nil
+	return records, fleet.Cursor{Epoch: epoch, Offset: from.Offset + int64(len(records))}, nil
 }
 
 // fakeStore is a fleet.WriteOnceValue and a fleet.KeyValueStore that stays empty.
--- a/internal/entry/evacuation.go
+++ b/internal/entry/evacuation.go
@@ -30,12 +30,29 @@
 			changes = append(changes, i.evacuations.Put(r.Key, *r.Value.Evacuation, since)...)
 		}
 	}
-	if b.Snapshot {
+	switch {
+	case b.Restored:
+		i.evacuations.KeepMissing(kept, b.At.Add(watch.RecoveryGrace))
+	case b.Snapshot:
 		changes = append(changes, i.evacuations.Retain(kept)...)
 	}
+	i.evacuationsChanged(changes, since, b.Relayed)
+}
+
+// expireEvacuations ends evacuations whose records were not written again after the platform was
+// restored from a copy without them.
+func (i *Instance) expireEvacuations(now time.Time) {
+	if p := i.operators.Position(now); p.Known() {
+		dataAt := now.Add(-time.Duration(p.Age) * time.Millisecond)
+		i.evacuationsChanged(i.evacuations.Expire(dataAt), dataAt, false)
+	}
+}
+
+// evacuationsChanged applies changes by records that were written at a time or later.
+func (i *Instance) evacuationsChanged(changes []evacuation.Change, since time.Time, relayed bool) {
 	for _, c := range changes {
 		i.balancer.SetEvacuated(c.Domain, c.Emptied, time.Now())
-		i.logEvacuation(c, since, b.Relayed)
+		i.logEvacuation(c, since, relayed)
 	}
 }
 
--- a/internal/entry/evacuation_test.go
+++ b/internal/entry/evacuation_test.go
@@ -112,6 +112,37 @@
 	})
 }
 
+// The platform was restored from a copy that is older than an evacuation: the emptied domain got requests
+// until the operator had written the record again. If nobody does, the evacuation ends.
+func TestEvacuationOutlivesRestoredPlatform(t *testing.T) {
+	for _, again := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t)
+			f.operators.epoch = 1
+			f.startServing()
+			f.evacuate("a")
+			time.Sleep(time.Second)
+			f.requireServed(fleet.ReasonEvacuated)
+			f.operators.restore("emptied/a")
+			time.Sleep(1500 * time.Millisecond)
+			f.requireServed(fleet.ReasonEvacuated)
+			if again {
+				f.evacuate("a")
+			}
+			time.Sleep(3 * time.Second)
+			if again {
+				f.requireServed(fleet.ReasonEvacuated)
+				f.operators.restore()
+				time.Sleep(4 * time.Second)
+				f.requireServed(fleet.ReasonEvacuated)
+			} else {
+				f.requireServed("")
+			}
+			f.shutDown()
+		})
+	}
+}
+
 // The log is trimmed while the record is deleted: the snapshot without it ends the evacuation, and
 // one with it keeps it.
 func TestSnapshotSaysWhichDomainsAreEmptied(t *testing.T) {
--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -34,6 +34,8 @@
 type Set struct {
 	mu    sync.Mutex
 	byKey map[string]Evacuation
+	// missing holds, by key, until when a record that is missing may be written again.
+	missing map[string]time.Time
 }
 
 // Put adds the record of a key, which replaces an earlier one, and returns what has changed. since
@@ -41,6 +43,7 @@
 func (s *Set) Put(key string, r Record, since time.Time) []Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.missing, key)
 	if s.byKey[key].Domain == r.Domain {
 		return nil
 	}
@@ -75,8 +78,36 @@
 	return changes
 }
 
+// KeepMissing keeps the records of all keys but the listed ones until a time: they are not in the copy
+// that the platform was restored from and may be written again.
+func (s *Set) KeepMissing(listed map[string]bool, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.missing = map[string]time.Time{}
+	for key := range s.byKey {
+		if !listed[key] {
+			s.missing[key] = until
+		}
+	}
+}
+
+// Expire removes records that were not written again in time and returns what has changed. All
+// records that were written until dataAt must have been applied.
+func (s *Set) Expire(dataAt time.Time) []Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var changes []Change
+	for _, key := range slices.Sorted(maps.Keys(s.missing)) {
+		if !dataAt.Before(s.missing[key]) {
+			changes = append(changes, s.remove(key)...)
+		}
+	}
+	return changes
+}
+
 // remove removes the record of a key. The lock is held.
 func (s *Set) remove(key string) []Change {
+	delete(s.missing, key)
 	old, known := s.byKey[key]
 	delete(s.byKey, key)
 	if !known || s.contains(old.Domain) {
--- a/internal/watch/endpoint_tracker.go
+++ b/internal/watch/endpoint_tracker.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// recoveryGrace is how long an endpoint whose record expired during an outage of the
-	// platform, or is not in the copy that the platform was restored from, has to write it again.
-	recoveryGrace = 2 * time.Second
+	// RecoveryGrace is how long the writer of a record has to write it again, if the record
+	// expired during an outage of the platform or is not in the copy that it was restored from.
+	RecoveryGrace = 2 * time.Second
 	// maxReadPause is the longest pause between two reads in which endpoints count as having
-	// reached the platform. A longer one does not count as a part of recoveryGrace.
+	// reached the platform. A longer one does not count as a part of RecoveryGrace.
 	maxReadPause = 1200 * time.Millisecond
 	// freshAge is the age up to which data shows that the platform can be read now.
 	freshAge = 600 * time.Millisecond
@@ -145,7 +145,8 @@
 }
 
 // drop removes an endpoint whose record is missing. If the record may have expired only because
-// of an outage of the platform, or was lost when that was restored from a copy, the endpoint gets recoveryGrace to write it again first.
+// of an outage of the platform, or was lost when that was restored from a copy, the endpoint gets
+// RecoveryGrace to write it again first.
 func (t *EndpointTracker) drop(id string, now time.Time, cause string) {
 	t.order.remove(id, now)
 	switch {
@@ -167,7 +168,7 @@
 	if t.restoredAt.After(start) {
 		start = t.restoredAt
 	}
-	end := start.Add(recoveryGrace)
+	end := start.Add(RecoveryGrace)
 	for _, p := range t.pauses {
 		from := p.from
 		if from.Before(start) {
