peer: a large fleet relays the records of a restored platform

What would be seen: at 117 instances each reads all records of both feeds from the store within 0.23 s of a restoration, of a configuration of some hundred kB up to 250 MB a second where readMbS is 80, and reads time out.

Cause: instances learned of a new epoch from each other, but not the records.

Reads of the platform wait 0.6 s longer there and are spread over 10 ms for each instance, in small fleets too.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -264,12 +264,12 @@
 	i.operators = &watch.Follower[watch.OperatorRecord]{
 		Name: "operators", Feed: i.Operators, Wait: operatorsWait, MaxRecent: configurationsKept, Timeout: feedTimeout, MaxAge: i.maxAge(operatorsMaxAge, operatorsWait),
 		OnBatch: i.applyOperatorRecords, OnUnreachable: i.logUnreachable("operators"), OnReachable: i.logReachable("operators"),
-		OnRestored: i.platformRestored("operators"), Spread: i.spread,
+		OnRestored: i.platformRestored("operators"), SnapshotDelay: i.snapshotDelay,
 	}
 	i.endpoints = &watch.Follower[fleet.EndpointInfo]{
 		Name: "endpoints", Feed: i.Endpoints, Timeout: feedTimeout, MaxAge: i.maxAge(endpointsMaxAge, 0),
 		OnBatch: i.applyEndpointRecords, OnUnreachable: i.logUnreachable("endpoints"), OnReachable: i.logReachable("endpoints"),
-		OnRestored: i.platformRestored("endpoints"), Spread: i.spread,
+		OnRestored: i.platformRestored("endpoints"), SnapshotDelay: i.snapshotDelay,
 		ExpiryTime: i.expiryTime(), OnRecovery: i.platformRecovered,
 	}
 	now := time.Now()
--- a/internal/entry/restore.go
+++ b/internal/entry/restore.go
@@ -12,9 +12,15 @@
 	"github.com/greengagestep/greengagestep/internal/watch"
 )
 
-// snapshotSpread is added, for each other instance, to the time over which instances that learn
-// from each other that the platform was restored read all records: 500 reads of a feed a second.
-const snapshotSpread = 2 * time.Millisecond
+const (
+	// snapshotSpread is added, for each other instance, to the time over which instances that
+	// learn from each other that the platform was restored read what it holds. Configurations
+	// take some hundred kB, and the platform delivers some 10 MB a second.
+	snapshotSpread = 10 * time.Millisecond
+	// relayedSnapshotDelay is how long the instances of a large fleet wait for the records of
+	// others before that.
+	relayedSnapshotDelay = 600 * time.Millisecond
+)
 
 // platformRestored returns a function that is called when a feed shows that the platform was
 // restored from an older copy. That affects all feeds, and what the fleet itself has stored.
@@ -51,7 +57,7 @@
 			return ctx.Err()
 		}
 		select {
-		case <-time.After(time.Duration(rand.Float64() * float64(r.spread()))):
+		case <-time.After(r.snapshotDelay()):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -65,9 +71,14 @@
 	}
 }
 
-// spread returns the time over which the instances that reach each other read all records.
-func (i *Instance) spread() time.Duration {
-	return time.Duration(i.peers.Peers(time.Now())) * snapshotSpread
+// snapshotDelay returns how long this instance waits before it reads what a restored platform holds,
+// so that all do not at once.
+func (i *Instance) snapshotDelay() time.Duration {
+	delay := time.Duration(rand.Float64() * float64(i.peers.Peers(time.Now())) * float64(snapshotSpread))
+	if i.peers.Sparse() {
+		delay += relayedSnapshotDelay
+	}
+	return delay
 }
 
 // logSnapshot logs that all records of a feed were read anew after the platform was restored.
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -105,6 +105,8 @@
 	members    warmup.Members
 	heardPeers bool
 	learned    learnedState
+	// fetching holds the feeds of which a snapshot is being fetched, by name.
+	fetching sync.Map
 	// unauthenticated counts requests whose signature was not made with the
 	// fleet key.
 	unauthenticated atomic.Int64
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -73,6 +73,10 @@
 			p.dataAt = now.Add(-p.dataAge)
 		}
 		x.mu.Unlock()
+		if relay && f.OutOfDate() && f.Position(now).Cursor().Before(position.Cursor()) {
+			// A snapshot is relayed from neighbor to neighbor sooner than all read the platform.
+			service.Go(x.Logger, "snapshot", func() { x.fetchSnapshot(context.Background(), p.Address, name, f) })
+		}
 	}
 }
 
@@ -97,7 +101,13 @@
 	}
 }
 
+// fetchSnapshot fetches everything that a peer has read of a feed. It does nothing while another one is
+// fetched.
 func (x *Exchange) fetchSnapshot(ctx context.Context, address, name string, f watch.Relay) {
+	if _, fetching := x.fetching.LoadOrStore(name, true); fetching {
+		return
+	}
+	defer x.fetching.Delete(name)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+SnapshotPath+"?"+feedParameter+"="+name, nil)
 	if err != nil {
 		x.Logger.Warn(event.InvalidData, zap.String("feed", name), zap.Error(err))
--- a/internal/peer/ring_test.go
+++ b/internal/peer/ring_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -65,6 +66,9 @@
 	if h == nil || f.loses() {
 		return nil, errors.New("unreachable")
 	}
+	if r.Body == nil {
+		r.Body = http.NoBody
+	}
 	sent, err := io.ReadAll(r.Body)
 	if err != nil {
 		return nil, err
@@ -297,6 +301,59 @@
 	require.LessOrEqual(t, sizes[large], 1.1*growth*sizes[small])
 }
 
+// restoredFeed is a feed of a platform that is restored.
+type restoredFeed struct {
+	mu        sync.Mutex
+	epoch     int64
+	snapshots int // reads of all records
+}
+
+func (r *restoredFeed) Newest(context.Context) ([]fleet.KeyedRecord[string], fleet.Cursor, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.snapshots++
+	value := fmt.Sprint(r.epoch)
+	return []fleet.KeyedRecord[string]{{Key: "k", Value: &value}}, fleet.Cursor{Epoch: r.epoch, Offset: 1}, nil
+}
+
+func (r *restoredFeed) Changes(_ context.Context, from fleet.Cursor, _ time.Duration) ([]fleet.KeyedRecord[string], fleet.Cursor, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return nil, fleet.Cursor{Epoch: r.epoch, Offset: from.Offset}, nil
+}
+
+// Many instances, of which one reads the feed for all, learn from each other that the platform was
+// restored. All have the records of the restored platform within two seconds, most of them from each
+// other: if each read them, reads would take the platform's bandwidth.
+func TestRestorationReachesLargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 40
+		platform := &restoredFeed{epoch: 1}
+		f := newFleetInMemory(t, n)
+		for _, feed := range f.feeds {
+			feed.Feed = platform
+			feed.SnapshotDelay = func() time.Duration { return 600*time.Millisecond + rand.N(n*10*time.Millisecond) }
+		}
+		f.feeds[0].MaxAge = func() time.Duration { return 200 * time.Millisecond }
+		time.Sleep(8 * time.Second)
+		platform.mu.Lock()
+		platform.epoch, platform.snapshots = 2, 0
+		platform.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		for i, feed := range f.feeds {
+			require.Equal(t, fleet.Cursor{Epoch: 2, Offset: 1}, feed.Position(time.Now()).Cursor(), i)
+		}
+		platform.mu.Lock()
+		snapshots := platform.snapshots
+		platform.mu.Unlock()
+		require.Less(t, snapshots, n/4, "reads of all records")
+		for _, stop := range f.stops {
+			stop()
+		}
+		time.Sleep(time.Second)
+	})
+}
+
 // Two instances of many each had one endpoint crash with a request of the same kind. All others
 // must refuse such requests before the users' bound, though most exchange no messages with either
 // of the two, and what each of them sends for that grows no faster than the logarithm of their
--- a/internal/watch/follow.go
+++ b/internal/watch/follow.go
@@ -132,9 +132,9 @@
 	// OnRestored is called when the platform is found to be in another epoch, before all records
 	// are read anew. The follower's lock is not held. Nil is allowed.
 	OnRestored func(from, to int64)
-	// Spread returns the time over which instances spread their reads of all records when they
-	// learn of a new epoch other than by a read of the feed; nil means zero.
-	Spread func() time.Duration
+	// SnapshotDelay returns how long the follower waits before it reads all records if it has
+	// learned of a new epoch other than by a read of the feed; nil means zero.
+	SnapshotDelay func() time.Duration
 
 	mu               sync.Mutex
 	cursor           fleet.Cursor
--- a/internal/watch/relay.go
+++ b/internal/watch/relay.go
@@ -14,6 +14,9 @@
 	Position(now time.Time) Position
 	// Unreachable reports whether the platform does not respond.
 	Unreachable() bool
+	// OutOfDate reports whether the platform is known to have been restored since the feed was
+	// read.
+	OutOfDate() bool
 	// EncodeUpdate encodes the records that are missing in an instance that has read
 	// up to a cursor. Relay is set if records that have just come from another
 	// instance are passed on at once.
--- a/internal/watch/restore.go
+++ b/internal/watch/restore.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/greengagestep/greengagestep/pkg/fleet"
@@ -13,7 +12,7 @@
 var errRestored = errors.New("watch: the platform was restored from an older copy")
 
 // NoteEpoch records that the platform is known to be in an epoch. If it is newer than the newest
-// known one, the follower reads all records anew within Spread.
+// known one, the follower reads all records anew after SnapshotDelay.
 func (f *Follower[T]) NoteEpoch(epoch int64) {
 	f.mu.Lock()
 	known := epoch <= f.epoch
@@ -22,9 +21,9 @@
 		return
 	}
 	delay := time.Duration(0)
-	if f.Spread != nil {
-		// Spread is called without the lock, as MaxAge is.
-		delay = time.Duration(rand.Float64() * float64(f.Spread()))
+	if f.SnapshotDelay != nil {
+		// SnapshotDelay is called without the lock, as MaxAge is.
+		delay = f.SnapshotDelay()
 	}
 	f.mu.Lock()
 	before := f.epoch
@@ -50,6 +49,13 @@
 	}
 }
 
+// OutOfDate implements Relay.
+func (f *Follower[T]) OutOfDate() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.outOfDate()
+}
+
 // outOfDate reports whether the records before the cursor are of another epoch than the newest
 // known one. The lock is held.
 func (f *Follower[T]) outOfDate() bool { return f.initialized && f.epoch != f.cursor.Epoch }
