watch: a slow read does not undo records that were relayed meanwhile

What callers would see: an instance reads all records of a feed, after a restoration or a trim; while the response is under way, a peer sends the records that were written since. The response then takes them back until the next read, up to a second: a revoked key is served again, or a leaving endpoint without sequences gets requests.

Cause: the response of such a read replaced whatever was known.

Fix: a response that ends before the cursor of the same epoch is dropped. After a trim or in another epoch it counts as before.

--- a/internal/watch/restore.go
+++ b/internal/watch/restore.go
@@ -79,7 +79,9 @@
 	}
 	f.platformResponded(time.Now())
 	f.mu.Lock()
-	if f.superseded(next.Epoch, knownEpoch) {
+	relayed := f.initialized && next.Epoch == f.cursor.Epoch && next.Before(f.cursor)
+	if relayed || f.superseded(next.Epoch, knownEpoch) {
+		// Another instance has sent newer records since the read began.
 		f.mu.Unlock()
 		return nil
 	}
--- a/internal/watch/restore_test.go
+++ b/internal/watch/restore_test.go
@@ -192,3 +192,33 @@
 		require.Equal(t, int64(7), r.Position(time.Now()).Epoch, "a response without an epoch changes nothing")
 	})
 }
+
+// slowFeed responds to a read of all records as they were when it began.
+type slowFeed struct{ *restoredFeed }
+
+func (f slowFeed) Newest(ctx context.Context) ([]fleet.KeyedRecord[int], fleet.Cursor, error) {
+	records, next, err := f.restoredFeed.Newest(ctx)
+	time.Sleep(200 * time.Millisecond)
+	return records, next, err
+}
+
+// A read of all records was under way while another instance sent the records that were written after
+// it had begun: these were undone until the next read.
+func TestSlowReadDoesNotUndoRelayedRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one, two := 1, 2
+		f := &restoredFeed{rng: rand.New(rand.NewPCG(1, 1)), maxDelay: time.Millisecond, epoch: 1}
+		f.records = []fleet.KeyedRecord[int]{{Key: "a", Value: &one}}
+		local, peer := newFollower(slowFeed{f}, time.Hour), newFollower(f, time.Hour)
+		ctx := t.Context()
+		go func() { _ = local.ReadOnce(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+		f.set(func() { f.records = append(f.records, fleet.KeyedRecord[int]{Key: "a", Value: &two}) })
+		require.NoError(t, peer.ReadOnce(ctx))
+		local.Apply(peer.Snapshot(time.Now()), time.Now(), 0)
+		require.Equal(t, 2, local.value("a"))
+		time.Sleep(time.Second)
+		require.Equal(t, 2, local.value("a"))
+		require.Equal(t, peer.Position(time.Now()).Cursor(), local.Position(time.Now()).Cursor())
+	})
+}
