--- a/internal/entry/restore.go
+++ b/internal/entry/restore.go
@@ -31,7 +31,7 @@
 		i.operators.NoteEpoch(to)
 		i.endpoints.NoteEpoch(to)
 		if i.epoch.Swap(to) == to {
-			return
+			return // the other feed has shown the same
 		}
 		select {
 		case i.restored <- struct{}{}:
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -73,7 +73,7 @@
 			p.dataAt = now.Add(-p.dataAge)
 		}
 		x.mu.Unlock()
-		if relay && f.OutOfDate() && f.Position(now).Cursor().Before(position.Cursor()) {
+		if relay && f.OutOfDate() && f.Position(now).Epoch < position.Epoch {
 			// A snapshot is relayed from neighbor to neighbor sooner than all read the platform.
 			service.Go(x.Logger, "snapshot", func() { x.fetchSnapshot(context.Background(), p.Address, name, f) })
 		}
--- a/internal/watch/follow.go
+++ b/internal/watch/follow.go
@@ -1,7 +1,8 @@
 // Package watch follows the records that operators and endpoints write. It reads a feed
 // continuously, starts again from the newest records if the feed has trimmed records that
-// were not read yet or the platform was restored from an older copy, takes over records that other instances have already read, and reports
-// when the platform becomes unreachable and when it is reachable again.
+// were not read yet or the platform was restored from an older copy, takes over records that
+// other instances have already read, and reports when the platform becomes unreachable and
+// when it is reachable again.
 package watch
 
 import (
@@ -43,7 +44,7 @@
 	Since time.Time
 	// Relayed is set when the records came from another instance.
 	Relayed bool
-	// Next is up to where the feed had been read then.
+	// Next is the place after the records.
 	Next fleet.Cursor
 	// Restored is set on a snapshot of another epoch than the records before it: the platform
 	// was restored from an older copy, in which records that were read may be missing and
