--- a/internal/peer/ring_test.go
+++ b/internal/peer/ring_test.go
@@ -165,10 +165,16 @@
 
 // newFleetInMemory starts n members of which the first reads the feed. All know the first three.
 func newFleetInMemory(t *testing.T, n int) *fleetInMemory {
+	return newFleetWithFeeds(t, n, func(int, *watch.Follower[string]) {})
+}
+
+// newFleetWithFeeds does so after configure has changed the feed of each member.
+func newFleetWithFeeds(t *testing.T, n int, configure func(i int, feed *watch.Follower[string])) *fleetInMemory {
 	f := &fleetInMemory{handlers: map[string]http.Handler{}, messages: map[string]int{}, bytes: map[string]int{}}
 	f.members, f.feeds, f.stops = make([]*peer.Exchange, n), make([]*watch.Follower[string], n), make([]context.CancelFunc, n)
 	for i := range n {
 		f.set(i, 1)
+		configure(i, f.feeds[i])
 	}
 	for i := range n {
 		f.serve(t, i)
@@ -329,12 +335,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		const n = 40
 		platform := &restoredFeed{epoch: 1}
-		f := newFleetInMemory(t, n)
-		for _, feed := range f.feeds {
+		f := newFleetWithFeeds(t, n, func(i int, feed *watch.Follower[string]) {
 			feed.Feed = platform
 			feed.SnapshotDelay = func() time.Duration { return 600*time.Millisecond + rand.N(n*10*time.Millisecond) }
-		}
-		f.feeds[0].MaxAge = func() time.Duration { return 200 * time.Millisecond }
+			if i == 0 {
+				feed.MaxAge = func() time.Duration { return 200 * time.Millisecond }
+			}
+		})
 		time.Sleep(8 * time.Second)
 		platform.mu.Lock()
 		platform.epoch, platform.snapshots = 2, 0
